--- /dev/null
+++ b/src/cmd/drain.rs
@@ -0,0 +1,11 @@
+//! `fuchsiashore drain`.
+
+use super::{daemons::send_drain, error::CmdError, options::OperatorOptions};
+
+/// Makes one daemon finish its work and exit.
+pub async fn run(options: &OperatorOptions) -> Result<(), CmdError> {
+    let daemon = options.daemon()?;
+    send_drain(daemon).await?;
+    println!("daemon at {daemon} is draining");
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/undo.rs
@@ -0,0 +1,22 @@
+//! `fuchsiashore undo`.
+
+use {
+    super::{
+        change::{make_change, read_head, read_version},
+        error::CmdError,
+        options::OperatorOptions,
+    },
+    crate::{clock::ProcessClock, config::TableEdit},
+};
+
+/// Brings back an earlier version as a new one.
+pub async fn run(options: &OperatorOptions, clock: &ProcessClock) -> Result<(), CmdError> {
+    let store = options.store()?;
+    let head = read_head(&store).await?;
+    let version = options.version.unwrap_or(head.version.saturating_sub(1));
+    if version == 0 {
+        return Err(CmdError::usage("there is no earlier version to bring back"));
+    }
+    let tables = read_version(&store, &head, version).await?;
+    make_change(options, clock, &head, TableEdit::Undo { tables }).await
+}
--- /dev/null
+++ b/src/config/change.rs
@@ -0,0 +1,406 @@
+//! Edits: how one accepted configuration becomes the next.
+
+use {
+    super::{
+        diff::{TableDiff, diff_tables},
+        head::{ChangeNote, ClosedMove, ConfigHead, KEPT_NOTES, MoveOrder, MoveVerdict, Stamped, Tombstone},
+        tables::{ConfigTables, PoolEntry, TableFault, TableKind},
+    },
+    crate::{clock::TimePoint, macros::value_type},
+    indexmap::IndexMap,
+    std::sync::Arc,
+    thiserror::Error,
+};
+
+/// Time given to a move that an undo opens, in milliseconds.
+pub const UNDO_MOVE_MS: u64 = 600_000;
+
+value_type! {
+    /// What an edit does.
+    pub enum TableEdit {
+        /// Replaces both tables.
+        Replace {
+            /// The new tables.
+            tables: ConfigTables,
+            /// Whether a version that was taken back may be tried again.
+            again: bool,
+        },
+        /// Brings back the content of an earlier version.
+        Undo {
+            /// The tables of that version.
+            tables: ConfigTables,
+        },
+        /// Ends an open move.
+        Close {
+            /// Pool that is moved.
+            pool: Arc<str>,
+            /// Identity of the move.
+            move_id: u64,
+            /// How it ends.
+            verdict: MoveVerdict,
+            /// Why.
+            reason: Arc<str>,
+        },
+    }
+}
+
+value_type! {
+    /// An edit with its author.
+    pub struct EditRequest {
+        /// Identity of the change.
+        pub change_id: Arc<str>,
+        /// Version that the author saw; `None` if the edit holds whatever the version is.
+        pub base_version: Option<u64>,
+        /// Who asks.
+        pub author: Arc<str>,
+        /// Why.
+        pub message: Arc<str>,
+        /// When.
+        pub at: TimePoint,
+        /// What is to be done.
+        pub edit: TableEdit,
+    }
+}
+
+/// An edit that was refused.
+#[derive(Debug, Clone, PartialEq, Error)]
+pub enum EditError {
+    /// Somebody else changed the configuration first.
+    #[error("version {base} was changed to {version} meanwhile:\n{}\nlook at the difference and apply again", list_notes(.changes))]
+    Conflict {
+        /// Version that the author saw.
+        base: u64,
+        /// Present version.
+        version: u64,
+        /// What happened in between.
+        changes: Vec<ChangeNote>,
+    },
+    /// The tables break a rule.
+    #[error("the tables break a rule: {}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))]
+    Invalid(Vec<TableFault>),
+    /// The edit changes nothing.
+    #[error("the tables are the accepted ones already; nothing to do")]
+    NothingChanged,
+    /// The pool's version changes while a move of the pool is open.
+    #[error(
+        "pool {pool} has an open move to {to}; wait for its end or cancel it with `fuchsiashore moves --cancel {pool}`"
+    )]
+    MoveOpen {
+        /// Pool at fault.
+        pool: Arc<str>,
+        /// Version that the open move goes to.
+        to: Arc<str>,
+    },
+    /// The pool's version changes without a deadline in the future.
+    #[error(
+        "pool {pool} changes its version but finish_by is missing or past; state when the move must finish"
+    )]
+    NoDeadline {
+        /// Pool at fault.
+        pool: Arc<str>,
+    },
+    /// The version was taken back before.
+    #[error("version {to} of pool {pool} was taken back ({reason}); give --again to try it once more")]
+    TakenBack {
+        /// Pool at fault.
+        pool: Arc<str>,
+        /// Version that was taken back.
+        to: Arc<str>,
+        /// Why it was.
+        reason: Arc<str>,
+    },
+    /// The move to close is not open.
+    #[error("pool {pool} has no open move {move_id}; see `fuchsiashore moves`")]
+    NoSuchMove {
+        /// Pool at fault.
+        pool: Arc<str>,
+        /// Identity of the move.
+        move_id: u64,
+    },
+}
+
+fn list_notes(notes: &[ChangeNote]) -> String {
+    let lines = notes.iter().map(|note| {
+        format!(
+            "  {} {} by {}: {}",
+            note.version, note.at, note.author, note.message
+        )
+    });
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+/// The outcome of an edit on a given head.
+#[derive(Debug, Clone, PartialEq)]
+pub enum HeadEdit {
+    /// The change is in the head already, from an earlier try whose answer was lost.
+    Present {
+        /// Version that the change made.
+        version: u64,
+    },
+    /// The head that the edit makes.
+    Next(Box<AppliedEdit>),
+}
+
+/// A head that an edit made, not yet sealed or written.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AppliedEdit {
+    /// The new head.
+    pub head: ConfigHead,
+    /// What differs from the one before.
+    pub diff: TableDiff,
+}
+
+/// Applies an edit to a head. Nothing is written; the caller seals and stores the result.
+pub fn apply_edit(head: &ConfigHead, request: &EditRequest) -> Result<HeadEdit, EditError> {
+    if let Some(note) = head.find_change(&request.change_id) {
+        return Ok(HeadEdit::Present {
+            version: note.version,
+        });
+    }
+    check_base(head, request)?;
+    let mut next = head.clone();
+    next.version += 1;
+    let tables = match &request.edit {
+        TableEdit::Replace { tables, again } => {
+            prepare_moves(&mut next, tables, request, *again)?;
+            tables.clone()
+        }
+        TableEdit::Undo { tables } => {
+            let tables = renew_deadlines(head, tables, request.at);
+            prepare_moves(&mut next, &tables, request, true)?;
+            tables
+        }
+        TableEdit::Close {
+            pool,
+            move_id,
+            verdict,
+            reason,
+        } => close_move(&mut next, pool, *move_id, *verdict, reason, request.at)?,
+    };
+    let faults = tables.check();
+    if !faults.is_empty() {
+        return Err(EditError::Invalid(faults));
+    }
+    let diff = diff_tables(&head.tables(), &tables);
+    if diff.is_empty() && next.moves == head.moves {
+        return Err(EditError::NothingChanged);
+    }
+    store_tables(&mut next, tables);
+    add_note(&mut next, request);
+    Ok(HeadEdit::Next(Box::new(AppliedEdit { head: next, diff })))
+}
+
+fn check_base(head: &ConfigHead, request: &EditRequest) -> Result<(), EditError> {
+    match request.base_version {
+        Some(base) if base != head.version => Err(EditError::Conflict {
+            base,
+            version: head.version,
+            changes: head
+                .changes
+                .iter()
+                .filter(|note| note.version > base)
+                .cloned()
+                .collect(),
+        }),
+        _ => Ok(()),
+    }
+}
+
+/// Opens, changes and closes moves as the wanted tables ask.
+fn prepare_moves(
+    next: &mut ConfigHead,
+    tables: &ConfigTables,
+    request: &EditRequest,
+    again: bool,
+) -> Result<(), EditError> {
+    let pools = next.pools.clone();
+    for (name, old) in &pools {
+        match tables.pools.get(name) {
+            Some(wanted) if wanted.service == old.entry.service => {
+                prepare_pool_move(next, name, &old.entry, wanted, request, again)?;
+            }
+            _ => end_move(
+                next,
+                name,
+                MoveVerdict::Cancelled,
+                "the pool was removed or serves another service",
+                request.at,
+            ),
+        }
+    }
+    Ok(())
+}
+
+fn prepare_pool_move(
+    next: &mut ConfigHead,
+    name: &Arc<str>,
+    old: &PoolEntry,
+    wanted: &PoolEntry,
+    request: &EditRequest,
+    again: bool,
+) -> Result<(), EditError> {
+    if let Some(order) = next.moves.get_mut(name) {
+        if wanted.version == order.from {
+            end_move(
+                next,
+                name,
+                MoveVerdict::Cancelled,
+                "an operator set the old version again",
+                request.at,
+            );
+            return Ok(());
+        }
+        if wanted.version != order.to {
+            return Err(EditError::MoveOpen {
+                pool: Arc::clone(name),
+                to: Arc::clone(&order.to),
+            });
+        }
+        order.finish_by = wanted.finish_by.unwrap_or(order.finish_by);
+        order.policy = wanted.policy;
+        return Ok(());
+    }
+    if wanted.version == old.version {
+        return Ok(());
+    }
+    if !again {
+        refuse_taken_back(next, name, &wanted.version)?;
+    }
+    let finish_by = wanted.finish_by.filter(|finish_by| *finish_by > request.at);
+    let finish_by = finish_by.ok_or_else(|| EditError::NoDeadline {
+        pool: Arc::clone(name),
+    })?;
+    let order = MoveOrder {
+        id: next.version,
+        from: Arc::clone(&old.version),
+        to: Arc::clone(&wanted.version),
+        opened_at: request.at,
+        finish_by,
+        policy: wanted.policy,
+    };
+    next.moves.insert(Arc::clone(name), order);
+    Ok(())
+}
+
+fn refuse_taken_back(head: &ConfigHead, name: &Arc<str>, version: &Arc<str>) -> Result<(), EditError> {
+    let last = head
+        .closed
+        .iter()
+        .rev()
+        .find(|closed| closed.pool == *name && closed.order.to == *version);
+    match last {
+        Some(closed) if closed.verdict == MoveVerdict::TakenBack => Err(EditError::TakenBack {
+            pool: Arc::clone(name),
+            to: Arc::clone(version),
+            reason: Arc::clone(&closed.reason),
+        }),
+        _ => Ok(()),
+    }
+}
+
+/// Gives pools whose version an undo changes a new deadline, as the old one has passed.
+fn renew_deadlines(head: &ConfigHead, tables: &ConfigTables, at: TimePoint) -> ConfigTables {
+    let mut tables = tables.clone();
+    for (name, pool) in &mut tables.pools {
+        let changes = head
+            .pools
+            .get(name)
+            .is_some_and(|present| present.entry.version != pool.version);
+        if changes && pool.finish_by.is_none_or(|finish_by| finish_by <= at) {
+            pool.finish_by = Some(at.after_ms(UNDO_MOVE_MS));
+        }
+    }
+    tables
+}
+
+fn close_move(
+    next: &mut ConfigHead,
+    pool: &Arc<str>,
+    move_id: u64,
+    verdict: MoveVerdict,
+    reason: &str,
+    at: TimePoint,
+) -> Result<ConfigTables, EditError> {
+    let order = next.moves.get(pool).filter(|order| order.id == move_id).cloned();
+    let order = order.ok_or_else(|| EditError::NoSuchMove {
+        pool: Arc::clone(pool),
+        move_id,
+    })?;
+    let mut tables = next.tables();
+    if let Some(entry) = tables.pools.get_mut(pool) {
+        entry.version = match verdict {
+            MoveVerdict::Done => order.to,
+            MoveVerdict::TakenBack | MoveVerdict::Cancelled => order.from,
+        };
+    }
+    end_move(next, pool, verdict, reason, at);
+    Ok(tables)
+}
+
+fn end_move(next: &mut ConfigHead, pool: &Arc<str>, verdict: MoveVerdict, reason: &str, at: TimePoint) {
+    if let Some(order) = next.moves.shift_remove(pool) {
+        next.closed.push(ClosedMove {
+            pool: Arc::clone(pool),
+            order,
+            verdict,
+            reason: reason.into(),
+            at,
+        });
+        trim(&mut next.closed);
+    }
+}
+
+fn store_tables(next: &mut ConfigHead, tables: ConfigTables) {
+    let version = next.version;
+    let gone_routes = restamp(&mut next.routes, tables.routes, version);
+    let gone_pools = restamp(&mut next.pools, tables.pools, version);
+    let routes = gone_routes.into_iter().map(|name| (TableKind::Route, name));
+    let pools = gone_pools.into_iter().map(|name| (TableKind::Pool, name));
+    let tombstones = routes.chain(pools).map(|(kind, name)| Tombstone {
+        kind,
+        name,
+        stamp: version,
+    });
+    next.tombstones.extend(tombstones);
+    let surplus = next.tombstones.len().saturating_sub(KEPT_NOTES);
+    if surplus > 0 {
+        next.delta_floor = next.tombstones[surplus - 1].stamp;
+        next.tombstones.drain(..surplus);
+    }
+}
+
+/// Takes over the wanted entries, keeps the stamp of unchanged ones and returns the names that are gone.
+fn restamp<T: PartialEq>(
+    rows: &mut IndexMap<Arc<str>, Stamped<T>>,
+    wanted: IndexMap<Arc<str>, T>,
+    version: u64,
+) -> Vec<Arc<str>> {
+    let mut old = std::mem::take(rows);
+    for (name, entry) in wanted {
+        let row = match old.shift_remove(&name) {
+            Some(row) if row.entry == entry => row,
+            _ => Stamped {
+                stamp: version,
+                entry,
+            },
+        };
+        rows.insert(name, row);
+    }
+    old.into_keys().collect()
+}
+
+fn add_note(next: &mut ConfigHead, request: &EditRequest) {
+    next.changes.push(ChangeNote {
+        change_id: Arc::clone(&request.change_id),
+        version: next.version,
+        author: Arc::clone(&request.author),
+        message: Arc::clone(&request.message),
+        at: request.at,
+    });
+    trim(&mut next.changes);
+}
+
+fn trim<T>(notes: &mut Vec<T>) {
+    let surplus = notes.len().saturating_sub(KEPT_NOTES);
+    notes.drain(..surplus);
+}
--- /dev/null
+++ b/src/config/delta.rs
@@ -0,0 +1,133 @@
+//! Deltas between two versions of the head, made from entry stamps.
+
+use {
+    super::{
+        head::{ChangeNote, ClosedMove, ConfigHead, HeadError, MoveOrder, Stamped, Tombstone},
+        tables::{PoolEntry, RouteEntry, TableKind},
+    },
+    crate::macros::value_type,
+    indexmap::IndexMap,
+    std::sync::Arc,
+    thiserror::Error,
+};
+
+value_type! {
+    /// What changed between two versions.
+    pub struct HeadDelta {
+        /// Version that the delta applies to.
+        pub base: u64,
+        /// Digest of the head that the delta applies to.
+        pub base_digest: u64,
+        /// Version that it makes.
+        pub version: u64,
+        /// Routes that are new or changed.
+        pub routes: IndexMap<Arc<str>, Stamped<RouteEntry>>,
+        /// Pools that are new or changed.
+        pub pools: IndexMap<Arc<str>, Stamped<PoolEntry>>,
+        /// Tombstones of the new head.
+        pub tombstones: Vec<Tombstone>,
+        /// Delta floor of the new head.
+        pub delta_floor: u64,
+        /// Open moves of the new head.
+        pub moves: IndexMap<Arc<str>, MoveOrder>,
+        /// Closed moves of the new head.
+        pub closed: Vec<ClosedMove>,
+        /// Changes after the base.
+        pub changes: Vec<ChangeNote>,
+        /// Number of change notes that the new head keeps.
+        pub kept_changes: usize,
+        /// Digest of the new head.
+        pub digest: u64,
+    }
+}
+
+/// A delta that can't be used; the whole value must be read instead.
+#[derive(Debug, Error)]
+pub enum DeltaError {
+    /// The delta applies to another head.
+    #[error("delta applies to version {base}, not to {version}; read the whole value")]
+    Base {
+        /// Version that the delta applies to.
+        base: u64,
+        /// Version that was to be changed.
+        version: u64,
+    },
+    /// The result does not match its digest.
+    #[error(transparent)]
+    Head(#[from] HeadError),
+}
+
+impl HeadDelta {
+    /// Makes the delta from version `base` to `head`. Returns `None` if tombstones that it needs are gone.
+    pub fn between(base: u64, base_digest: u64, head: &ConfigHead) -> Option<Self> {
+        if base < head.delta_floor || base >= head.version || base == 0 {
+            return None;
+        }
+        Some(Self {
+            base,
+            base_digest,
+            version: head.version,
+            routes: changed_rows(&head.routes, base),
+            pools: changed_rows(&head.pools, base),
+            tombstones: head
+                .tombstones
+                .iter()
+                .filter(|tombstone| tombstone.stamp > base)
+                .cloned()
+                .collect(),
+            delta_floor: head.delta_floor,
+            moves: head.moves.clone(),
+            closed: head.closed.clone(),
+            changes: head
+                .changes
+                .iter()
+                .filter(|note| note.version > base)
+                .cloned()
+                .collect(),
+            kept_changes: head.changes.len(),
+            digest: head.digest,
+        })
+    }
+
+    /// Makes the new head from the one that the delta applies to and checks its digest.
+    pub fn apply(&self, base: &ConfigHead) -> Result<ConfigHead, DeltaError> {
+        if base.version != self.base || base.digest != self.base_digest {
+            return Err(DeltaError::Base {
+                base: self.base,
+                version: base.version,
+            });
+        }
+        let mut head = base.clone();
+        head.version = self.version;
+        for tombstone in &self.tombstones {
+            match tombstone.kind {
+                TableKind::Route => head.routes.shift_remove(&tombstone.name).map(drop),
+                TableKind::Pool => head.pools.shift_remove(&tombstone.name).map(drop),
+            };
+        }
+        head.routes.extend(self.routes.clone());
+        head.pools.extend(self.pools.clone());
+        head.tombstones.extend(self.tombstones.iter().cloned());
+        head.tombstones
+            .retain(|tombstone| tombstone.stamp > self.delta_floor);
+        head.delta_floor = self.delta_floor;
+        head.moves.clone_from(&self.moves);
+        head.closed.clone_from(&self.closed);
+        head.changes.extend(self.changes.iter().cloned());
+        let surplus = head.changes.len().saturating_sub(self.kept_changes);
+        head.changes.drain(..surplus);
+        head.digest = self.digest;
+        head.check_digest()?;
+        Ok(head)
+    }
+}
+
+fn changed_rows<T: Clone>(
+    rows: &IndexMap<Arc<str>, Stamped<T>>,
+    base: u64,
+) -> IndexMap<Arc<str>, Stamped<T>> {
+    let changed = rows.iter().filter(|(_, row)| row.stamp > base);
+    changed
+        .map(|(name, row)| (Arc::clone(name), row.clone()))
+        .collect()
+}
--- /dev/null
+++ b/src/config/diff.rs
@@ -0,0 +1,105 @@
+//! The difference between two sets of tables, as shown to operators.
+
+use {
+    super::tables::{ConfigTables, TableKind},
+    crate::macros::value_type,
+    indexmap::IndexMap,
+    std::{
+        fmt::{Debug, Display, Formatter},
+        sync::Arc,
+    },
+};
+
+value_type! {
+    /// What happened to an entry.
+    pub enum EntryChange {
+        /// The entry is new.
+        Added,
+        /// The entry is gone.
+        Removed,
+        /// The entry has other content.
+        Changed {
+            /// One line per key that differs.
+            keys: Vec<String>,
+        },
+    }
+}
+
+value_type! {
+    /// All entries that differ.
+    #[derive(Default)]
+    pub struct TableDiff {
+        /// Table, name and change of each entry that differs.
+        pub entries: Vec<(TableKind, Arc<str>, EntryChange)>,
+    }
+}
+
+impl TableDiff {
+    /// Tells whether nothing differs.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+impl Display for TableDiff {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        for (kind, name, change) in &self.entries {
+            match change {
+                EntryChange::Added => writeln!(formatter, "+ [{kind} {name}]")?,
+                EntryChange::Removed => writeln!(formatter, "- [{kind} {name}]")?,
+                EntryChange::Changed { keys } => {
+                    writeln!(formatter, "~ [{kind} {name}]")?;
+                    for key in keys {
+                        writeln!(formatter, "    {key}")?;
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Compares two sets of tables.
+pub fn diff_tables(old: &ConfigTables, new: &ConfigTables) -> TableDiff {
+    let mut diff = TableDiff::default();
+    diff_rows(&mut diff, TableKind::Route, &old.routes, &new.routes);
+    diff_rows(&mut diff, TableKind::Pool, &old.pools, &new.pools);
+    diff
+}
+
+fn diff_rows<T: PartialEq + serde::Serialize>(
+    diff: &mut TableDiff,
+    kind: TableKind,
+    old: &IndexMap<Arc<str>, T>,
+    new: &IndexMap<Arc<str>, T>,
+) {
+    for (name, entry) in new {
+        match old.get(name) {
+            None => diff.entries.push((kind, Arc::clone(name), EntryChange::Added)),
+            Some(before) if before != entry => {
+                let keys = changed_keys(before, entry);
+                diff.entries
+                    .push((kind, Arc::clone(name), EntryChange::Changed { keys }));
+            }
+            Some(_) => {}
+        }
+    }
+    for name in old.keys().filter(|name| !new.contains_key(*name)) {
+        diff.entries.push((kind, Arc::clone(name), EntryChange::Removed));
+    }
+}
+
+fn changed_keys<T: serde::Serialize>(before: &T, after: &T) -> Vec<String> {
+    let (Ok(before), Ok(after)) = (serde_json::to_value(before), serde_json::to_value(after)) else {
+        return Vec::new();
+    };
+    let Some(fields) = after.as_object() else {
+        return Vec::new();
+    };
+    let changed = fields
+        .iter()
+        .filter(|(key, value)| before.get(key.as_str()) != Some(value));
+    changed
+        .map(|(key, value)| format!("{key}: {} -> {value}", before[key.as_str()]))
+        .collect()
+}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,22 @@
+//! The operators' configuration: two tables, the stored head value, and what a proxy compiles from it.
+
+mod change;
+mod compile;
+mod delta;
+mod diff;
+mod head;
+mod parse;
+mod tables;
+
+pub use {
+    change::{AppliedEdit, EditError, EditRequest, HeadEdit, TableEdit, apply_edit},
+    compile::{CompileError, CompiledPool, CompiledRoute, CompiledTable, RouteMatch},
+    delta::{DeltaError, HeadDelta},
+    diff::{EntryChange, TableDiff, diff_tables},
+    head::{
+        ChangeNote, ClosedMove, ConfigHead, HeadError, MAX_HEAD_BYTES, MoveOrder, MoveVerdict, Stamped,
+        Tombstone,
+    },
+    parse::{ParseFault, ParseFaults, parse_tables, render_tables},
+    tables::{ConfigTables, MovePolicy, PoolEntry, RepeatRule, RouteEntry, TableFault, TableKind},
+};
--- /dev/null
+++ b/src/config/parse.rs
@@ -0,0 +1,201 @@
+//! Reads the tables from INI text and writes them back.
+
+use {
+    super::tables::{
+        ConfigTables, DEFAULT_TIMEOUT_MS, MovePolicy, PoolEntry, RepeatRule, RouteEntry, TableFault,
+    },
+    crate::{
+        clock::TimePoint,
+        ini::{IniSection, read_sections},
+    },
+    miette::Diagnostic,
+    std::{fmt::Write as _, sync::Arc},
+    thiserror::Error,
+};
+
+/// A fault in the text of the tables.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum ParseFault {
+    /// A line can't be read.
+    #[error("{file}:{line}: {text}; write `key = value`, `[route NAME]` or `[pool NAME]`")]
+    BadLine {
+        /// File name.
+        file: Arc<str>,
+        /// Line number, from 1.
+        line: u32,
+        /// What is wrong.
+        text: String,
+    },
+    /// A key is unknown, missing, repeated or has a value that can't be used.
+    #[error("{file}:{line}: [{section}] {key}: {remedy}")]
+    BadKey {
+        /// File name.
+        file: Arc<str>,
+        /// Line number, from 1.
+        line: u32,
+        /// Section as written.
+        section: String,
+        /// Key at fault.
+        key: String,
+        /// What to do.
+        remedy: String,
+    },
+    /// The tables read well but break a rule.
+    #[error(transparent)]
+    Rule(#[from] TableFault),
+}
+
+/// All faults found in a set of tables.
+#[derive(Debug, Clone, PartialEq, Eq, Error, Diagnostic)]
+#[error("{} fault(s) in the tables:\n{}", .0.len(), join_lines(.0))]
+#[diagnostic(
+    code(fuchsiashore::tables),
+    help("mend the lines named above and run `fuchsiashore check` again")
+)]
+pub struct ParseFaults(pub Vec<ParseFault>);
+
+fn join_lines(faults: &[ParseFault]) -> String {
+    faults
+        .iter()
+        .map(|fault| format!("  {fault}"))
+        .collect::<Vec<_>>()
+        .join("\n")
+}
+
+/// Reads tables from `(file name, text)` pairs and checks them whole.
+pub fn parse_tables(files: &[(Arc<str>, String)]) -> Result<ConfigTables, ParseFaults> {
+    let mut faults = Vec::new();
+    let mut tables = ConfigTables::default();
+    for (file, text) in files {
+        for section in read_sections(file, text, &mut faults) {
+            add_section(&mut tables, section, &mut faults);
+        }
+    }
+    faults.extend(tables.check().into_iter().map(ParseFault::Rule));
+    if faults.is_empty() {
+        Ok(tables)
+    } else {
+        Err(ParseFaults(faults))
+    }
+}
+
+fn add_section(tables: &mut ConfigTables, mut section: IniSection, faults: &mut Vec<ParseFault>) {
+    let Some((kind, name)) = section.title.split_once(' ') else {
+        faults.push(section.fault("", "name the entry: [route NAME] or [pool NAME]"));
+        return;
+    };
+    let name: Arc<str> = Arc::from(name.trim());
+    let repeated = match kind {
+        "route" => {
+            let entry = read_route(&mut section, faults);
+            tables.routes.insert(name, entry).is_some()
+        }
+        "pool" => {
+            let entry = read_pool(&mut section, faults);
+            tables.pools.insert(name, entry).is_some()
+        }
+        _ => {
+            faults.push(section.fault("", "only [route NAME] and [pool NAME] are known"));
+            return;
+        }
+    };
+    if repeated {
+        faults.push(section.fault("", "this entry stands twice; remove one"));
+    }
+    section.refuse_rest(faults);
+}
+
+fn read_route(section: &mut IniSection, faults: &mut Vec<ParseFault>) -> RouteEntry {
+    let methods = section.take("methods").unwrap_or_default();
+    let repeat = section.take_parsed(
+        "repeat",
+        "write yes, no or by-method",
+        faults,
+        |text| match text {
+            "yes" => Some(RepeatRule::Always),
+            "no" => Some(RepeatRule::Never),
+            "by-method" => Some(RepeatRule::ByMethod),
+            _ => None,
+        },
+    );
+    let timeout_ms = section.take_parsed(
+        "timeout_ms",
+        "write milliseconds from 1 to 600000",
+        faults,
+        |text| text.parse().ok(),
+    );
+    RouteEntry {
+        path: section.take_required("path", faults),
+        methods: methods
+            .split([',', ' '])
+            .filter(|m| !m.is_empty())
+            .map(|m| m.to_ascii_uppercase().into())
+            .collect(),
+        pool: section.take_required("pool", faults),
+        repeat: repeat.unwrap_or_default(),
+        timeout_ms: timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS),
+    }
+}
+
+fn read_pool(section: &mut IniSection, faults: &mut Vec<ParseFault>) -> PoolEntry {
+    let finish_by = section.take_parsed(
+        "finish_by",
+        "write an RFC 3339 time such as 2026-12-05T10:00:00Z",
+        faults,
+        TimePoint::parse,
+    );
+    let policy = section.take_parsed("policy", "write prompt or cautious", faults, |text| match text {
+        "prompt" => Some(MovePolicy::Prompt),
+        "cautious" => Some(MovePolicy::Cautious),
+        _ => None,
+    });
+    PoolEntry {
+        service: section.take_required("service", faults),
+        version: section.take_required("version", faults),
+        finish_by,
+        policy: policy.unwrap_or_default(),
+    }
+}
+
+/// Writes the tables as INI text that [`parse_tables`] reads back to the same value.
+pub fn render_tables(tables: &ConfigTables) -> String {
+    let mut text = String::new();
+    for (name, route) in &tables.routes {
+        let methods = route
+            .methods
+            .iter()
+            .map(|method| &**method)
+            .collect::<Vec<_>>()
+            .join(", ");
+        let repeat = match route.repeat {
+            RepeatRule::ByMethod => "by-method",
+            RepeatRule::Always => "yes",
+            RepeatRule::Never => "no",
+        };
+        let _ = writeln!(text, "[route {name}]\npath = {}", route.path);
+        if !methods.is_empty() {
+            let _ = writeln!(text, "methods = {methods}");
+        }
+        let _ = writeln!(
+            text,
+            "pool = {}\nrepeat = {repeat}\ntimeout_ms = {}\n",
+            route.pool, route.timeout_ms
+        );
+    }
+    for (name, pool) in &tables.pools {
+        let policy = match pool.policy {
+            MovePolicy::Prompt => "prompt",
+            MovePolicy::Cautious => "cautious",
+        };
+        let _ = writeln!(
+            text,
+            "[pool {name}]\nservice = {}\nversion = {}",
+            pool.service, pool.version
+        );
+        if let Some(finish_by) = pool.finish_by {
+            let _ = writeln!(text, "finish_by = {finish_by}");
+        }
+        let _ = writeln!(text, "policy = {policy}\n");
+    }
+    text
+}
--- /dev/null
+++ b/src/daemon/envelope.rs
@@ -0,0 +1,92 @@
+//! The one place where control messages are accepted: mesh, protocol version and size are checked here.
+
+use {
+    crate::{
+        codec::{self, CodecError},
+        macros::value_type,
+        member::{SyncReply, SyncRequest},
+        moves::{PollReply, PollRequest},
+        spread::{ConfigReply, ConfigRequest},
+        timeline::HybridStamp,
+    },
+    serde::{Serialize, de::DeserializeOwned},
+    std::sync::Arc,
+    thiserror::Error,
+};
+
+/// Version of the protocol between daemons.
+pub const PROTOCOL_VERSION: u8 = 1;
+
+value_type! {
+    /// A control message with what every one of them carries.
+    pub struct Envelope<T> {
+        /// Version of the protocol.
+        pub protocol: u8,
+        /// Identity of the mesh.
+        pub mesh: Arc<str>,
+        /// Hybrid clock of the sender.
+        pub stamp: HybridStamp,
+        /// The message.
+        pub body: T,
+    }
+}
+
+value_type! {
+    /// A request over HTTP between daemons.
+    pub enum ControlRequest {
+        /// Anti-entropy of the member records.
+        Sync(Box<SyncRequest>),
+        /// Pull of the configuration.
+        Config(ConfigRequest),
+        /// Poll of a gate by a move's controller.
+        Poll(PollRequest),
+    }
+}
+
+value_type! {
+    /// The answer to a [`ControlRequest`].
+    pub enum ControlReply {
+        /// Answer to [`ControlRequest::Sync`].
+        Sync(SyncReply),
+        /// Answer to [`ControlRequest::Config`].
+        Config(ConfigReply),
+        /// Answer to [`ControlRequest::Poll`].
+        Poll(Box<PollReply>),
+    }
+}
+
+/// A control message that was refused.
+#[derive(Debug, Error)]
+pub enum EnvelopeError {
+    /// The bytes can't be read.
+    #[error(transparent)]
+    Codec(#[from] CodecError),
+    /// The sender speaks another protocol version.
+    #[error("message has protocol version {0}, not {PROTOCOL_VERSION}; update the older daemon")]
+    Protocol(u8),
+    /// The sender belongs to another mesh.
+    #[error("message comes from mesh {0}; check the mesh and peers keys of the settings")]
+    Mesh(Arc<str>),
+}
+
+/// Encodes a message for the mesh.
+pub fn enclose<T: Serialize>(mesh: &Arc<str>, stamp: HybridStamp, body: T) -> Result<Vec<u8>, CodecError> {
+    codec::encode_compact(&Envelope {
+        protocol: PROTOCOL_VERSION,
+        mesh: Arc::clone(mesh),
+        stamp,
+        body,
+    })
+}
+
+/// Decodes a message and checks where it comes from.
+pub fn accept<T: DeserializeOwned>(mesh: &str, bytes: &[u8]) -> Result<Envelope<T>, EnvelopeError> {
+    let envelope: Envelope<T> = codec::decode(bytes)?;
+    if envelope.protocol != PROTOCOL_VERSION {
+        return Err(EnvelopeError::Protocol(envelope.protocol));
+    }
+    if *envelope.mesh != *mesh {
+        return Err(EnvelopeError::Mesh(envelope.mesh));
+    }
+    Ok(envelope)
+}
--- /dev/null
+++ b/src/daemon/metrics.rs
@@ -0,0 +1,195 @@
+//! Metrics in the `OpenMetrics` format: the four measures of the operators, and calls.
+
+use {
+    crate::call::CallOutcome,
+    parking_lot::Mutex,
+    prometheus_client::{
+        encoding::{EncodeLabelSet, text::encode},
+        metrics::{
+            counter::Counter,
+            family::Family,
+            gauge::Gauge,
+            histogram::{Histogram, exponential_buckets},
+        },
+        registry::Registry,
+    },
+    std::sync::Arc,
+};
+
+/// Label sets of calls that are kept; further ones are counted as `other`.
+const MAX_CALL_LABELS: usize = 4_000;
+
+/// Labels of a call.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallLabels {
+    /// Route name.
+    pub route: Arc<str>,
+    /// Pool name.
+    pub pool: Arc<str>,
+    /// Target version.
+    pub version: Arc<str>,
+    /// How the call ended.
+    pub outcome: &'static str,
+}
+
+/// Labels of control traffic.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ControlLabels {
+    /// `sent` or `received`.
+    pub direction: &'static str,
+    /// `probe` for datagrams, `http` for the rest.
+    pub kind: &'static str,
+}
+
+/// Labels of closed moves.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct MoveLabels {
+    /// `done`, `taken back` or `cancelled`.
+    pub verdict: String,
+    /// Whether the move ended before its deadline.
+    pub in_time: &'static str,
+}
+
+/// All metrics of a daemon.
+#[derive(Debug)]
+pub struct DaemonMetrics {
+    registry: Mutex<Registry>,
+    calls: Family<CallLabels, Counter>,
+    known_labels: Mutex<std::collections::HashSet<CallLabels>>,
+    /// Time from an accepted change until it was in force here.
+    pub convergence: Histogram,
+    /// Bytes of control traffic.
+    pub control_bytes: Family<ControlLabels, Counter>,
+    /// Calls to the store.
+    pub store_calls: Counter,
+    /// Moves closed by this daemon's controllers.
+    pub closed_moves: Family<MoveLabels, Counter>,
+    /// Configurations refused.
+    pub refused_offers: Counter,
+    /// Version in force.
+    pub version: Gauge,
+    /// Daemons present.
+    pub members: Gauge,
+    /// Retries sent.
+    pub retries: Counter,
+}
+
+impl Default for DaemonMetrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("fuchsiashore");
+        let metrics = Self {
+            registry: Mutex::new(Registry::default()),
+            calls: Family::default(),
+            known_labels: Mutex::default(),
+            convergence: Histogram::new(exponential_buckets(0.01, 2.0, 14)),
+            control_bytes: Family::default(),
+            store_calls: Counter::default(),
+            closed_moves: Family::default(),
+            refused_offers: Counter::default(),
+            version: Gauge::default(),
+            members: Gauge::default(),
+            retries: Counter::default(),
+        };
+        registry.register(
+            "calls",
+            "Calls by route, pool, version and outcome",
+            metrics.calls.clone(),
+        );
+        registry.register(
+            "convergence_seconds",
+            "Time from an accepted change until it was in force here",
+            metrics.convergence.clone(),
+        );
+        registry.register(
+            "control_bytes",
+            "Bytes of control traffic",
+            metrics.control_bytes.clone(),
+        );
+        registry.register("store_calls", "Calls to the store", metrics.store_calls.clone());
+        registry.register(
+            "closed_moves",
+            "Moves closed by this daemon",
+            metrics.closed_moves.clone(),
+        );
+        registry.register(
+            "refused_offers",
+            "Configurations refused",
+            metrics.refused_offers.clone(),
+        );
+        registry.register(
+            "config_version",
+            "Configuration version in force",
+            metrics.version.clone(),
+        );
+        registry.register("members", "Daemons present", metrics.members.clone());
+        registry.register("retries", "Retries sent", metrics.retries.clone());
+        *metrics.registry.lock() = registry;
+        metrics
+    }
+}
+
+impl DaemonMetrics {
+    /// Counts an answered call.
+    pub fn count_answer(&self, route: &Arc<str>, pool: &Arc<str>, version: &Arc<str>, failed: bool) {
+        let outcome = if failed { "answered-5xx" } else { "answered" };
+        self.count(route, pool, version, outcome);
+    }
+
+    /// Counts a refused call.
+    pub fn count_refusal(&self, route: &Arc<str>, pool: &Arc<str>, outcome: CallOutcome) {
+        let outcome = match outcome {
+            CallOutcome::NotRun => "not-run",
+            CallOutcome::Unknown => "unknown",
+        };
+        self.count(route, pool, &Arc::from(""), outcome);
+    }
+
+    /// Counts bytes of control traffic.
+    pub fn count_control(&self, direction: &'static str, kind: &'static str, bytes: usize) {
+        self.control_bytes
+            .get_or_create(&ControlLabels { direction, kind })
+            .inc_by(bytes as u64);
+    }
+
+    /// Counts a move that this daemon closed.
+    pub fn count_closed_move(&self, verdict: &str, in_time: bool) {
+        let in_time = if in_time { "yes" } else { "no" };
+        self.closed_moves
+            .get_or_create(&MoveLabels {
+                verdict: verdict.to_owned(),
+                in_time,
+            })
+            .inc();
+    }
+
+    /// Writes all metrics as text.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = encode(&mut text, &self.registry.lock());
+        text
+    }
+
+    fn count(&self, route: &Arc<str>, pool: &Arc<str>, version: &Arc<str>, outcome: &'static str) {
+        let labels = CallLabels {
+            route: Arc::clone(route),
+            pool: Arc::clone(pool),
+            version: Arc::clone(version),
+            outcome,
+        };
+        let mut known = self.known_labels.lock();
+        if known.contains(&labels) || known.len() < MAX_CALL_LABELS {
+            self.calls.get_or_create(&labels).inc();
+            known.insert(labels);
+            return;
+        }
+        let other: Arc<str> = Arc::from("other");
+        let labels = CallLabels {
+            route: Arc::clone(&other),
+            pool: Arc::clone(&other),
+            version: other,
+            outcome,
+        };
+        self.calls.get_or_create(&labels).inc();
+    }
+}
--- /dev/null
+++ b/src/daemon/move_runner.rs
@@ -0,0 +1,421 @@
+//! Runs the controllers of open moves on this daemon: takes free moves over, polls the gates of the pool and
+//! carries out what the controllers decide.
+
+use {
+    super::{
+        envelope::{ControlReply, ControlRequest},
+        shared::SharedState,
+        tasks::{ControlClient, ControlEvent},
+    },
+    crate::{
+        clock::TimePoint,
+        codec,
+        config::{CompiledPool, CompiledTable, EditRequest, MoveOrder, MoveVerdict, TableEdit},
+        member::{MemberState, best_ranked},
+        moves::{Clearance, ControllerStart, GateReport, MoveController, MoveEffect, PollReply, PollRequest},
+        store::{HttpStore, MOVES_PREFIX, StoreClient, write_change},
+        timeline::{EventKind, EventRing},
+    },
+    indexmap::IndexMap,
+    std::{net::SocketAddr, sync::Arc},
+    tokio::sync::mpsc,
+};
+
+/// Time between two polls of a gate, in milliseconds.
+const POLL_INTERVAL_MS: u64 = 500;
+/// Time between two looks at a move that another daemon holds, in milliseconds.
+const LOOK_INTERVAL_MS: u64 = 1_000;
+/// Time after which a look is evaluated without the gates that did not answer, in milliseconds.
+const LOOK_WAIT_MS: u64 = 800;
+/// Time that one try to write a verdict may take, in milliseconds.
+const VERDICT_TRY_MS: u64 = 5_000;
+/// Pause between two tries, in milliseconds.
+const VERDICT_PAUSE_MS: u64 = 1_000;
+
+/// A look at the gates before a move is taken over.
+#[derive(Debug, Default)]
+struct MoveLook {
+    replies: Vec<PollReply>,
+    asked: usize,
+    failed: usize,
+    until: TimePoint,
+}
+
+/// One open move as this daemon sees it.
+#[derive(Debug)]
+struct OpenMove {
+    order: MoveOrder,
+    service: Arc<str>,
+    look: Option<MoveLook>,
+    controller: Option<MoveController>,
+    due_at: TimePoint,
+    verdict_at: TimePoint,
+    is_writing: bool,
+}
+
+/// All open moves of the own service.
+#[derive(Debug)]
+pub struct MoveRunner {
+    shared: Arc<SharedState>,
+    client: ControlClient,
+    store: HttpStore,
+    events: mpsc::Sender<ControlEvent>,
+    moves: IndexMap<Arc<str>, OpenMove>,
+}
+
+impl MoveRunner {
+    /// Makes a runner without moves.
+    pub fn new(
+        shared: Arc<SharedState>,
+        client: ControlClient,
+        store: HttpStore,
+        events: mpsc::Sender<ControlEvent>,
+    ) -> Self {
+        Self {
+            shared,
+            client,
+            store,
+            events,
+            moves: IndexMap::new(),
+        }
+    }
+
+    /// Takes over the open moves of a new configuration.
+    pub fn set_table(&mut self, table: &CompiledTable, now: TimePoint) {
+        let own_service = &self.shared.settings.target.service;
+        let wanted = |pool: &CompiledPool| pool.order.is_some() && pool.entry.service == *own_service;
+        self.moves.retain(|pool, open| {
+            let order = table.pools.get(pool).and_then(|pool| pool.order.as_ref());
+            order.is_some_and(|order| order.id == open.order.id)
+        });
+        for pool in table.pools.values().filter(|pool| wanted(pool)) {
+            let Some(order) = &pool.order else { continue };
+            let open = self
+                .moves
+                .entry(Arc::clone(&pool.name))
+                .or_insert_with(|| OpenMove {
+                    order: order.clone(),
+                    service: Arc::clone(&pool.entry.service),
+                    look: None,
+                    controller: None,
+                    due_at: now,
+                    verdict_at: now,
+                    is_writing: false,
+                });
+            open.order = order.clone();
+            if let Some(controller) = &mut open.controller {
+                controller.change_order(order.clone());
+            }
+        }
+    }
+
+    /// Returns the controller of a pool's move, if this daemon holds it.
+    pub fn controller(&self, pool: &str) -> Option<&MoveController> {
+        self.moves.get(pool)?.controller.as_ref()
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, members: &MemberState, ring: &mut EventRing, now: TimePoint) {
+        let pools: Vec<Arc<str>> = self.moves.keys().cloned().collect();
+        for pool in pools {
+            self.tick_move(&pool, members, ring, now);
+        }
+    }
+
+    fn tick_move(&mut self, pool: &Arc<str>, members: &MemberState, ring: &mut EventRing, now: TimePoint) {
+        self.finish_look(pool, members, ring, now);
+        let Some(open) = self.moves.get_mut(pool) else {
+            return;
+        };
+        if open.controller.is_some() {
+            self.run_controller(pool, members, ring, now);
+            return;
+        }
+        let service = &open.service;
+        let gates = members
+            .present()
+            .filter(|record| record.target.service == *service);
+        let is_best = best_ranked(pool, gates.map(|record| &*record.name), 1) == [&*members.own().name];
+        if is_best && open.look.is_none() && now >= open.due_at {
+            open.due_at = now.after_ms(LOOK_INTERVAL_MS);
+            let asked = self.poll_gates(pool, None, members, ring, now);
+            if let Some(open) = self.moves.get_mut(pool) {
+                let until = now.after_ms(LOOK_WAIT_MS);
+                open.look = Some(MoveLook {
+                    asked,
+                    until,
+                    ..MoveLook::default()
+                });
+            }
+        }
+    }
+
+    fn finish_look(&mut self, pool: &Arc<str>, members: &MemberState, ring: &mut EventRing, now: TimePoint) {
+        let Some(open) = self.moves.get_mut(pool) else {
+            return;
+        };
+        let is_over = open
+            .look
+            .as_ref()
+            .is_some_and(|look| look.replies.len() + look.failed >= look.asked || now >= look.until);
+        if !is_over {
+            return;
+        }
+        let Some(look) = open.look.take() else { return };
+        let (start, held) = MoveController::look(&look.replies, &members.own().name);
+        if start == ControllerStart::Held {
+            return;
+        }
+        let holder = Arc::clone(&members.own().name);
+        let controller = MoveController::new(open.order.clone(), holder, held.as_ref(), now);
+        let epoch = controller.clearance().epoch;
+        let share = controller.clearance().share * 100.0;
+        let detail = format!(
+            "epoch={epoch} share={share:.0}% from={} to={}",
+            open.order.from, open.order.to
+        );
+        ring.record_move(EventKind::MoveHeld, pool, open.order.id, detail, now);
+        open.controller = Some(controller);
+        open.due_at = now;
+    }
+
+    fn run_controller(
+        &mut self,
+        pool: &Arc<str>,
+        members: &MemberState,
+        ring: &mut EventRing,
+        now: TimePoint,
+    ) {
+        let Some(open) = self.moves.get_mut(pool) else {
+            return;
+        };
+        let Some(controller) = &mut open.controller else {
+            return;
+        };
+        let move_id = open.order.id;
+        let effects = controller.tick(now);
+        let mut poll_now = now >= open.due_at;
+        for effect in effects {
+            match effect {
+                MoveEffect::Cleared { reason } => {
+                    let share = controller.clearance().share * 100.0;
+                    ring.record_move(
+                        EventKind::MoveCleared,
+                        pool,
+                        move_id,
+                        format!("share={share:.0}% {reason}"),
+                        now,
+                    );
+                    poll_now = true;
+                    save_progress(&self.store, pool, controller.clearance());
+                }
+                MoveEffect::AtRisk { reason } => {
+                    ring.record_move(EventKind::MoveAtRisk, pool, move_id, reason, now)
+                }
+                MoveEffect::Decide { verdict, reason } => {
+                    if !open.is_writing && now >= open.verdict_at {
+                        open.is_writing = true;
+                        let detail = format!("verdict={verdict}: {reason}");
+                        ring.record_move(EventKind::MoveDecided, pool, move_id, detail, now);
+                        write_verdict(
+                            &self.shared,
+                            &self.store,
+                            &self.events,
+                            pool,
+                            move_id,
+                            verdict,
+                            &reason,
+                        );
+                        poll_now = true;
+                    }
+                }
+            }
+        }
+        if poll_now {
+            open.due_at = now.after_ms(POLL_INTERVAL_MS);
+            let clearance = controller.clearance().clone();
+            self.poll_gates(pool, Some(&clearance), members, ring, now);
+        }
+    }
+
+    /// Polls every gate of the pool's service, the own one included; returns how many.
+    fn poll_gates(
+        &mut self,
+        pool: &Arc<str>,
+        clearance: Option<&Clearance>,
+        members: &MemberState,
+        ring: &mut EventRing,
+        now: TimePoint,
+    ) -> usize {
+        let Some(open) = self.moves.get(pool) else {
+            return 0;
+        };
+        let request = PollRequest {
+            pool: Arc::clone(pool),
+            move_id: open.order.id,
+            clearance: clearance.cloned(),
+        };
+        let gates: Vec<SocketAddr> = members
+            .present()
+            .filter(|record| record.target.service == open.service)
+            .map(|record| record.control)
+            .collect();
+        for gate in &gates {
+            let (pool, move_id) = (Arc::clone(pool), open.order.id);
+            let with_clearance = clearance.is_some();
+            let request = ControlRequest::Poll(request.clone());
+            self.client
+                .request(*gate, ring.stamp(now), request, move |reply| {
+                    let reply = match reply {
+                        Some(ControlReply::Poll(reply)) => Some(*reply),
+                        _ => None,
+                    };
+                    ControlEvent::PollDone {
+                        pool,
+                        move_id,
+                        with_clearance,
+                        reply,
+                    }
+                });
+        }
+        gates.len()
+    }
+
+    /// Takes in the answer to a poll.
+    pub fn finish_poll(
+        &mut self,
+        pool: &Arc<str>,
+        move_id: u64,
+        with_clearance: bool,
+        reply: Option<PollReply>,
+        ring: &mut EventRing,
+        now: TimePoint,
+    ) {
+        let Some(open) = self.moves.get_mut(pool).filter(|open| open.order.id == move_id) else {
+            return;
+        };
+        if let Some(look) = open.look.as_mut().filter(|_| !with_clearance) {
+            match reply {
+                Some(reply) => look.replies.push(reply),
+                None => look.failed += 1,
+            }
+            return;
+        }
+        let (Some(controller), Some(reply)) = (&mut open.controller, reply) else {
+            return;
+        };
+        let outranked = reply.held.as_ref().filter(|held| {
+            !reply.accepted
+                && held.supersedes(controller.clearance())
+                && held.holder != controller.clearance().holder
+        });
+        if let Some(held) = outranked {
+            let detail = format!("held by {} in epoch {}", held.holder, held.epoch);
+            ring.record_move(EventKind::MoveReleased, pool, move_id, detail, now);
+            open.controller = None;
+            open.due_at = now.after_ms(LOOK_INTERVAL_MS);
+            return;
+        }
+        controller.add_report(reply.report, now);
+    }
+
+    /// Takes in the end of a try to write a verdict.
+    pub fn finish_verdict(&mut self, pool: &Arc<str>, move_id: u64, now: TimePoint) {
+        if let Some(open) = self.moves.get_mut(pool).filter(|open| open.order.id == move_id) {
+            open.is_writing = false;
+            open.verdict_at = now.after_ms(VERDICT_PAUSE_MS);
+        }
+    }
+
+    /// Returns the order of an open move.
+    pub fn order(&self, pool: &str) -> Option<&MoveOrder> {
+        self.moves.get(pool).map(|open| &open.order)
+    }
+}
+
+/// Answers a poll at the own gate.
+pub fn answer_poll(
+    shared: &SharedState,
+    request: PollRequest,
+    instance: u64,
+    is_serving: bool,
+    now: TimePoint,
+) -> PollReply {
+    let target = &shared.settings.target;
+    let mut board = shared.moves.lock();
+    let lease = board.leases.entry(Arc::clone(&request.pool)).or_default();
+    let offered = request.clearance;
+    let accepted = offered
+        .clone()
+        .is_some_and(|clearance| lease.renew(clearance, now));
+    let held = lease.held(request.move_id).cloned();
+    let lease_left_ms = lease.left_ms(now);
+    if let Some(held) = &held {
+        board.learn(&request.pool, held.clone());
+    }
+    drop(board);
+    let in_flight = shared.gate.lock().state.in_flight();
+    let report = GateReport {
+        gate: Arc::clone(&shared.settings.name),
+        instance,
+        version: Arc::clone(&target.version),
+        is_serving,
+        slots: target.slots,
+        in_flight,
+        routes: shared.evidence.lock().routes().clone(),
+    };
+    PollReply {
+        report,
+        held,
+        lease_left_ms,
+        accepted,
+    }
+}
+
+/// Keeps the share in the store, so that a move goes on after the loss of every gate. A failure is harmless.
+fn save_progress(store: &HttpStore, pool: &Arc<str>, clearance: &Clearance) {
+    let (store, key) = (store.clone(), format!("{MOVES_PREFIX}/{pool}"));
+    let Ok(bytes) = codec::encode(clearance) else {
+        return;
+    };
+    tokio::spawn(async move {
+        let _ = store.write(&key, bytes).await;
+    });
+}
+
+fn write_verdict(
+    shared: &Arc<SharedState>,
+    store: &HttpStore,
+    events: &mpsc::Sender<ControlEvent>,
+    pool: &Arc<str>,
+    move_id: u64,
+    verdict: MoveVerdict,
+    reason: &Arc<str>,
+) {
+    let (store, events, clock, pool) = (store.clone(), events.clone(), shared.clock, Arc::clone(pool));
+    let at = clock.now();
+    let request = EditRequest {
+        change_id: format!("move-{move_id}-{pool}-{verdict}").into(),
+        base_version: None,
+        author: Arc::clone(&shared.settings.name),
+        message: format!("move of {pool} {verdict}: {reason}").into(),
+        at,
+        edit: TableEdit::Close {
+            pool: Arc::clone(&pool),
+            move_id,
+            verdict,
+            reason: Arc::clone(reason),
+        },
+    };
+    shared.metrics.store_calls.inc_by(3);
+    tokio::spawn(async move {
+        let result = write_change(&store, &clock, request, at.after_ms(VERDICT_TRY_MS)).await;
+        let _ = events
+            .send(ControlEvent::VerdictWritten {
+                pool,
+                move_id,
+                result,
+            })
+            .await;
+    });
+}
--- /dev/null
+++ b/src/daemon/run.rs
@@ -0,0 +1,228 @@
+//! Start of a daemon: sockets first, then the traffic threads, then the control loop on the main thread.
+
+use {
+    super::{
+        control::ControlState,
+        envelope::accept,
+        inbound::InboundHandler,
+        metrics::DaemonMetrics,
+        operators::{ControlHandler, OperatorHandler},
+        outbound::OutboundHandler,
+        peer_client::PeerClients,
+        shared::{GateDesk, MoveBoard, SharedState},
+        tasks::ControlEvent,
+    },
+    crate::{
+        clock::ProcessClock,
+        gate::GateState,
+        http::{bind, serve},
+        member::ProbeMessage,
+        settings::DaemonSettings,
+    },
+    arc_swap::ArcSwap,
+    miette::Diagnostic,
+    parking_lot::Mutex,
+    std::{
+        collections::HashMap,
+        io,
+        net::{SocketAddr, TcpListener},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize},
+        },
+        thread,
+        time::Duration,
+    },
+    thiserror::Error,
+    tokio::{
+        net::UdpSocket,
+        runtime::{Builder, Runtime},
+        signal::unix::{SignalKind, signal},
+        sync::mpsc,
+        time::interval,
+    },
+};
+
+/// Events that may wait for the control thread.
+const EVENT_QUEUE: usize = 4_096;
+/// Largest datagram that is read, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 65_536;
+/// Time between two looks for unused clients.
+const CLIENT_CLEANUP: Duration = Duration::from_secs(20);
+
+/// A daemon that could not start.
+#[derive(Debug, Error, Diagnostic)]
+pub enum RunError {
+    /// A listening socket could not be bound.
+    #[error("{key} address {address} can't be listened on: {error}")]
+    #[diagnostic(help("choose a free address of this VM in the settings"))]
+    Bind {
+        /// Key of the settings.
+        key: &'static str,
+        /// Address that was tried.
+        address: SocketAddr,
+        /// What the system says.
+        error: io::Error,
+    },
+    /// The runtime could not be made.
+    #[error("the runtime could not be started: {0}")]
+    #[diagnostic(help("look at the limits of the VM on threads and open files"))]
+    Runtime(#[from] io::Error),
+}
+
+/// Runs a daemon until it has drained.
+pub fn run(settings: DaemonSettings) -> Result<(), RunError> {
+    let calls = bind_for("calls", settings.calls)?;
+    let gate = bind_for("gate", settings.gate)?;
+    let control = bind_for("control", settings.control)?;
+    let operators = bind_for("operators", settings.operators)?;
+    let (notes, mut note_queue) = mpsc::channel(EVENT_QUEUE);
+    let shared = Arc::new(make_shared(settings, notes));
+    for worker in 0..shared.settings.traffic_threads {
+        start_traffic(&shared, worker as u64, calls.try_clone()?, gate.try_clone()?)?;
+    }
+    new_runtime()?.block_on(async {
+        let (events, queue) = mpsc::channel(EVENT_QUEUE);
+        let datagrams = bind_datagrams(&shared)?;
+        tokio::spawn(serve(
+            control,
+            ControlHandler {
+                shared: Arc::clone(&shared),
+                events: events.clone(),
+            },
+        ));
+        tokio::spawn(serve(
+            operators,
+            OperatorHandler {
+                shared: Arc::clone(&shared),
+                events: events.clone(),
+            },
+        ));
+        tokio::spawn(receive_datagrams(
+            Arc::clone(&shared),
+            Arc::clone(&datagrams),
+            events.clone(),
+        ));
+        tokio::spawn(wait_for_signals(events.clone()));
+        let note_events = events.clone();
+        tokio::spawn(async move {
+            while let Some(note) = note_queue.recv().await {
+                let _ = note_events.send(ControlEvent::Note(note)).await;
+            }
+        });
+        let now = shared.now();
+        ControlState::new(Arc::clone(&shared), events, datagrams, now)
+            .run(queue)
+            .await;
+        Ok(())
+    })
+}
+
+fn bind_for(key: &'static str, address: SocketAddr) -> Result<TcpListener, RunError> {
+    bind(address).map_err(|error| RunError::Bind { key, address, error })
+}
+
+fn bind_datagrams(shared: &SharedState) -> Result<Arc<UdpSocket>, RunError> {
+    let address = shared.settings.control;
+    let socket = std::net::UdpSocket::bind(address).map_err(|error| RunError::Bind {
+        key: "control",
+        address,
+        error,
+    })?;
+    socket.set_nonblocking(true)?;
+    Ok(Arc::new(UdpSocket::from_std(socket)?))
+}
+
+fn make_shared(settings: DaemonSettings, notes: mpsc::Sender<super::shared::TrafficNote>) -> SharedState {
+    let state = GateState::new(settings.target.slots, settings.target.queue);
+    SharedState {
+        settings,
+        clock: ProcessClock::start(),
+        snapshot: ArcSwap::default(),
+        gate: Mutex::new(GateDesk {
+            state,
+            waiting: HashMap::new(),
+        }),
+        book: Mutex::default(),
+        budget: Mutex::default(),
+        evidence: Mutex::default(),
+        moves: Mutex::new(MoveBoard::default()),
+        metrics: DaemonMetrics::default(),
+        active_calls: AtomicUsize::new(0),
+        is_leaving: AtomicBool::new(false),
+        is_closed: AtomicBool::new(false),
+        notes,
+    }
+}
+
+fn new_runtime() -> io::Result<Runtime> {
+    Builder::new_current_thread().enable_all().build()
+}
+
+/// Starts a thread with a runtime of its own that serves callers and the gate.
+fn start_traffic(
+    shared: &Arc<SharedState>,
+    worker: u64,
+    calls: TcpListener,
+    gate: TcpListener,
+) -> io::Result<()> {
+    let runtime = new_runtime()?;
+    let clients = Arc::new(PeerClients::default());
+    let outbound = OutboundHandler::new(Arc::clone(shared), Arc::clone(&clients), worker);
+    let inbound = InboundHandler::new(Arc::clone(shared), Arc::clone(&clients));
+    let body = move || {
+        runtime.block_on(async move {
+            tokio::spawn(clean_clients(clients));
+            let (outbound, inbound) = tokio::join!(serve(calls, outbound), serve(gate, inbound));
+            for error in [outbound.err(), inbound.err()].into_iter().flatten() {
+                log::error!("event=traffic-ended worker={worker} error={error}");
+            }
+        });
+    };
+    thread::Builder::new()
+        .name(format!("traffic-{worker}"))
+        .spawn(body)
+        .map(drop)
+}
+
+async fn clean_clients(clients: Arc<PeerClients>) {
+    let mut ticks = interval(CLIENT_CLEANUP);
+    loop {
+        ticks.tick().await;
+        clients.drop_unused();
+    }
+}
+
+async fn receive_datagrams(
+    shared: Arc<SharedState>,
+    socket: Arc<UdpSocket>,
+    events: mpsc::Sender<ControlEvent>,
+) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        shared.metrics.count_control("received", "probe", length);
+        match accept::<ProbeMessage>(&shared.settings.mesh, &buffer[..length]) {
+            // A full queue loses the datagram, which the protocol expects.
+            Ok(message) => drop(events.try_send(ControlEvent::Datagram { from, message })),
+            Err(error) => log::warn!("event=datagram-refused from={from} error={error:?}"),
+        }
+    }
+}
+
+async fn wait_for_signals(events: mpsc::Sender<ControlEvent>) {
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return;
+    };
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        let _ = events.send(ControlEvent::Drain).await;
+    }
+}
--- /dev/null
+++ b/src/daemon/shared.rs
@@ -0,0 +1,195 @@
+//! State that the control thread and the traffic threads share, each part behind a short lock.
+
+use {
+    super::{evidence_book::EvidenceBook, metrics::DaemonMetrics, snapshot::TrafficSnapshot},
+    crate::{
+        call::{RetryBudget, TargetBook},
+        clock::{ProcessClock, TimePoint},
+        gate::{GateRefusal, GateState, GateWake, TicketId},
+        moves::{Clearance, GateLease},
+        settings::DaemonSettings,
+    },
+    arc_swap::ArcSwap,
+    parking_lot::Mutex,
+    std::{
+        collections::HashMap,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+    },
+    tokio::sync::{mpsc, oneshot},
+};
+
+/// Time for which a proxy sends nothing to a version that a gate refused as stopped, in milliseconds.
+const STOP_MEMORY_MS: u64 = 1_000;
+
+/// What a waiting call is told.
+pub type WakeSender = oneshot::Sender<Result<(), GateRefusal>>;
+
+/// The gate with the calls that wait at it.
+#[derive(Debug)]
+pub struct GateDesk {
+    /// The pure state.
+    pub state: GateState,
+    /// Calls that wait.
+    pub waiting: HashMap<TicketId, WakeSender>,
+}
+
+impl GateDesk {
+    /// Tells waiting calls what became of them. A call that went away meanwhile gives its slot back.
+    pub fn wake(&mut self, wakes: Vec<GateWake>, now: TimePoint) {
+        let mut wakes = wakes;
+        while let Some(wake) = wakes.pop() {
+            let (ticket, verdict) = match wake {
+                GateWake::Run(ticket) => (ticket, Ok(())),
+                GateWake::Refuse(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            let told = self
+                .waiting
+                .remove(&ticket)
+                .is_some_and(|sender| sender.send(verdict).is_ok());
+            if !told && verdict.is_ok() {
+                wakes.extend(self.state.finish(now));
+            }
+        }
+    }
+}
+
+/// What this daemon knows of open moves, as a proxy and as a gate.
+#[derive(Debug, Default)]
+pub struct MoveBoard {
+    /// Latest clearance by pool, learnt from answers and polls.
+    clearances: HashMap<Arc<str>, Clearance>,
+    /// Leases of controllers by pool, for the own gate.
+    pub leases: HashMap<Arc<str>, GateLease>,
+    /// Until when a version of a pool gets no calls from here.
+    stops: HashMap<(Arc<str>, Arc<str>), TimePoint>,
+}
+
+impl MoveBoard {
+    /// Takes note of a clearance.
+    pub fn learn(&mut self, pool: &Arc<str>, clearance: Clearance) {
+        let newer = self
+            .clearances
+            .get(pool)
+            .is_none_or(|known| clearance.supersedes(known));
+        if newer {
+            self.clearances.insert(Arc::clone(pool), clearance);
+        }
+    }
+
+    /// Returns the share of a move's new version, 0 if nothing is known.
+    pub fn share(&self, pool: &str, move_id: u64) -> f64 {
+        let known = self
+            .clearances
+            .get(pool)
+            .filter(|clearance| clearance.move_id == move_id);
+        known.map_or(0.0, Clearance::usable_share)
+    }
+
+    /// Returns the latest clearance of a pool.
+    pub fn clearance(&self, pool: &str) -> Option<&Clearance> {
+        self.clearances.get(pool)
+    }
+
+    /// Takes note that a gate refused a version as stopped.
+    pub fn note_stop(&mut self, pool: &Arc<str>, version: &Arc<str>, now: TimePoint) {
+        self.stops.insert(
+            (Arc::clone(pool), Arc::clone(version)),
+            now.after_ms(STOP_MEMORY_MS),
+        );
+    }
+
+    /// Tells whether a version was refused as stopped a moment ago.
+    pub fn is_stopped(&self, pool: &Arc<str>, version: &Arc<str>, now: TimePoint) -> bool {
+        let key = (Arc::clone(pool), Arc::clone(version));
+        self.stops.get(&key).is_some_and(|until| *until > now)
+    }
+
+    /// Forgets pools without an open move.
+    pub fn retain(&mut self, is_open: impl Fn(&str, u64) -> bool, now: TimePoint) {
+        self.clearances
+            .retain(|pool, clearance| is_open(pool, clearance.move_id));
+        self.leases.retain(|pool, _| is_open(pool, 0));
+        self.stops.retain(|_, until| *until > now);
+    }
+}
+
+/// A note from a traffic thread for the time line.
+#[derive(Debug)]
+pub enum TrafficNote {
+    /// A target was ejected.
+    Ejected {
+        /// Name of its daemon.
+        target: Arc<str>,
+    },
+    /// The own target does not take connections.
+    TargetRefuses,
+}
+
+/// All shared state.
+#[derive(Debug)]
+pub struct SharedState {
+    /// Settings.
+    pub settings: DaemonSettings,
+    /// Clock.
+    pub clock: ProcessClock,
+    /// Configuration and targets.
+    pub snapshot: ArcSwap<TrafficSnapshot>,
+    /// The own gate.
+    pub gate: Mutex<GateDesk>,
+    /// Observations of targets.
+    pub book: Mutex<TargetBook>,
+    /// Retry budget.
+    pub budget: Mutex<RetryBudget>,
+    /// Outcomes at the own gate.
+    pub evidence: Mutex<EvidenceBook>,
+    /// Open moves.
+    pub moves: Mutex<MoveBoard>,
+    /// Metrics.
+    pub metrics: DaemonMetrics,
+    /// Calls of callers that this daemon carries.
+    pub active_calls: AtomicUsize,
+    /// Whether connections are closed after each answer, as the daemon is leaving.
+    pub is_leaving: AtomicBool,
+    /// Whether new calls of callers are refused, as the daemon is about to exit.
+    pub is_closed: AtomicBool,
+    /// Notes for the control thread.
+    pub notes: mpsc::Sender<TrafficNote>,
+}
+
+impl SharedState {
+    /// Returns the present time.
+    pub fn now(&self) -> TimePoint {
+        self.clock.now()
+    }
+
+    /// Hands a note to the control thread; notes over its capacity are dropped.
+    pub fn note(&self, note: TrafficNote) {
+        let _ = self.notes.try_send(note);
+    }
+
+    /// Tells whether the daemon is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts a call of a caller for as long as it lives.
+#[derive(Debug)]
+pub struct ActiveCall(Arc<SharedState>);
+
+impl ActiveCall {
+    /// Starts counting.
+    pub fn start(shared: &Arc<SharedState>) -> Self {
+        shared.active_calls.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for ActiveCall {
+    fn drop(&mut self) {
+        self.0.active_calls.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/src/gate/mod.rs
@@ -0,0 +1,5 @@
+//! The gate beside each target: it alone admits calls to the target, so it knows exactly what ran.
+
+mod state;
+
+pub use state::{GateAdmission, GateRefusal, GateState, GateWake, TicketId};
--- /dev/null
+++ b/src/lab/mod.rs
@@ -0,0 +1,17 @@
+//! Small stand-ins for tests and the quick start: the platform's key-value service, a target, a caller.
+//!
+//! They are not part of the product and are kept small.
+
+mod caller;
+mod kv;
+mod relay;
+mod run;
+mod target;
+
+pub use {
+    caller::{CallerReport, CallerSettings, run_caller},
+    kv::{KvFaults, KvServer},
+    relay::CutRelay,
+    run::{LabError, run},
+    target::{TargetBehaviour, TargetServer},
+};
--- /dev/null
+++ b/src/lab/run.rs
@@ -0,0 +1,189 @@
+//! The verbs of the lab program.
+
+use {
+    super::{
+        caller::{CallerSettings, run_caller},
+        kv::KvServer,
+        target::{TargetBehaviour, TargetServer},
+    },
+    crate::http::{POOL_IDLE_TIMEOUT, bind, plain_client},
+    lexopt::prelude::{Long, Value, ValueExt},
+    miette::Diagnostic,
+    std::{collections::HashMap, ffi::OsString, fs, io, net::SocketAddr, str::FromStr},
+    thiserror::Error,
+};
+
+const USAGE: &str = "\
+Usage: fuchsiashore-lab VERB [OPTIONS]
+
+  kv --listen A                        the platform's key-value service
+  target --listen A --version V [--behaviour good|failing|slow|silent|failing-after:SECONDS]
+  call --daemons A,B --requests 'GET /stock,POST /order' --rate N --count N --name NAME [--keep FILE]
+  verify --targets A,B --keep FILE     compare the runs at targets with what callers were told
+  ports --count N                      print N free ports
+
+Stand-ins for tests and the quick start; not for production.
+";
+
+/// A verb of the lab that failed.
+#[derive(Debug, Error, Diagnostic)]
+pub enum LabError {
+    /// The arguments can't be used.
+    #[error("{0}")]
+    #[diagnostic(help("see fuchsiashore-lab --help"))]
+    Usage(String),
+    /// A socket or file failed.
+    #[error("{0}")]
+    #[diagnostic(help("choose a free port or a writable file"))]
+    Io(#[from] io::Error),
+}
+
+impl LabError {
+    /// Exit code of every failure.
+    pub const EXIT_CODE: u8 = 2;
+}
+
+type LabOptions = HashMap<String, String>;
+
+/// Runs the verb named by the arguments, the program's name left out.
+pub fn run(args: impl IntoIterator<Item = OsString>) -> Result<(), LabError> {
+    let (verb, options) = read_options(args)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
+    match verb.as_str() {
+        "kv" => runtime.block_on(KvServer::default().serve(bind(option(&options, "listen")?)?))?,
+        "target" => {
+            let behaviour = options.get("behaviour").map_or("good", String::as_str);
+            let behaviour: TargetBehaviour = behaviour.parse().map_err(LabError::Usage)?;
+            let version: String = option(&options, "version")?;
+            let listener = bind(option(&options, "listen")?)?;
+            runtime.block_on(TargetServer::new(&version, behaviour).serve(listener))?;
+        }
+        "call" => runtime.block_on(call(&options))?,
+        "verify" => runtime.block_on(verify(&options))?,
+        "ports" => print_ports(option(&options, "count")?)?,
+        _ => print!("{USAGE}"),
+    }
+    Ok(())
+}
+
+fn read_options(args: impl IntoIterator<Item = OsString>) -> Result<(String, LabOptions), LabError> {
+    let mut verb = String::new();
+    let mut options = LabOptions::new();
+    let mut parser = lexopt::Parser::from_args(args);
+    let usage = |error: lexopt::Error| LabError::Usage(error.to_string());
+    while let Some(arg) = parser.next().map_err(usage)? {
+        match arg {
+            Value(word) => verb = word.string().map_err(usage)?,
+            Long("help") => return Ok((String::new(), options)),
+            Long(name) => {
+                let name = name.to_owned();
+                let value = parser
+                    .value()
+                    .and_then(|value| Ok(value.string()?))
+                    .map_err(usage)?;
+                options.insert(name, value);
+            }
+            other => return Err(usage(other.unexpected())),
+        }
+    }
+    Ok((verb, options))
+}
+
+fn option<T: FromStr>(options: &LabOptions, name: &str) -> Result<T, LabError> {
+    let text = options
+        .get(name)
+        .ok_or_else(|| LabError::Usage(format!("--{name} is missing")))?;
+    text.parse()
+        .map_err(|_| LabError::Usage(format!("--{name} {text} can't be used")))
+}
+
+async fn call(options: &LabOptions) -> Result<(), LabError> {
+    let daemons: String = option(options, "daemons")?;
+    let requests: String = option(options, "requests")?;
+    let settings = CallerSettings {
+        daemons: daemons.split(',').map(parse_address).collect::<Result<_, _>>()?,
+        requests: requests.split(',').map(parse_request).collect::<Result<_, _>>()?,
+        rate: option(options, "rate")?,
+        count: option(options, "count")?,
+        name: option(options, "name")?,
+    };
+    let report = run_caller(settings).await;
+    for (outcome, count) in &report.outcomes {
+        println!("{outcome} {count}");
+    }
+    println!("wrong {}", report.wrong);
+    let quantile_ms = |quantile: f64| report.latency_us.value_at_quantile(quantile) as f64 / 1e3;
+    println!("p50_ms {:.2}\np99_ms {:.2}", quantile_ms(0.5), quantile_ms(0.99));
+    if let Some(file) = options.get("keep") {
+        let confirmed = report.confirmed.iter().map(|call| format!("confirmed {call}\n"));
+        let not_run = report.not_run.iter().map(|call| format!("not-run {call}\n"));
+        fs::write(file, confirmed.chain(not_run).collect::<String>())?;
+    }
+    Ok(())
+}
+
+/// Compares the runs at the targets with what callers were told; a doubled or falsely reported call is an error.
+async fn verify(options: &LabOptions) -> Result<(), LabError> {
+    let targets: String = option(options, "targets")?;
+    let told = fs::read_to_string(option::<String>(options, "keep")?)?;
+    let client = plain_client(POOL_IDLE_TIMEOUT);
+    let mut runs: HashMap<String, u32> = HashMap::new();
+    for target in targets.split(',') {
+        let failure = |error: reqwest::Error| LabError::Io(io::Error::other(error));
+        let answer = client
+            .get(format!("http://{target}/lab/runs"))
+            .send()
+            .await
+            .map_err(failure)?;
+        for line in answer.text().await.map_err(failure)?.lines() {
+            let Some((call, count)) = line.rsplit_once(' ') else {
+                continue;
+            };
+            *runs.entry(call.to_owned()).or_default() += count.parse::<u32>().unwrap_or(0);
+        }
+    }
+    let told_calls = told.lines().filter_map(|line| line.split_once(' '));
+    let (mut doubled, mut false_not_run, mut unconfirmed) = (0, 0, 0);
+    for (told, call) in told_calls {
+        let count = runs.get(call).copied().unwrap_or(0);
+        match told {
+            "not-run" => false_not_run += u32::from(count > 0),
+            _ => {
+                doubled += u32::from(count > 1);
+                unconfirmed += u32::from(count == 0);
+            }
+        }
+    }
+    println!("doubled {doubled}\nfalse-not-run {false_not_run}\nconfirmed-without-run {unconfirmed}");
+    if doubled + false_not_run + unconfirmed > 0 {
+        return Err(LabError::Usage(
+            "callers were told what did not happen; look at the time line".to_owned(),
+        ));
+    }
+    Ok(())
+}
+
+fn parse_address(text: &str) -> Result<SocketAddr, LabError> {
+    text.parse()
+        .map_err(|_| LabError::Usage(format!("address {text} can't be used")))
+}
+
+fn parse_request(text: &str) -> Result<(reqwest::Method, String), LabError> {
+    let wrong = || LabError::Usage(format!("request `{text}` can't be used; write `GET /path`"));
+    let (method, path) = text.trim().split_once(' ').ok_or_else(wrong)?;
+    Ok((method.parse().map_err(|_| wrong())?, path.to_owned()))
+}
+
+/// Prints free ports; all are held until the last is known, so that they differ.
+fn print_ports(count: usize) -> Result<(), LabError> {
+    let mut held = Vec::new();
+    for _ in 0..count {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+        println!("{}", listener.local_addr()?.port());
+        held.push(listener);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/moves/clearance.rs
@@ -0,0 +1,135 @@
+//! The cleared share of a move and the lease under which a gate holds it.
+
+use {
+    crate::{clock::TimePoint, macros::value_type},
+    std::sync::Arc,
+};
+
+/// Time for which a gate trusts a controller that polled it, in milliseconds.
+pub const LEASE_MS: u64 = 2_500;
+
+value_type! {
+    /// What a move's controller allows. Known, not agreed: spread by polls and on answers.
+    pub struct Clearance {
+        /// Identity of the move.
+        pub move_id: u64,
+        /// Raised by each controller that takes over.
+        pub epoch: u64,
+        /// Raised by the controller with each change.
+        pub seq: u64,
+        /// Share of calls that go to the new version, from 0 to 1.
+        pub share: f64,
+        /// Whether the new version is stopped. Final within the move.
+        pub stopped: bool,
+        /// Name of the controller's daemon.
+        pub holder: Arc<str>,
+    }
+}
+
+impl Clearance {
+    /// Tells whether this clearance replaces another one of the same pool: a later move, a stop, a later epoch
+    /// or a later change. A stop is never replaced within its move.
+    pub fn supersedes(&self, other: &Self) -> bool {
+        let rank = |clearance: &Self| {
+            (
+                clearance.move_id,
+                clearance.stopped,
+                clearance.epoch,
+                clearance.seq,
+            )
+        };
+        rank(self) > rank(other)
+    }
+
+    /// Returns the share that may be used now.
+    pub fn usable_share(&self) -> f64 {
+        if self.stopped {
+            0.0
+        } else {
+            self.share.clamp(0.0, 1.0)
+        }
+    }
+
+    /// Writes the clearance as a header value: move, epoch, sequence, share in millionths, stop.
+    pub fn to_header(&self) -> String {
+        let share = (self.share * 1e6) as u64;
+        format!(
+            "{}.{}.{}.{}.{}",
+            self.move_id,
+            self.epoch,
+            self.seq,
+            share,
+            u8::from(self.stopped)
+        )
+    }
+
+    /// Reads a header value written by [`Self::to_header`]. Returns `None` if it is malformed.
+    pub fn from_header(text: &str) -> Option<Self> {
+        let mut numbers = text.split('.').map(|part| part.parse::<u64>().ok());
+        let mut next = || numbers.next().flatten();
+        Some(Self {
+            move_id: next()?,
+            epoch: next()?,
+            seq: next()?,
+            share: (next()? as f64 / 1e6).clamp(0.0, 1.0),
+            stopped: next()? != 0,
+            holder: Arc::from(""),
+        })
+    }
+}
+
+/// The clearance that a gate holds, with the lease of its controller.
+///
+/// When the lease lapses, the gate of the new version refuses calls until a controller polls it again: nobody
+/// watches the version then.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct GateLease {
+    held: Option<Clearance>,
+    lease_until: TimePoint,
+}
+
+impl GateLease {
+    /// Takes over a controller's clearance and renews its lease. Returns false if another controller holds the
+    /// move or the clearance is older than the one held.
+    pub fn renew(&mut self, clearance: Clearance, now: TimePoint) -> bool {
+        if let Some(held) = self
+            .held
+            .as_ref()
+            .filter(|held| held.move_id == clearance.move_id)
+        {
+            let same_holder = held.holder == clearance.holder && held.epoch == clearance.epoch;
+            let outranked = clearance.epoch < held.epoch || (clearance.epoch == held.epoch && !same_holder);
+            if outranked {
+                return false;
+            }
+            if held.stopped && !clearance.stopped {
+                return false;
+            }
+        } else if self
+            .held
+            .as_ref()
+            .is_some_and(|held| held.move_id > clearance.move_id)
+        {
+            return false;
+        }
+        self.held = Some(clearance);
+        self.lease_until = now.after_ms(LEASE_MS);
+        true
+    }
+
+    /// Returns the clearance held for a move.
+    pub fn held(&self, move_id: u64) -> Option<&Clearance> {
+        self.held.as_ref().filter(|held| held.move_id == move_id)
+    }
+
+    /// Returns the time left of the lease, in milliseconds.
+    pub fn left_ms(&self, now: TimePoint) -> u64 {
+        self.lease_until.ms_since(now)
+    }
+
+    /// Tells whether the new version may get calls: a controller watches it and has cleared a share.
+    pub fn admits(&self, move_id: u64, now: TimePoint) -> bool {
+        let cleared = self.held(move_id).is_some_and(|held| held.usable_share() > 0.0);
+        cleared && now < self.lease_until
+    }
+}
--- /dev/null
+++ b/src/moves/mod.rs
@@ -0,0 +1,17 @@
+//! Moves of a pool to a new target version: evidence, tests, schedule, and the controller that decides.
+
+mod clearance;
+mod controller;
+mod evidence;
+mod message;
+mod schedule;
+mod sequential;
+
+pub use {
+    clearance::{Clearance, GateLease, LEASE_MS},
+    controller::{ControllerStart, MoveController, MoveEffect, MovePhase},
+    evidence::{EvidenceWindow, LatencyCounts, RouteEvidence},
+    message::{GateReport, PollReply, PollRequest},
+    schedule::{MIN_MOVE_MS, MoveSchedule, TOP_SHARE, TRICKLE_SHARE},
+    sequential::{RateTest, TestThresholds},
+};
--- /dev/null
+++ b/src/moves/schedule.rs
@@ -0,0 +1,70 @@
+//! The schedule of a move, planned backwards from its deadline.
+
+use crate::{clock::TimePoint, config::MovePolicy};
+
+/// Share given to the new version at first and during a pause.
+pub const TRICKLE_SHARE: f64 = 0.01;
+/// Highest share before the verdict; the rest keeps the old version comparable.
+pub const TOP_SHARE: f64 = 0.95;
+/// Shortest move that leaves time for every step, in milliseconds.
+pub const MIN_MOVE_MS: u64 = 60_000;
+
+/// Shares and the fraction of the planned time at which each begins.
+const STEPS: [(f64, f64); 8] = [
+    (0.00, TRICKLE_SHARE),
+    (0.12, 0.02),
+    (0.22, 0.05),
+    (0.32, 0.10),
+    (0.42, 0.20),
+    (0.50, 0.40),
+    (0.57, 0.70),
+    (0.63, TOP_SHARE),
+];
+
+/// When each share is due.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MoveSchedule {
+    start: TimePoint,
+    /// When the verdict is due if nothing speaks against the version.
+    verdict_at: TimePoint,
+}
+
+impl MoveSchedule {
+    /// Plans the time from `start` to `finish_by`, with slack for pauses and for writing the verdict.
+    pub fn new(start: TimePoint, finish_by: TimePoint, policy: MovePolicy) -> Self {
+        let total_ms = finish_by.ms_since(start);
+        let slack = match policy {
+            MovePolicy::Prompt => 0.12,
+            MovePolicy::Cautious => 0.06,
+        };
+        let used_ms = (total_ms as f64 * (1.0 - slack)) as u64;
+        Self {
+            start,
+            verdict_at: start.after_ms(used_ms),
+        }
+    }
+
+    /// Returns when the verdict is due.
+    pub fn verdict_at(&self) -> TimePoint {
+        self.verdict_at
+    }
+
+    /// Returns the share that is due at `now`.
+    pub fn due_share(&self, now: TimePoint) -> f64 {
+        let planned_ms = self.verdict_at.ms_since(self.start).max(1);
+        let progress = now.ms_since(self.start) as f64 / planned_ms as f64;
+        let due = STEPS.iter().rev().find(|(from, _)| progress >= *from);
+        due.map_or(TRICKLE_SHARE, |(_, share)| *share)
+    }
+
+    /// Returns the step above a share.
+    pub fn step_above(share: f64) -> f64 {
+        let above = STEPS.iter().find(|(_, step)| *step > share);
+        above.map_or(TOP_SHARE, |(_, step)| *step)
+    }
+
+    /// Returns the shortest time between two steps when the schedule is behind, in milliseconds.
+    pub fn catch_up_ms(&self) -> u64 {
+        self.verdict_at.ms_since(self.start) / 50
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,210 @@
+//! Settings of the daemon: read in one place, checked whole, every fault named at once.
+
+use {
+    crate::{
+        config::{ParseFault, ParseFaults},
+        ini::{IniSection, read_sections},
+    },
+    std::{fs, io, net::SocketAddr, path::Path, sync::Arc},
+    thiserror::Error,
+};
+
+/// Settings that can't be used.
+#[derive(Debug, Error, miette::Diagnostic)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("settings file {path} can't be read: {error}")]
+    #[diagnostic(help("give the path of a readable file with --settings"))]
+    File {
+        /// Path of the file.
+        path: String,
+        /// What the system says.
+        error: io::Error,
+    },
+    /// The content has faults.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Faults(#[from] ParseFaults),
+}
+
+/// The daemon's own section.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DaemonSettings {
+    /// Name of the daemon, unique in the mesh.
+    pub name: Arc<str>,
+    /// Identity of the mesh; messages of another one are refused.
+    pub mesh: Arc<str>,
+    /// Region.
+    pub region: Arc<str>,
+    /// Data centre.
+    pub data_centre: Arc<str>,
+    /// Where callers connect.
+    pub calls: SocketAddr,
+    /// Where other daemons' calls for the own target arrive.
+    pub gate: SocketAddr,
+    /// Where control messages arrive (TCP and UDP).
+    pub control: SocketAddr,
+    /// Where operators connect.
+    pub operators: SocketAddr,
+    /// Address of the platform's key-value service.
+    pub store: Arc<str>,
+    /// Control addresses of daemons to join at.
+    pub peers: Vec<SocketAddr>,
+    /// Threads that carry traffic.
+    pub traffic_threads: usize,
+    /// Largest request body, in bytes.
+    pub max_body_bytes: u64,
+    /// Most calls to the store in a second.
+    pub store_calls_per_s: u32,
+    /// Time that a drain may take before the process exits all the same, in milliseconds.
+    pub drain_limit_ms: u64,
+    /// The target beside the daemon.
+    pub target: TargetSettings,
+}
+
+/// The section of the target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetSettings {
+    /// Service that the target serves.
+    pub service: Arc<str>,
+    /// Version of the target.
+    pub version: Arc<str>,
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// Calls that it serves at once.
+    pub slots: u32,
+    /// Connections that it takes.
+    pub connections: u32,
+    /// Calls that wait at the gate for a slot.
+    pub queue: usize,
+}
+
+impl DaemonSettings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let shown = path.display().to_string();
+        let text = fs::read_to_string(path).map_err(|error| SettingsError::File {
+            path: shown.clone(),
+            error,
+        })?;
+        Ok(Self::parse(&shown, &text)?)
+    }
+
+    /// Reads and checks settings from text.
+    pub fn parse(file: &str, text: &str) -> Result<Self, ParseFaults> {
+        let mut faults = Vec::new();
+        let mut sections = read_sections(&Arc::from(file), text, &mut faults);
+        for section in &sections {
+            if section.title != "daemon" && section.title != "target" {
+                faults.push(section.fault("", "only [daemon] and [target] are known"));
+            }
+        }
+        let mut daemon = take_section(&mut sections, file, "daemon", &mut faults);
+        let mut target = take_section(&mut sections, file, "target", &mut faults);
+        let target_settings = read_target(&mut target, &mut faults);
+        let settings = read_daemon(&mut daemon, target_settings, &mut faults);
+        daemon.refuse_rest(&mut faults);
+        target.refuse_rest(&mut faults);
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(ParseFaults(faults))
+        }
+    }
+}
+
+fn take_section(
+    sections: &mut Vec<IniSection>,
+    file: &str,
+    title: &str,
+    faults: &mut Vec<ParseFault>,
+) -> IniSection {
+    if let Some(at) = sections.iter().position(|section| section.title == title) {
+        return sections.remove(at);
+    }
+    let section = IniSection::empty(file, title);
+    faults.push(section.fault("", "this section is missing; add it"));
+    section
+}
+
+fn read_daemon(
+    section: &mut IniSection,
+    target: TargetSettings,
+    faults: &mut Vec<ParseFault>,
+) -> DaemonSettings {
+    DaemonSettings {
+        name: section.take_required("name", faults),
+        mesh: section.take_required("mesh", faults),
+        region: section.take_required("region", faults),
+        data_centre: section.take_required("data_centre", faults),
+        calls: take_address(section, "calls", faults),
+        gate: take_address(section, "gate", faults),
+        control: take_address(section, "control", faults),
+        operators: take_address(section, "operators", faults),
+        store: section.take_required("store", faults),
+        peers: take_peers(section, faults),
+        traffic_threads: take_number(section, "traffic_threads", (1, 64), 1, faults) as usize,
+        max_body_bytes: take_number(section, "max_body_bytes", (1, 1 << 40), 64 << 20, faults),
+        store_calls_per_s: take_number(section, "store_calls_per_s", (1, 1_000), 2, faults) as u32,
+        drain_limit_ms: take_number(section, "drain_limit_ms", (1, 3_600_000), 60_000, faults),
+        target,
+    }
+}
+
+fn read_target(section: &mut IniSection, faults: &mut Vec<ParseFault>) -> TargetSettings {
+    let target = TargetSettings {
+        service: section.take_required("service", faults),
+        version: section.take_required("version", faults),
+        address: take_address(section, "address", faults),
+        slots: take_number(section, "slots", (1, 100_000), 12, faults) as u32,
+        connections: take_number(section, "connections", (1, 100_000), 120, faults) as u32,
+        queue: take_number(section, "queue", (0, 100_000), 24, faults) as usize,
+    };
+    if target.slots > target.connections {
+        faults.push(section.fault(
+            "slots",
+            "more slots than connections; lower slots or raise connections",
+        ));
+    }
+    target
+}
+
+fn take_number(
+    section: &mut IniSection,
+    key: &str,
+    (low, high): (u64, u64),
+    default: u64,
+    faults: &mut Vec<ParseFault>,
+) -> u64 {
+    let remedy = format!("write a whole number from {low} to {high}");
+    let number = section.take_parsed(key, &remedy, faults, |text| {
+        text.parse().ok().filter(|number| (low..=high).contains(number))
+    });
+    number.unwrap_or(default)
+}
+
+fn take_address(section: &mut IniSection, key: &str, faults: &mut Vec<ParseFault>) -> SocketAddr {
+    let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+    if !section.has(key) {
+        faults.push(section.fault(key, "this key is missing; add it"));
+        return nowhere;
+    }
+    section
+        .take_parsed(
+            key,
+            "write an IP number and a port, such as 10.0.0.7:7000",
+            faults,
+            |text| text.parse().ok(),
+        )
+        .unwrap_or(nowhere)
+}
+
+fn take_peers(section: &mut IniSection, faults: &mut Vec<ParseFault>) -> Vec<SocketAddr> {
+    let peers = section.take_parsed(
+        "peers",
+        "write addresses with ports, parted by blanks",
+        faults,
+        |text| text.split_whitespace().map(|word| word.parse().ok()).collect(),
+    );
+    peers.unwrap_or_default()
+}
