--- a/src/call/book.rs
+++ b/src/call/book.rs
@@ -159,10 +159,7 @@
 }
 
 /// Keeps those that fulfil a wish, or all if none does.
-fn prefer<'a>(
-    targets: Vec<&'a CandidateTarget>,
-    wish: impl Fn(&CandidateTarget) -> bool,
-) -> Vec<&'a CandidateTarget> {
+fn prefer(targets: Vec<&CandidateTarget>, wish: impl Fn(&CandidateTarget) -> bool) -> Vec<&CandidateTarget> {
     let wished: Vec<&CandidateTarget> = targets.iter().copied().filter(|target| wish(target)).collect();
     if wished.is_empty() { targets } else { wished }
 }
--- a/src/call/outcome.rs
+++ b/src/call/outcome.rs
@@ -16,8 +16,8 @@
 }
 
 impl Display for CallOutcome {
-    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str(match self {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
             Self::NotRun => "not-run",
             Self::Unknown => "unknown",
         })
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -44,13 +44,13 @@
 }
 
 impl Display for TimePoint {
-    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
         let stamp = i64::try_from(self.0)
             .ok()
             .and_then(|ms| Timestamp::from_millisecond(ms).ok());
         match stamp {
-            Some(stamp) => write!(formatter, "{stamp:.3}"),
-            None => formatter.write_str("never"),
+            Some(stamp) => write!(f, "{stamp:.3}"),
+            None => f.write_str("never"),
         }
     }
 }
--- a/src/cmd/options.rs
+++ b/src/cmd/options.rs
@@ -99,7 +99,7 @@
         while let Some(arg) = parser.next().map_err(|error| usage(&error))? {
             match arg {
                 Value(word) if options.verb.is_empty() => {
-                    options.verb = word.string().map_err(|error| usage(&error))?
+                    options.verb = word.string().map_err(|error| usage(&error))?;
                 }
                 Value(file) => options.files.push(file.into()),
                 Long("help") | Short('h') => options.wants_help = true,
@@ -198,7 +198,7 @@
 fn text_of(parser: &mut lexopt::Parser) -> Result<String, CmdError> {
     parser
         .value()
-        .and_then(|value| Ok(value.string()?))
+        .and_then(ValueExt::string)
         .map_err(|error| usage(&error))
 }
 
--- a/src/config/diff.rs
+++ b/src/config/diff.rs
@@ -42,15 +42,15 @@
 }
 
 impl Display for TableDiff {
-    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
         for (kind, name, change) in &self.entries {
             match change {
-                EntryChange::Added => writeln!(formatter, "+ [{kind} {name}]")?,
-                EntryChange::Removed => writeln!(formatter, "- [{kind} {name}]")?,
+                EntryChange::Added => writeln!(f, "+ [{kind} {name}]")?,
+                EntryChange::Removed => writeln!(f, "- [{kind} {name}]")?,
                 EntryChange::Changed { keys } => {
-                    writeln!(formatter, "~ [{kind} {name}]")?;
+                    writeln!(f, "~ [{kind} {name}]")?;
                     for key in keys {
-                        writeln!(formatter, "    {key}")?;
+                        writeln!(f, "    {key}")?;
                     }
                 }
             }
--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -72,8 +72,8 @@
 }
 
 impl Display for MoveVerdict {
-    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str(match self {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
             Self::Done => "done",
             Self::TakenBack => "taken back",
             Self::Cancelled => "cancelled",
--- a/src/config/tables.rs
+++ b/src/config/tables.rs
@@ -35,8 +35,8 @@
 }
 
 impl Display for TableKind {
-    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str(match self {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
             Self::Route => "route",
             Self::Pool => "pool",
         })
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -18,6 +18,7 @@
             MemberEffect, MemberRecord, MemberState, MemberStatus, ProbeMessage, TargetRecord, TargetStatus,
             is_among_best,
         },
+        moves::Clearance,
         spread::{ConfigReply, OfferRefusal, SpreadState},
         store::{HttpStore, StoreError, StoreValue, WriteError},
         timeline::{EventKind, EventRing, TimelineEvent},
@@ -269,6 +270,7 @@
                     self.is_stale = true;
                     self.record_member(&record, now);
                 }
+                MemberEffect::Sync { with } => self.start_sync(with, Vec::new(), now),
                 MemberEffect::Newer { from, version } => self.spread.note_newer(from, version),
                 MemberEffect::Floor { version } => self.spread.raise_floor(version),
                 MemberEffect::NameTaken { by } => {
@@ -362,10 +364,9 @@
             self.try_join(now);
         }
         let told = self.join.asked_keepers && self.join.pending == 0;
-        if !self.spread.has_joined() && (told || now >= self.join.limit) {
-            if let Some(offer) = self.spread.join() {
-                self.finish_offer(offer, "peer", now);
-            }
+        let may_join = !self.spread.has_joined() && (told || now >= self.join.limit);
+        if may_join && let Some(offer) = self.spread.join() {
+            self.finish_offer(offer, "peer", now);
         }
     }
 
@@ -709,7 +710,7 @@
                 .clearance(&pool)
                 .filter(|clearance| clearance.move_id == order.id);
             MoveStatus {
-                share: known.map(|clearance| clearance.usable_share()),
+                share: known.map(Clearance::usable_share),
                 phase,
                 pool,
                 order,
--- a/src/daemon/move_runner.rs
+++ b/src/daemon/move_runner.rs
@@ -210,7 +210,7 @@
                     save_progress(&self.store, pool, controller.clearance());
                 }
                 MoveEffect::AtRisk { reason } => {
-                    ring.record_move(EventKind::MoveAtRisk, pool, move_id, reason, now)
+                    ring.record_move(EventKind::MoveAtRisk, pool, move_id, reason, now);
                 }
                 MoveEffect::Decide { verdict, reason } => {
                     if !open.is_writing && now >= open.verdict_at {
--- a/src/daemon/peer_client.rs
+++ b/src/daemon/peer_client.rs
@@ -12,7 +12,7 @@
 };
 
 /// Time after which the clients of a peer that is not called are dropped.
-const UNUSED_LIFE: Duration = Duration::from_secs(60);
+const UNUSED_LIFE: Duration = Duration::from_mins(1);
 
 #[derive(Debug)]
 struct ClientPair {
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -33,8 +33,8 @@
 }
 
 impl Display for GateRefusal {
-    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str(match self {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
             Self::Full => "target-full",
             Self::Leaving => "target-leaving",
             Self::Starting => "target-starting",
--- a/src/http.rs
+++ b/src/http.rs
@@ -67,6 +67,10 @@
 }
 
 /// Makes a client that does nothing by itself: no retries, redirects, proxies or decompression.
+///
+/// # Panics
+///
+/// If the HTTP library can't build a client without TLS, which it always can.
 pub fn plain_client(idle_timeout: Duration) -> reqwest::Client {
     reqwest::Client::builder()
         .retry(reqwest::retry::never())
--- a/src/lab/kv.rs
+++ b/src/lab/kv.rs
@@ -118,9 +118,10 @@
         let lost = state.faults.lose_answers;
         drop(state);
         self.changed.notify_waiters();
-        match lost {
-            true => respond(res, StatusCode::INTERNAL_SERVER_ERROR, "answer lost"),
-            false => respond(res, StatusCode::OK, if swaps { "true" } else { "false" }),
+        if lost {
+            respond(res, StatusCode::INTERNAL_SERVER_ERROR, "answer lost");
+        } else {
+            respond(res, StatusCode::OK, if swaps { "true" } else { "false" });
         }
     }
 
--- a/src/lab/run.rs
+++ b/src/lab/run.rs
@@ -7,7 +7,7 @@
         target::{TargetBehaviour, TargetServer},
     },
     crate::http::{POOL_IDLE_TIMEOUT, bind, plain_client},
-    lexopt::prelude::{Long, Value, ValueExt},
+    lexopt::prelude::{Long, Short, Value, ValueExt},
     miette::Diagnostic,
     std::{collections::HashMap, ffi::OsString, fs, io, net::SocketAddr, str::FromStr},
     thiserror::Error,
@@ -80,13 +80,10 @@
             Long("help") => return Ok((String::new(), options)),
             Long(name) => {
                 let name = name.to_owned();
-                let value = parser
-                    .value()
-                    .and_then(|value| Ok(value.string()?))
-                    .map_err(usage)?;
+                let value = parser.value().and_then(ValueExt::string).map_err(usage)?;
                 options.insert(name, value);
             }
-            other => return Err(usage(other.unexpected())),
+            Short(_) => return Err(usage(arg.unexpected())),
         }
     }
     Ok((verb, options))
@@ -149,12 +146,11 @@
     let (mut doubled, mut false_not_run, mut unconfirmed) = (0, 0, 0);
     for (told, call) in told_calls {
         let count = runs.get(call).copied().unwrap_or(0);
-        match told {
-            "not-run" => false_not_run += u32::from(count > 0),
-            _ => {
-                doubled += u32::from(count > 1);
-                unconfirmed += u32::from(count == 0);
-            }
+        if told == "not-run" {
+            false_not_run += u32::from(count > 0);
+        } else {
+            doubled += u32::from(count > 1);
+            unconfirmed += u32::from(count == 0);
         }
     }
     println!("doubled {doubled}\nfalse-not-run {false_not_run}\nconfirmed-without-run {unconfirmed}");
--- a/src/lab/target.rs
+++ b/src/lab/target.rs
@@ -7,6 +7,7 @@
     salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait, http::StatusCode},
     std::{
         collections::HashMap,
+        fmt::Write as _,
         io,
         net::TcpListener,
         str::FromStr,
@@ -98,11 +99,11 @@
     }
 
     fn list_runs(&self) -> String {
-        self.runs
-            .lock()
-            .iter()
-            .map(|(key, count)| format!("{key} {count}\n"))
-            .collect()
+        let mut text = String::new();
+        for (key, count) in self.runs.lock().iter() {
+            let _ = writeln!(text, "{key} {count}");
+        }
+        text
     }
 
     async fn work(&self, req: &mut Request, res: &mut Response) {
--- a/src/member/record.rs
+++ b/src/member/record.rs
@@ -43,8 +43,8 @@
 }
 
 impl Display for TargetStatus {
-    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str(match self {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
             Self::Starting => "starting",
             Self::Serving => "serving",
             Self::Leaving => "leaving",
--- a/src/member/state.rs
+++ b/src/member/state.rs
@@ -9,7 +9,7 @@
     },
     crate::clock::TimePoint,
     indexmap::IndexMap,
-    rand::{RngExt, SeedableRng, rngs::SmallRng, seq::SliceRandom},
+    rand::{SeedableRng, rngs::SmallRng, seq::SliceRandom},
     std::{net::SocketAddr, sync::Arc},
 };
 
@@ -51,6 +51,11 @@
         /// The record as it is now.
         record: MemberRecord,
     },
+    /// Run anti-entropy with a peer that this daemon did not know.
+    Sync {
+        /// The peer's control address.
+        with: SocketAddr,
+    },
     /// A peer has a newer configuration.
     Newer {
         /// The peer's control address.
@@ -105,7 +110,9 @@
     probes: Vec<PendingProbe>,
     relays: Vec<RelayedProbe>,
     order: Vec<Arc<str>>,
+    dead_order: Vec<Arc<str>>,
     probe_at: TimePoint,
+    rounds: u64,
     seq: u64,
     rng: SmallRng,
     effects: Vec<MemberEffect>,
@@ -121,7 +128,9 @@
             probes: Vec::new(),
             relays: Vec::new(),
             order: Vec::new(),
+            dead_order: Vec::new(),
             probe_at: now,
+            rounds: 0,
             seq: 0,
             rng: SmallRng::seed_from_u64(seed),
             effects: Vec::new(),
@@ -185,13 +194,21 @@
         if message.from == self.own.name {
             return Vec::new();
         }
+        let own = &self.own;
+        let misjudges_own = message
+            .updates
+            .iter()
+            .any(|record| record.name == own.name && own.supersedes(record));
+        let incarnation = own.incarnation;
         for record in message.updates {
             self.absorb(record, now);
         }
+        let is_corrected = misjudges_own || self.own.incarnation != incarnation;
+        self.correct_views(from, &message.from, is_corrected);
         self.note_applied(&message.from, message.applied, from);
         match message.kind {
-            ProbeKind::Ping { seq } => self.answer_ping(from, &message.from, seq),
-            ProbeKind::Ack { seq } => self.finish_probe(seq, &message.from),
+            ProbeKind::Ping { seq } => self.answer_ping(from, seq),
+            ProbeKind::Ack { seq } => self.finish_probe(seq),
             ProbeKind::PingRequest { seq, address, .. } => self.relay_probe(from, seq, address, now),
             ProbeKind::Notice => {}
         }
@@ -348,7 +365,8 @@
     fn start_probe(&mut self, now: TimePoint) {
         self.seq += 1;
         let seq = self.seq;
-        if seq.is_multiple_of(DEAD_PROBE_EVERY) {
+        self.rounds += 1;
+        if self.rounds.is_multiple_of(DEAD_PROBE_EVERY) {
             self.probe_dead(seq);
         }
         let Some(record) = self.next_to_probe() else {
@@ -365,29 +383,15 @@
 
     /// Takes the next present daemon of a shuffled round, so that each is probed once a round.
     fn next_to_probe(&mut self) -> Option<MemberRecord> {
-        for _ in 0..2 {
-            while let Some(name) = self.order.pop() {
-                match self.entries.get(&name) {
-                    Some(entry) if entry.record.status.is_present() => return Some(entry.record.clone()),
-                    _ => {}
-                }
-            }
-            self.order = self.entries.keys().cloned().collect();
-            self.order.shuffle(&mut self.rng);
-        }
-        None
+        let is_wanted = |status: MemberStatus| status.is_present();
+        next_of_round(&mut self.order, &self.entries, is_wanted, &mut self.rng)
     }
 
+    /// Probes the next dead daemon of a shuffled round, so that each is tried in a bounded time.
     fn probe_dead(&mut self, seq: u64) {
-        let dead: Vec<SocketAddr> = self
-            .entries
-            .values()
-            .filter(|entry| entry.record.status == MemberStatus::Dead)
-            .map(|entry| entry.record.control)
-            .collect();
-        if !dead.is_empty() {
-            let to = dead[self.rng.random_range(0..dead.len())];
-            self.send(to, ProbeKind::Ping { seq });
+        let is_wanted = |status: MemberStatus| status == MemberStatus::Dead;
+        if let Some(record) = next_of_round(&mut self.dead_order, &self.entries, is_wanted, &mut self.rng) {
+            self.send(record.control, ProbeKind::Ping { seq });
         }
     }
 
@@ -453,17 +457,34 @@
         self.entries.retain(|_, entry| entry.until > now);
     }
 
-    fn answer_ping(&mut self, to: SocketAddr, name: &str, seq: u64) {
+    /// Acknowledges a ping with the own record, so that a prober that missed a change learns it.
+    fn answer_ping(&mut self, to: SocketAddr, seq: u64) {
         let mut updates = self.take_updates();
-        // A sender that is held for suspect or dead learns of it and refutes.
-        let held = self.entries.get(name).map(|entry| &entry.record);
-        updates.extend(
-            held.filter(|record| record.status != MemberStatus::Alive)
-                .cloned(),
-        );
+        updates.retain(|record| record.name != self.own.name);
+        updates.push(self.own.clone());
         self.send_with(to, ProbeKind::Ack { seq }, updates);
     }
 
+    /// Tells a sender that is held for suspect or dead, so that it refutes, and answers one that has an outdated
+    /// record of this daemon with the present one. Either may have nobody else left to tell.
+    fn correct_views(&mut self, to: SocketAddr, name: &str, tells_own: bool) {
+        let held = self.entries.get(name).map(|entry| &entry.record);
+        if held.is_none() {
+            self.effects.push(MemberEffect::Sync { with: to });
+        }
+        let mut records: Vec<MemberRecord> = held
+            .filter(|record| record.status != MemberStatus::Alive)
+            .cloned()
+            .into_iter()
+            .collect();
+        if tells_own {
+            records.push(self.own.clone());
+        }
+        if !records.is_empty() {
+            self.send_with(to, ProbeKind::Notice, records);
+        }
+    }
+
     fn relay_probe(&mut self, origin: SocketAddr, origin_seq: u64, address: SocketAddr, now: TimePoint) {
         self.seq += 1;
         let seq = self.seq;
@@ -476,7 +497,7 @@
         self.send(address, ProbeKind::Ping { seq });
     }
 
-    fn finish_probe(&mut self, seq: u64, name: &str) {
+    fn finish_probe(&mut self, seq: u64) {
         if let Some(at) = self.relays.iter().position(|relay| relay.seq == seq) {
             let relay = self.relays.swap_remove(at);
             self.send(
@@ -487,19 +508,7 @@
             );
             return;
         }
-        let Some(at) = self.probes.iter().position(|probe| probe.seq == seq) else {
-            return;
-        };
-        let probe = self.probes.swap_remove(at);
-        let direct = *probe.name == *name;
-        if direct
-            && let Some(entry) = self.entries.get(&probe.name)
-            && entry.record.status == MemberStatus::Suspect
-        {
-            // The suspect answers; tell it again so that it refutes everywhere.
-            let record = entry.record.clone();
-            self.send_with(record.control, ProbeKind::Notice, vec![record]);
-        }
+        self.probes.retain(|probe| probe.seq != seq);
     }
 
     fn note_applied(&mut self, name: &str, version: u64, from: SocketAddr) {
@@ -586,6 +595,30 @@
     }
 }
 
+/// Takes the next wanted daemon of a shuffled round and starts a new round when one is over.
+fn next_of_round(
+    order: &mut Vec<Arc<str>>,
+    entries: &IndexMap<Arc<str>, MemberEntry>,
+    is_wanted: impl Fn(MemberStatus) -> bool,
+    rng: &mut SmallRng,
+) -> Option<MemberRecord> {
+    let wanted = |name: &Arc<str>| entries.get(name).filter(|entry| is_wanted(entry.record.status));
+    for _ in 0..2 {
+        while let Some(name) = order.pop() {
+            if let Some(entry) = wanted(&name) {
+                return Some(entry.record.clone());
+            }
+        }
+        *order = entries
+            .keys()
+            .filter(|name| wanted(name).is_some())
+            .cloned()
+            .collect();
+        order.shuffle(rng);
+    }
+    None
+}
+
 fn status_end(status: MemberStatus, now: TimePoint) -> TimePoint {
     match status {
         MemberStatus::Alive => TimePoint::NEVER,
--- a/src/moves/evidence.rs
+++ b/src/moves/evidence.rs
@@ -111,9 +111,9 @@
     pub fn add(&mut self, route: &Arc<str>, is_new: bool, evidence: &RouteEvidence) {
         let (old, new) = self.routes.entry(Arc::clone(route)).or_default();
         if is_new {
-            new.add(evidence)
+            new.add(evidence);
         } else {
-            old.add(evidence)
+            old.add(evidence);
         }
     }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -3,10 +3,7 @@
 mod http_store;
 mod writer;
 
-use {
-    std::{future::Future, time::Duration},
-    thiserror::Error,
-};
+use {std::time::Duration, thiserror::Error};
 
 pub use {
     http_store::{HttpStore, KvRow},
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -108,21 +108,15 @@
 }
 
 impl Display for TimelineEvent {
-    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
-        write!(
-            formatter,
-            "{} {} {}",
-            self.stamp.wall,
-            self.daemon,
-            self.kind.word()
-        )?;
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} {} {}", self.stamp.wall, self.daemon, self.kind.word())?;
         if let Some(pool) = &self.pool {
-            write!(formatter, " pool={pool}")?;
+            write!(f, " pool={pool}")?;
         }
         if let Some(move_id) = self.move_id {
-            write!(formatter, " move={move_id}")?;
+            write!(f, " move={move_id}")?;
         }
-        write!(formatter, " {}", self.detail)
+        write!(f, " {}", self.detail)
     }
 }
 
--- a/src/timeline/hybrid.rs
+++ b/src/timeline/hybrid.rs
@@ -20,8 +20,8 @@
 }
 
 impl Display for HybridStamp {
-    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
-        write!(formatter, "{}+{}", self.wall, self.count)
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}+{}", self.wall, self.count)
     }
 }
 
--- /dev/null
+++ b/tests/acceptance_fuzz.rs
@@ -0,0 +1,311 @@
+//! Stateful fuzzing of acceptance: racing operators over a store that is down, slow, answers late or twice, and
+//! loses answers after a write took effect.
+//!
+//! Oracle: the accepted versions form one chain; each accepted change is in it exactly once; no refused change
+//! is in it.
+
+mod common;
+
+use {
+    common::fuzz_config,
+    fuchsiashore::{
+        clock::TimePoint,
+        config::{
+            ConfigHead, ConfigTables, EditRequest, MovePolicy, PoolEntry, RepeatRule, RouteEntry, TableEdit,
+        },
+        store::{ChangeWriter, StoreValue, WriteEvent, WriteStep},
+    },
+    proptest::prelude::*,
+    proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine},
+    std::collections::VecDeque,
+};
+
+const OPERATORS: usize = 3;
+const DEADLINE_MS: u64 = 2_000;
+
+#[derive(Debug, Clone)]
+enum Action {
+    /// An operator starts a change if it has none under way.
+    Start {
+        operator: usize,
+        entry: u8,
+        checks_base: bool,
+    },
+    /// The store takes the operator's call and, unless it is down, carries it out.
+    Serve { operator: usize, down: bool },
+    /// The answer reaches the operator, or is lost.
+    Answer { operator: usize, lost: bool },
+    /// A write of the operator that was given up takes effect late, if its index still fits.
+    LateWrite { operator: usize },
+    /// Time passes.
+    Wait { ms: u64 },
+}
+
+fn action() -> BoxedStrategy<Action> {
+    let operator = 0..OPERATORS;
+    prop_oneof![
+        3 => (operator.clone(), any::<u8>(), any::<bool>())
+            .prop_map(|(operator, entry, checks_base)| Action::Start { operator, entry, checks_base }),
+        6 => (operator.clone(), prop::bool::weighted(0.2)).prop_map(|(operator, down)| Action::Serve { operator, down }),
+        6 => (operator.clone(), prop::bool::weighted(0.3)).prop_map(|(operator, lost)| Action::Answer { operator, lost }),
+        2 => operator.prop_map(|operator| Action::LateWrite { operator }),
+        1 => (1..900_u64).prop_map(|ms| Action::Wait { ms }),
+    ]
+    .boxed()
+}
+
+/// The actions need no state of the oracle's own: every one fits every moment.
+#[derive(Debug, Clone)]
+struct AnyAction;
+
+impl ReferenceStateMachine for AnyAction {
+    type State = Self;
+    type Transition = Action;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self).boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<Action> {
+        action()
+    }
+
+    fn apply(state: Self, _: &Action) -> Self {
+        state
+    }
+}
+
+impl StateMachineTest for World {
+    type SystemUnderTest = Self;
+    type Reference = AnyAction;
+
+    fn init_test(_: &AnyAction) -> Self {
+        Self::new()
+    }
+
+    fn apply(mut world: Self, _: &AnyAction, action: Action) -> Self {
+        world.act(action);
+        world
+    }
+
+    fn check_invariants(world: &Self, _: &AnyAction) {
+        world.check();
+    }
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Verdict {
+    Accepted(u64),
+    Refused,
+    /// Given up; the change may or may not be made if a write was tried.
+    Open {
+        tried: bool,
+    },
+}
+
+#[derive(Debug)]
+struct Operator {
+    change_id: String,
+    writer: ChangeWriter,
+    step: WriteStep,
+    answer: Option<WriteEvent>,
+    /// Swaps that were sent and not served in time; the network may still deliver them.
+    late: VecDeque<(Vec<u8>, u64)>,
+}
+
+struct World {
+    now: TimePoint,
+    index: u64,
+    value: Option<StoreValue>,
+    chain: Vec<ConfigHead>,
+    operators: Vec<Option<Operator>>,
+    verdicts: Vec<(String, Verdict)>,
+    started: usize,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            now: TimePoint(1_000),
+            index: 0,
+            value: None,
+            chain: Vec::new(),
+            operators: (0..OPERATORS).map(|_| None).collect(),
+            verdicts: Vec::new(),
+            started: 0,
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Start {
+                operator,
+                entry,
+                checks_base,
+            } => self.start(operator, entry, checks_base),
+            Action::Serve { operator, down } => self.serve(operator, down),
+            Action::Answer { operator, lost } => self.answer(operator, lost),
+            Action::LateWrite { operator } => self.late_write(operator),
+            Action::Wait { ms } => self.now = self.now.after_ms(ms),
+        }
+    }
+
+    fn start(&mut self, operator: usize, entry: u8, checks_base: bool) {
+        if self.operators[operator].is_some() {
+            return;
+        }
+        self.started += 1;
+        let change_id = format!("change-{}", self.started);
+        let base_version = checks_base.then(|| self.chain.last().map_or(0, |head| head.version));
+        let request = EditRequest {
+            change_id: change_id.as_str().into(),
+            base_version,
+            author: format!("operator-{operator}").into(),
+            message: "fuzz".into(),
+            at: self.now,
+            edit: TableEdit::Replace {
+                tables: tables(entry),
+                again: true,
+            },
+        };
+        let writer = ChangeWriter::new(request, self.now.after_ms(DEADLINE_MS));
+        let late = VecDeque::new();
+        self.operators[operator] = Some(Operator {
+            change_id,
+            writer,
+            step: WriteStep::Read,
+            answer: None,
+            late,
+        });
+    }
+
+    fn serve(&mut self, number: usize, down: bool) {
+        let Some(mut operator) = self.operators[number].take() else {
+            return;
+        };
+        if operator.answer.is_none() {
+            operator.answer = Some(match &operator.step {
+                _ if down => WriteEvent::Failed,
+                WriteStep::Swap { head, index, .. } => WriteEvent::Swapped(self.swap(head.clone(), *index)),
+                _ => WriteEvent::Value(self.value.clone()),
+            });
+        }
+        self.operators[number] = Some(operator);
+    }
+
+    fn answer(&mut self, number: usize, lost: bool) {
+        let Some(mut operator) = self.operators[number].take() else {
+            return;
+        };
+        let event = match operator.answer.take() {
+            Some(event) if !lost => event,
+            Some(_) => WriteEvent::Failed,
+            None => {
+                // The call timed out before the store served it; a write may still arrive.
+                if let WriteStep::Swap { head, index, .. } = &operator.step {
+                    operator.late.push_back((head.clone(), *index));
+                }
+                WriteEvent::Failed
+            }
+        };
+        operator.step = operator.writer.handle(event, self.now);
+        let verdict = match &operator.step {
+            WriteStep::Done { version } => Some(Verdict::Accepted(*version)),
+            WriteStep::Refused(_) => Some(Verdict::Refused),
+            WriteStep::GaveUp { maybe_made } => Some(Verdict::Open { tried: *maybe_made }),
+            _ => None,
+        };
+        match verdict {
+            Some(verdict) => {
+                self.verdicts.push((operator.change_id.clone(), verdict));
+                // What is still in the network can arrive after the operator was told.
+                while let Some((head, index)) = operator.late.pop_front() {
+                    self.swap(head, index);
+                }
+            }
+            None => self.operators[number] = Some(operator),
+        }
+    }
+
+    fn late_write(&mut self, number: usize) {
+        let write = self.operators[number]
+            .as_mut()
+            .and_then(|operator| operator.late.pop_front());
+        if let Some((head, index)) = write {
+            self.swap(head, index);
+        }
+    }
+
+    fn swap(&mut self, head: Vec<u8>, index: u64) -> bool {
+        if self.value.as_ref().map_or(0, |value| value.index) != index {
+            return false;
+        }
+        self.index += 1;
+        self.chain
+            .push(ConfigHead::open(&head).expect("only whole heads are written"));
+        self.value = Some(StoreValue {
+            data: head,
+            index: self.index,
+        });
+        true
+    }
+
+    fn check(&self) {
+        for (number, head) in self.chain.iter().enumerate() {
+            assert_eq!(
+                head.version,
+                number as u64 + 1,
+                "the accepted versions are no chain"
+            );
+        }
+        for (change_id, verdict) in &self.verdicts {
+            let made: Vec<u64> = self
+                .chain
+                .iter()
+                .filter(|head| made_by(head, change_id))
+                .map(|head| head.version)
+                .collect();
+            match verdict {
+                Verdict::Accepted(version) => assert_eq!(made, [*version], "{change_id} was accepted"),
+                Verdict::Refused => assert!(made.is_empty(), "{change_id} was refused and appears"),
+                Verdict::Open { tried: false } => {
+                    assert!(made.is_empty(), "{change_id} was not tried and appears")
+                }
+                Verdict::Open { tried: true } => assert!(made.len() <= 1, "{change_id} was made twice"),
+            }
+        }
+    }
+}
+
+fn made_by(head: &ConfigHead, change_id: &str) -> bool {
+    head.changes
+        .last()
+        .is_some_and(|note| &*note.change_id == change_id)
+}
+
+fn tables(entry: u8) -> ConfigTables {
+    let mut tables = ConfigTables::default();
+    let pool = PoolEntry {
+        service: format!("service-{}", entry % 5).into(),
+        version: "v1".into(),
+        finish_by: None,
+        policy: MovePolicy::Prompt,
+    };
+    tables.pools.insert("pool".into(), pool);
+    let route = RouteEntry {
+        path: format!("/{}", entry % 7).into(),
+        methods: Vec::new(),
+        pool: "pool".into(),
+        repeat: RepeatRule::ByMethod,
+        timeout_ms: 1_000 + u64::from(entry),
+    };
+    tables.routes.insert("route".into(), route);
+    tables
+}
+
+prop_state_machine! {
+    #![proptest_config(fuzz_config(300))]
+
+    #[test]
+    fn nothing_accepted_is_lost_and_nothing_refused_appears(sequential 1..150 => World);
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,22 @@
+//! What the test files share.
+
+use proptest::test_runner::{Config, RngSeed};
+
+/// The seed of CI; another one is taken from `PROPTEST_RNG_SEED`.
+const CI_SEED: u64 = 20_261_204;
+
+/// Returns the fuzzing configuration: a fixed seed and a bounded number of cases, which `FUZZ_CASES` raises.
+pub fn fuzz_config(default_cases: u32) -> Config {
+    let cases = std::env::var("FUZZ_CASES")
+        .ok()
+        .and_then(|cases| cases.parse().ok());
+    let seed = std::env::var("PROPTEST_RNG_SEED")
+        .ok()
+        .and_then(|seed| seed.parse().ok());
+    Config {
+        rng_seed: RngSeed::Fixed(seed.unwrap_or(CI_SEED)),
+        failure_persistence: None,
+        max_shrink_iters: 4_000,
+        ..Config::with_cases(cases.unwrap_or(default_cases))
+    }
+}
