--- /dev/null
+++ b/src/lab/figures/table.rs
@@ -0,0 +1,142 @@
+//! The table of figures over many trials.
+
+use {
+    super::{
+        rule::MoveRule,
+        scenario::{MoveScenario, all_scenarios},
+        trial::{TrialOutcome, run_trial},
+    },
+    crate::config::MovePolicy,
+    std::{
+        fmt::Write as _,
+        sync::atomic::{AtomicUsize, Ordering},
+        thread,
+    },
+};
+
+/// All rules, the product's first.
+const RULES: [MoveRule; 4] = [
+    MoveRule::Controller(MovePolicy::Prompt),
+    MoveRule::Controller(MovePolicy::Cautious),
+    MoveRule::TimedRamp,
+    MoveRule::ErrorThreshold,
+];
+
+/// The figures of one scenario under one rule.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FigureRow {
+    /// The scenario.
+    pub scenario: MoveScenario,
+    /// The rule.
+    pub rule: MoveRule,
+    /// Share of moves that were done before the deadline.
+    pub done_in_time: f64,
+    /// Share of moves that were taken back.
+    pub taken_back: f64,
+    /// Share of the pool's calls that went to the version while it was bad.
+    pub bad_share: f64,
+    /// Highest such share of one move.
+    pub worst_bad_share: f64,
+    /// Calls a move that went to the version after its badness showed.
+    pub shown_calls: f64,
+    /// Share of moves with calls more than 3 s after badness showed.
+    pub late_moves: f64,
+    /// Median time from badness showing to the stop, in seconds; negative values can't be seen and count as 0.
+    pub stop_delay_s: f64,
+    /// Median time from the begin of badness to the stop, in seconds.
+    pub badness_s: f64,
+}
+
+/// Runs `trials` moves of every scenario under every rule, on all cores; the same seed gives the same figures.
+pub fn measure(trials: usize, seed: u64) -> Vec<FigureRow> {
+    let scenarios = all_scenarios();
+    let cells: Vec<(MoveScenario, MoveRule)> = scenarios
+        .iter()
+        .flat_map(|scenario| RULES.iter().map(|rule| (*scenario, *rule)))
+        .collect();
+    let next = AtomicUsize::new(0);
+    let workers = thread::available_parallelism().map_or(1, usize::from);
+    let mut rows: Vec<(usize, FigureRow)> = thread::scope(|scope| {
+        let run = || {
+            let mut rows = Vec::new();
+            loop {
+                let cell = next.fetch_add(1, Ordering::Relaxed);
+                let Some((scenario, rule)) = cells.get(cell) else {
+                    return rows;
+                };
+                let outcomes: Vec<TrialOutcome> = (0..trials as u64)
+                    .map(|trial| run_trial(*scenario, *rule, seed + trial))
+                    .collect();
+                rows.push((cell, summarise(*scenario, *rule, &outcomes)));
+            }
+        };
+        let handles: Vec<_> = (0..workers).map(|_| scope.spawn(run)).collect();
+        handles
+            .into_iter()
+            .flat_map(|handle| handle.join().unwrap_or_default())
+            .collect()
+    });
+    rows.sort_by_key(|(cell, _)| *cell);
+    rows.into_iter().map(|(_, row)| row).collect()
+}
+
+fn summarise(scenario: MoveScenario, rule: MoveRule, outcomes: &[TrialOutcome]) -> FigureRow {
+    let count = outcomes.len().max(1) as f64;
+    let share_of =
+        |wanted: fn(&TrialOutcome) -> bool| outcomes.iter().filter(|o| wanted(o)).count() as f64 / count;
+    let bad_shares: Vec<f64> = outcomes
+        .iter()
+        .map(|o| o.bad_calls as f64 / o.calls.max(1) as f64)
+        .collect();
+    FigureRow {
+        scenario,
+        rule,
+        done_in_time: share_of(|o| o.done_in_time),
+        taken_back: share_of(|o| o.taken_back),
+        bad_share: bad_shares.iter().sum::<f64>() / count,
+        worst_bad_share: bad_shares.iter().copied().fold(0.0, f64::max),
+        shown_calls: outcomes.iter().map(|o| o.shown_calls as f64).sum::<f64>() / count,
+        late_moves: share_of(|o| o.late_calls > 0),
+        stop_delay_s: median_s(outcomes.iter().filter_map(|o| o.stop_delay_ms)),
+        badness_s: median_s(outcomes.iter().filter_map(|o| o.badness_ms)),
+    }
+}
+
+fn median_s(times_ms: impl Iterator<Item = u64>) -> f64 {
+    let mut sorted: Vec<u64> = times_ms.collect();
+    sorted.sort_unstable();
+    sorted
+        .get(sorted.len() / 2)
+        .map_or(f64::NAN, |ms| *ms as f64 / 1e3)
+}
+
+/// Writes the rows as a Markdown table.
+pub fn render(rows: &[FigureRow]) -> String {
+    let mut text = String::from(
+        "| version and conditions | rule | done in time | taken back | bad share of calls, mean / worst | calls after showing | moves with calls > 3 s after showing | showing to stop, median | badness to stop, median |\n|---|---|---|---|---|---|---|---|---|\n",
+    );
+    for row in rows {
+        let bad = if row.scenario.is_good() {
+            "– | – | – | – | –".to_owned()
+        } else {
+            format!(
+                "{:.2} % / {:.2} % | {:.1} | {:.1} % | {:.1} s | {:.1} s",
+                row.bad_share * 100.0,
+                row.worst_bad_share * 100.0,
+                row.shown_calls,
+                row.late_moves * 100.0,
+                row.stop_delay_s,
+                row.badness_s,
+            )
+        };
+        let _ = writeln!(
+            text,
+            "| {} | {} | {:.1} % | {:.1} % | {bad} |",
+            row.scenario.name,
+            row.rule,
+            row.done_in_time * 100.0,
+            row.taken_back * 100.0,
+        );
+    }
+    text
+}
--- /dev/null
+++ b/src/lab/figures/trial.rs
@@ -0,0 +1,358 @@
+//! One move under one rule and one scenario.
+
+use {
+    super::{
+        rule::MoveRule,
+        scenario::{MoveScenario, VersionFault},
+    },
+    crate::{
+        clock::TimePoint,
+        config::{MoveOrder, MovePolicy, MoveVerdict},
+        moves::{Clearance, GateLease, GateReport, MoveController, MoveEffect, MoveSchedule, RouteEvidence},
+    },
+    indexmap::IndexMap,
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    rand_distr::{Distribution, LogNormal},
+    std::{collections::VecDeque, sync::Arc},
+};
+
+/// Length of a move, in milliseconds.
+pub const MOVE_MS: u64 = 600_000;
+/// Length of a step, in milliseconds.
+const STEP_MS: u64 = 50;
+/// Time between two polls, in milliseconds.
+const POLL_MS: u64 = 500;
+/// Time from the death of a controller to the next one: failure detection and a look at the gates, in milliseconds.
+const TAKEOVER_MS: u64 = 8_000;
+/// Median latency of a good call, in milliseconds.
+const LATENCY_MS: f64 = 5.0;
+/// Spread of the logarithm of the latency.
+const LATENCY_SIGMA: f64 = 0.5;
+/// Factor on the latency of a cold target, and how long it is cold, in milliseconds.
+const COLD: (f64, u64) = (5.0, 3_000);
+/// Part of the calls on the more frequent route.
+const FREQUENT_ROUTE: f64 = 0.8;
+/// Likelihood ratio at which badness shows to one who knows both distributions.
+const SHOWS_AT: f64 = 10_000.0;
+/// Time after badness shows from which no call may go to the version, in milliseconds.
+const STOP_WITHIN_MS: u64 = 3_000;
+/// Latest likelihood ratio step of one call, against a single extreme value.
+const MAX_STEP: f64 = 5.0;
+
+/// What came of a move.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct TrialOutcome {
+    /// Whether it was done before its deadline.
+    pub done_in_time: bool,
+    /// Whether it was taken back.
+    pub taken_back: bool,
+    /// Calls of the pool until the end.
+    pub calls: u64,
+    /// Calls that went to the version while it was bad.
+    pub bad_calls: u64,
+    /// Calls that went to it after its badness showed.
+    pub shown_calls: u64,
+    /// Calls that went to it more than 3 s after its badness showed.
+    pub late_calls: u64,
+    /// Time from the moment when badness showed to the stop, in milliseconds.
+    pub stop_delay_ms: Option<u64>,
+    /// Time from the begin of badness to the stop, in milliseconds.
+    pub badness_ms: Option<u64>,
+}
+
+#[derive(Debug, Default)]
+struct GateCounts {
+    routes: IndexMap<Arc<str>, RouteEvidence>,
+}
+
+struct Trial {
+    scenario: MoveScenario,
+    rule: MoveRule,
+    rng: SmallRng,
+    now: TimePoint,
+    start: TimePoint,
+    order: MoveOrder,
+    names: [Arc<str>; 2],
+    old: GateCounts,
+    new: GateCounts,
+    lease: GateLease,
+    controller: Option<MoveController>,
+    controller_back_at: Option<TimePoint>,
+    share: f64,
+    first_new_call: Option<TimePoint>,
+    began: Option<TimePoint>,
+    shown: Option<TimePoint>,
+    likelihood: f64,
+    recent: VecDeque<(TimePoint, bool)>,
+    ended: Option<MoveVerdict>,
+    outcome: TrialOutcome,
+}
+
+/// Runs one move.
+pub fn run_trial(scenario: MoveScenario, rule: MoveRule, seed: u64) -> TrialOutcome {
+    let mut trial = Trial::new(scenario, rule, seed);
+    // A verdict may come late when the store is down.
+    let end = trial.order.finish_by.after_ms(MOVE_MS / 4);
+    while trial.ended.is_none() && trial.now < end {
+        trial.step();
+    }
+    trial.finish()
+}
+
+impl Trial {
+    fn new(scenario: MoveScenario, rule: MoveRule, seed: u64) -> Self {
+        let start = TimePoint(1_000_000);
+        let policy = match rule {
+            MoveRule::Controller(policy) => policy,
+            MoveRule::TimedRamp | MoveRule::ErrorThreshold => MovePolicy::Prompt,
+        };
+        let order = MoveOrder {
+            id: 1,
+            from: "v1".into(),
+            to: "v2".into(),
+            opened_at: start,
+            finish_by: start.after_ms(MOVE_MS),
+            policy,
+        };
+        let controller = MoveController::new(order.clone(), "first".into(), None, start);
+        Self {
+            scenario,
+            rule,
+            rng: SmallRng::seed_from_u64(seed),
+            now: start,
+            start,
+            order,
+            names: ["frequent".into(), "rare".into()],
+            old: GateCounts::default(),
+            new: GateCounts::default(),
+            lease: GateLease::default(),
+            controller: Some(controller),
+            controller_back_at: None,
+            share: 0.0,
+            first_new_call: None,
+            began: None,
+            shown: None,
+            likelihood: 0.0,
+            recent: VecDeque::new(),
+            ended: None,
+            outcome: TrialOutcome::default(),
+        }
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        self.now.ms_since(self.start)
+    }
+
+    fn step(&mut self) {
+        self.now = self.now.after_ms(STEP_MS);
+        self.disturb_controller();
+        match self.rule {
+            MoveRule::Controller(_) => self.run_controller(),
+            MoveRule::TimedRamp => self.run_ramp(),
+            MoveRule::ErrorThreshold => self.run_threshold(),
+        }
+        let expected = self.scenario.rate * STEP_MS as f64 / 1e3;
+        let calls = expected.floor() as u32 + u32::from(self.rng.random::<f64>() < expected.fract());
+        for _ in 0..calls {
+            self.send_call();
+        }
+    }
+
+    fn send_call(&mut self) {
+        self.outcome.calls += 1;
+        let is_new = self.rng.random::<f64>() < self.usable_share();
+        let is_rare = self.rng.random::<f64>() >= FREQUENT_ROUTE;
+        let noise = self.noise();
+        let (fail_share, mut factor) = if is_new {
+            self.badness(is_rare, noise)
+        } else {
+            (noise, 1.0)
+        };
+        let is_bad = is_new && (fail_share > noise || factor > 1.0);
+        if is_new {
+            let since = self.now.ms_since(*self.first_new_call.get_or_insert(self.now));
+            if self.scenario.has_cold_start && since < COLD.1 {
+                factor = COLD.0;
+            }
+        }
+        let failed = self.rng.random::<f64>() < fail_share;
+        let latency =
+            LogNormal::new((LATENCY_MS * factor).ln(), LATENCY_SIGMA).expect("the spread is positive");
+        let latency_ms = latency.sample(&mut self.rng);
+        if is_new {
+            self.recent.push_back((self.now, failed));
+        }
+        if is_bad {
+            self.count_bad(failed, latency_ms, fail_share, noise, factor);
+        }
+        let counts = if is_new { &mut self.new } else { &mut self.old };
+        let route = Arc::clone(&self.names[usize::from(is_rare)]);
+        counts
+            .routes
+            .entry(route)
+            .or_default()
+            .add_call(failed, latency_ms);
+    }
+
+    /// Counts a call to the bad version and what it says to one who knows both distributions.
+    fn count_bad(&mut self, failed: bool, latency_ms: f64, fail_share: f64, noise: f64, factor: f64) {
+        self.began.get_or_insert(self.now);
+        self.outcome.bad_calls += 1;
+        if let Some(shown) = self.shown {
+            self.outcome.shown_calls += 1;
+            self.outcome.late_calls += u64::from(self.now.ms_since(shown) > STOP_WITHIN_MS);
+        }
+        let step = if factor > 1.0 {
+            let distance = |median: f64| ((latency_ms / median).ln() / LATENCY_SIGMA).powi(2) / 2.0;
+            distance(LATENCY_MS) - distance(LATENCY_MS * factor)
+        } else if failed {
+            (fail_share / noise).ln()
+        } else {
+            ((1.0 - fail_share) / (1.0 - noise)).ln()
+        };
+        self.likelihood += step.clamp(-MAX_STEP, MAX_STEP);
+        if self.likelihood >= SHOWS_AT.ln() {
+            self.shown.get_or_insert(self.now);
+        }
+    }
+
+    fn noise(&self) -> f64 {
+        let in_burst = self.scenario.has_bursts && self.elapsed_ms() % 60_000 < 10_000;
+        if in_burst { 0.2 } else { self.scenario.noise }
+    }
+
+    /// Returns the failing share and the latency factor of the new version.
+    fn badness(&self, is_rare: bool, noise: f64) -> (f64, f64) {
+        let elapsed_s = self.elapsed_ms() as f64 / 1e3;
+        let with = |share: f64| noise + share * (1.0 - noise);
+        match self.scenario.fault {
+            VersionFault::Fails { share, from_s } if elapsed_s >= from_s => (with(share), 1.0),
+            VersionFault::Slow { factor, from_s } if elapsed_s >= from_s => (noise, factor),
+            VersionFault::FailsUnderLoad { share, from_share } if self.share >= from_share => {
+                (with(share), 1.0)
+            }
+            VersionFault::FailsOnRoute { share } if is_rare => (with(share), 1.0),
+            _ => (noise, 1.0),
+        }
+    }
+
+    fn usable_share(&self) -> f64 {
+        match self.rule {
+            MoveRule::Controller(_) if !self.lease.admits(self.order.id, self.now) => 0.0,
+            _ => self.share,
+        }
+    }
+
+    fn is_store_up(&self) -> bool {
+        !self.scenario.has_store_outages || self.elapsed_ms() / 60_000 % 2 == 1
+    }
+
+    /// Kills or freezes the controller when the scenario says so, and brings the next one.
+    fn disturb_controller(&mut self) {
+        let dies_at = self.scenario.controller_dies_s.map(|at_s| (at_s * 1e3) as u64);
+        if dies_at == Some(self.elapsed_ms()) {
+            let pause_ms = self
+                .scenario
+                .controller_pauses_s
+                .map_or(TAKEOVER_MS, |pause_s| (pause_s * 1e3) as u64);
+            self.controller_back_at = Some(self.now.after_ms(pause_ms));
+        }
+        if self.controller_back_at.is_some_and(|back_at| self.now >= back_at) {
+            self.controller_back_at = None;
+            if self.scenario.controller_pauses_s.is_none() {
+                let held = self.lease.held(self.order.id).cloned();
+                let next = MoveController::new(self.order.clone(), "next".into(), held.as_ref(), self.now);
+                self.controller = Some(next);
+            }
+        }
+    }
+
+    fn run_controller(&mut self) {
+        if self.controller_back_at.is_some() {
+            return;
+        }
+        let Some(mut controller) = self.controller.take() else {
+            return;
+        };
+        if self.elapsed_ms() % POLL_MS == 0 {
+            for report in self.reports() {
+                controller.add_report(report, self.now);
+            }
+            self.give(controller.clearance().clone());
+        }
+        for effect in controller.tick(self.now) {
+            match effect {
+                MoveEffect::Cleared { .. } => self.give(controller.clearance().clone()),
+                MoveEffect::Decide { verdict, .. } => self.decide(verdict),
+                MoveEffect::AtRisk { .. } => {}
+            }
+        }
+        self.controller = Some(controller);
+    }
+
+    fn give(&mut self, clearance: Clearance) {
+        self.share = clearance.usable_share();
+        self.lease.renew(clearance, self.now);
+    }
+
+    fn reports(&self) -> [GateReport; 2] {
+        let report = |version: &str, counts: &GateCounts| GateReport {
+            gate: version.into(),
+            instance: 1,
+            version: version.into(),
+            is_serving: true,
+            slots: 84,
+            in_flight: 3,
+            routes: counts.routes.clone(),
+        };
+        [report("v1", &self.old), report("v2", &self.new)]
+    }
+
+    /// A stop takes effect at once, a verdict when the store takes it.
+    fn decide(&mut self, verdict: MoveVerdict) {
+        if verdict == MoveVerdict::TakenBack {
+            self.share = 0.0;
+        }
+        self.note_stop();
+        if self.is_store_up() {
+            self.ended = Some(verdict);
+        }
+    }
+
+    fn note_stop(&mut self) {
+        if self.share == 0.0 && self.outcome.badness_ms.is_none() {
+            self.outcome.badness_ms = self.began.map(|began| self.now.ms_since(began));
+            self.outcome.stop_delay_ms = self.shown.map(|shown| self.now.ms_since(shown));
+        }
+    }
+
+    fn run_ramp(&mut self) {
+        let schedule = MoveSchedule::new(self.start, self.order.finish_by, MovePolicy::Prompt);
+        self.share = schedule.due_share(self.now);
+        if self.now >= schedule.verdict_at() && self.is_store_up() {
+            self.ended = Some(MoveVerdict::Done);
+        }
+    }
+
+    fn run_threshold(&mut self) {
+        self.run_ramp();
+        while self
+            .recent
+            .front()
+            .is_some_and(|(at, _)| self.now.ms_since(*at) > 10_000)
+        {
+            self.recent.pop_front();
+        }
+        let failed = self.recent.iter().filter(|(_, failed)| *failed).count();
+        if self.recent.len() >= 20 && failed * 20 > self.recent.len() {
+            self.decide(MoveVerdict::TakenBack);
+        }
+    }
+
+    fn finish(mut self) -> TrialOutcome {
+        let in_time = self.now <= self.order.finish_by;
+        self.outcome.done_in_time = self.ended == Some(MoveVerdict::Done) && in_time;
+        self.outcome.taken_back = self.ended == Some(MoveVerdict::TakenBack);
+        self.outcome
+    }
+}
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -3,6 +3,7 @@
 //! They are not part of the product and are kept small.
 
 mod caller;
+pub mod figures;
 mod kv;
 mod relay;
 mod run;
--- a/src/lab/run.rs
+++ b/src/lab/run.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         caller::{CallerSettings, run_caller},
+        figures,
         kv::KvServer,
         target::{TargetBehaviour, TargetServer},
     },
@@ -20,6 +21,7 @@
   target --listen A --version V [--behaviour good|failing|slow|silent|failing-after:SECONDS]
   call --daemons A,B --requests 'GET /stock,POST /order' --rate N --count N --name NAME [--keep FILE]
   verify --targets A,B --keep FILE     compare the runs at targets with what callers were told
+  figures --trials N --seed N          figures of moves, from the decision code alone
   ports --count N                      print N free ports
 
 Stand-ins for tests and the quick start; not for production.
@@ -63,6 +65,10 @@
         }
         "call" => runtime.block_on(call(&options))?,
         "verify" => runtime.block_on(verify(&options))?,
+        "figures" => {
+            let rows = figures::measure(option(&options, "trials")?, option(&options, "seed")?);
+            print!("{}", figures::render(&rows));
+        }
         "ports" => print_ports(option(&options, "count")?)?,
         _ => print!("{USAGE}"),
     }
--- a/src/store/writer.rs
+++ b/src/store/writer.rs
@@ -105,12 +105,12 @@
             // A swap answered with no may be the second answer to a write that took effect: read and look.
             WriteEvent::Swapped(false) => WriteStep::Read,
             WriteEvent::Failed => WriteStep::ReadLater,
-            WriteEvent::Value(value) => self.plan_swap(value).unwrap_or_else(WriteStep::Refused),
+            WriteEvent::Value(value) => self.plan_swap(value.as_ref()).unwrap_or_else(WriteStep::Refused),
         }
     }
 
-    fn plan_swap(&mut self, value: Option<StoreValue>) -> Result<WriteStep, EditRefusal> {
-        let (head, index) = match &value {
+    fn plan_swap(&mut self, value: Option<&StoreValue>) -> Result<WriteStep, EditRefusal> {
+        let (head, index) = match value {
             Some(value) => (ConfigHead::open(&value.data)?, value.index),
             None => (ConfigHead::default(), 0),
         };
