Move decisions: confirm under a pause, inherit a predecessor's evidence, warm-up

Ruled out: a higher threshold (late bad versions then got many more calls). Cold starts: latencies of a target's first 5 s are left out. Killed controller: its successor gets the last 20 s of windows from the gates and starts without a share.

--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -18,7 +18,7 @@
             MemberEffect, MemberRecord, MemberState, MemberStatus, ProbeMessage, TargetRecord, TargetStatus,
             is_among_best,
         },
-        moves::Clearance,
+        moves::{Clearance, WINDOW_MS},
         spread::{ConfigReply, OfferRefusal, SpreadState},
         store::{HttpStore, StoreError, StoreValue, WriteError},
         timeline::{EventKind, EventRing, TimelineEvent},
@@ -104,6 +104,7 @@
     events: mpsc::Sender<ControlEvent>,
     datagrams: Arc<UdpSocket>,
     sync_at: TimePoint,
+    slice_at: TimePoint,
     seeds_at: TimePoint,
     target_probe_at: TimePoint,
     target_failures: u32,
@@ -154,6 +155,7 @@
             store,
             events,
             datagrams,
+            slice_at: now,
             sync_at: now.after_ms(rng.random_range(0..SYNC_INTERVAL_MS)),
             seeds_at: now.after_ms(SEEDS_INTERVAL_MS / 4),
             target_probe_at: now,
@@ -235,6 +237,10 @@
             let wakes = gate.state.tick(now);
             gate.wake(wakes, now);
         }
+        if now >= self.slice_at {
+            self.slice_at = now.after_ms(WINDOW_MS);
+            self.shared.evidence.lock().end_slice();
+        }
         let effects = self.members.tick(now);
         self.carry_out(effects, now);
         self.tick_join(now);
--- a/src/daemon/evidence_book.rs
+++ b/src/daemon/evidence_book.rs
@@ -1,14 +1,22 @@
 //! Outcomes at the own gate, by route, since the daemon started.
 
-use {crate::moves::RouteEvidence, indexmap::IndexMap, std::sync::Arc};
+use {
+    crate::moves::{EvidenceSlice, RouteEvidence},
+    indexmap::IndexMap,
+    std::{collections::VecDeque, sync::Arc},
+};
 
 /// Most routes that are counted, so that made-up names can't fill the memory.
 const MAX_ROUTES: usize = 1_000;
+/// Windows that are kept for a controller that takes over; 20 s of them.
+const KEPT_SLICES: usize = 40;
 
 /// Counts by route.
 #[derive(Debug, Default)]
 pub struct EvidenceBook {
     routes: IndexMap<Arc<str>, RouteEvidence>,
+    sliced: IndexMap<Arc<str>, RouteEvidence>,
+    recent: VecDeque<EvidenceSlice>,
 }
 
 impl EvidenceBook {
@@ -24,8 +32,33 @@
         }
     }
 
+    /// Ends a window: what was counted since the last one is kept for a while.
+    pub fn end_slice(&mut self) {
+        let mut slice = EvidenceSlice::default();
+        for (route, counts) in &self.routes {
+            let before = self.sliced.get(route);
+            let is_new = before.is_none_or(|before| before.calls != counts.calls);
+            if is_new {
+                let counts = before.map_or_else(|| counts.clone(), |before| counts.since(before));
+                slice.routes.insert(Arc::clone(route), counts);
+            }
+        }
+        for route in slice.routes.keys() {
+            self.sliced.insert(Arc::clone(route), self.routes[route].clone());
+        }
+        self.recent.push_back(slice);
+        if self.recent.len() > KEPT_SLICES {
+            self.recent.pop_front();
+        }
+    }
+
     /// Returns the counts.
     pub fn routes(&self) -> &IndexMap<Arc<str>, RouteEvidence> {
         &self.routes
     }
+
+    /// Returns the last windows, oldest first.
+    pub fn recent(&self) -> Vec<EvidenceSlice> {
+        self.recent.iter().cloned().collect()
+    }
 }
--- a/src/daemon/move_runner.rs
+++ b/src/daemon/move_runner.rs
@@ -12,7 +12,10 @@
         codec,
         config::{CompiledPool, CompiledTable, EditRequest, MoveOrder, MoveVerdict, TableEdit},
         member::{MemberState, best_ranked},
-        moves::{Clearance, ControllerStart, GateReport, MoveController, MoveEffect, PollReply, PollRequest},
+        moves::{
+            Clearance, ControllerStart, GateReport, MoveController, MoveEffect, PollReply, PollRequest,
+            WINDOW_MS,
+        },
         store::{HttpStore, MOVES_PREFIX, StoreClient, write_change},
         timeline::{EventKind, EventRing},
     },
@@ -21,8 +24,6 @@
     tokio::sync::mpsc,
 };
 
-/// Time between two polls of a gate, in milliseconds.
-const POLL_INTERVAL_MS: u64 = 500;
 /// Time between two looks at a move that another daemon holds, in milliseconds.
 const LOOK_INTERVAL_MS: u64 = 1_000;
 /// Time after which a look is evaluated without the gates that did not answer, in milliseconds.
@@ -167,7 +168,7 @@
             return;
         }
         let holder = Arc::clone(&members.own().name);
-        let controller = MoveController::new(open.order.clone(), holder, held.as_ref(), now);
+        let mut controller = MoveController::new(open.order.clone(), holder, held.as_ref(), now);
         let epoch = controller.clearance().epoch;
         let share = controller.clearance().share * 100.0;
         let detail = format!(
@@ -175,6 +176,7 @@
             open.order.from, open.order.to
         );
         ring.record_move(EventKind::MoveHeld, pool, open.order.id, detail, now);
+        controller.add_past(&look.replies);
         open.controller = Some(controller);
         open.due_at = now;
     }
@@ -232,7 +234,8 @@
             }
         }
         if poll_now {
-            open.due_at = now.after_ms(POLL_INTERVAL_MS);
+            controller.note_poll(now);
+            open.due_at = now.after_ms(WINDOW_MS);
             let clearance = controller.clearance().clone();
             self.poll_gates(pool, Some(&clearance), members, ring, now);
         }
@@ -354,6 +357,7 @@
         board.learn(&request.pool, held.clone());
     }
     drop(board);
+    let is_look = offered.is_none();
     let in_flight = shared.gate.lock().state.in_flight();
     let report = GateReport {
         gate: Arc::clone(&shared.settings.name),
@@ -369,6 +373,11 @@
         held,
         lease_left_ms,
         accepted,
+        recent: if is_look {
+            shared.evidence.lock().recent()
+        } else {
+            Vec::new()
+        },
     }
 }
 
--- a/src/lab/figures/table.rs
+++ b/src/lab/figures/table.rs
@@ -47,9 +47,11 @@
     pub badness_s: f64,
 }
 
-/// Runs `trials` moves of every scenario under every rule, on all cores; the same seed gives the same figures.
-pub fn measure(trials: usize, seed: u64) -> Vec<FigureRow> {
-    let scenarios = all_scenarios();
+/// Runs `trials` moves of every scenario whose name holds `only` under every rule, on all cores; the same seed
+/// gives the same figures.
+pub fn measure(only: &str, trials: usize, seed: u64) -> Vec<FigureRow> {
+    let mut scenarios = all_scenarios();
+    scenarios.retain(|scenario| scenario.name.contains(only));
     let cells: Vec<(MoveScenario, MoveRule)> = scenarios
         .iter()
         .flat_map(|scenario| RULES.iter().map(|rule| (*scenario, *rule)))
--- a/src/lab/figures/trial.rs
+++ b/src/lab/figures/trial.rs
@@ -8,7 +8,10 @@
     crate::{
         clock::TimePoint,
         config::{MoveOrder, MovePolicy, MoveVerdict},
-        moves::{Clearance, GateLease, GateReport, MoveController, MoveEffect, MoveSchedule, RouteEvidence},
+        moves::{
+            Clearance, EvidenceSlice, GateLease, GateReport, MoveController, MoveEffect, MoveSchedule,
+            PollReply, RouteEvidence,
+        },
     },
     indexmap::IndexMap,
     rand::{RngExt, SeedableRng, rngs::SmallRng},
@@ -22,6 +25,10 @@
 const STEP_MS: u64 = 50;
 /// Time between two polls, in milliseconds.
 const POLL_MS: u64 = 500;
+/// Windows that gates keep for a controller that takes over.
+const KEPT_WINDOWS: usize = 40;
+/// Time for which the old version served before the move, in milliseconds.
+const HISTORY_MS: u64 = 300_000;
 /// Time from the death of a controller to the next one: failure detection and a look at the gates, in milliseconds.
 const TAKEOVER_MS: u64 = 8_000;
 /// Median latency of a good call, in milliseconds.
@@ -63,6 +70,32 @@
 #[derive(Debug, Default)]
 struct GateCounts {
     routes: IndexMap<Arc<str>, RouteEvidence>,
+    /// Counts at the ends of the last windows.
+    past: VecDeque<IndexMap<Arc<str>, RouteEvidence>>,
+}
+
+impl GateCounts {
+    fn end_window(&mut self) {
+        self.past.push_back(self.routes.clone());
+        if self.past.len() > KEPT_WINDOWS {
+            self.past.pop_front();
+        }
+    }
+
+    /// Returns what each of the last windows counted, oldest first.
+    fn recent(&self) -> Vec<EvidenceSlice> {
+        let pairs = self.past.iter().zip(self.past.iter().skip(1));
+        let slices = pairs.map(|(before, after)| {
+            let since = |(route, counts): (&Arc<str>, &RouteEvidence)| {
+                let before = before.get(route).cloned().unwrap_or_default();
+                (Arc::clone(route), counts.since(&before))
+            };
+            EvidenceSlice {
+                routes: after.iter().map(since).collect(),
+            }
+        });
+        slices.collect()
+    }
 }
 
 struct Trial {
@@ -101,7 +134,7 @@
 
 impl Trial {
     fn new(scenario: MoveScenario, rule: MoveRule, seed: u64) -> Self {
-        let start = TimePoint(1_000_000);
+        let start = TimePoint(1_200_000);
         let policy = match rule {
             MoveRule::Controller(policy) => policy,
             MoveRule::TimedRamp | MoveRule::ErrorThreshold => MovePolicy::Prompt,
@@ -115,7 +148,7 @@
             policy,
         };
         let controller = MoveController::new(order.clone(), "first".into(), None, start);
-        Self {
+        let mut trial = Self {
             scenario,
             rule,
             rng: SmallRng::seed_from_u64(seed),
@@ -136,7 +169,22 @@
             recent: VecDeque::new(),
             ended: None,
             outcome: TrialOutcome::default(),
+        };
+        trial.serve_before();
+        trial
+    }
+
+    /// Lets the old version serve alone for a while before the move.
+    fn serve_before(&mut self) {
+        let (start, began) = (self.start, TimePoint(self.start.0 - HISTORY_MS));
+        self.start = began;
+        self.now = began;
+        while self.now < start {
+            self.now = self.now.after_ms(STEP_MS);
+            self.send_calls();
         }
+        self.start = start;
+        self.outcome = TrialOutcome::default();
     }
 
     fn elapsed_ms(&self) -> u64 {
@@ -151,6 +199,10 @@
             MoveRule::TimedRamp => self.run_ramp(),
             MoveRule::ErrorThreshold => self.run_threshold(),
         }
+        self.send_calls();
+    }
+
+    fn send_calls(&mut self) {
         let expected = self.scenario.rate * STEP_MS as f64 / 1e3;
         let calls = expected.floor() as u32 + u32::from(self.rng.random::<f64>() < expected.fract());
         for _ in 0..calls {
@@ -261,35 +313,62 @@
             self.controller_back_at = None;
             if self.scenario.controller_pauses_s.is_none() {
                 let held = self.lease.held(self.order.id).cloned();
-                let next = MoveController::new(self.order.clone(), "next".into(), held.as_ref(), self.now);
+                let mut next =
+                    MoveController::new(self.order.clone(), "next".into(), held.as_ref(), self.now);
+                next.add_past(&self.look());
                 self.controller = Some(next);
             }
         }
     }
 
     fn run_controller(&mut self) {
+        if self.elapsed_ms().is_multiple_of(POLL_MS) {
+            self.old.end_window();
+            self.new.end_window();
+        }
         if self.controller_back_at.is_some() {
             return;
         }
         let Some(mut controller) = self.controller.take() else {
             return;
         };
-        if self.elapsed_ms() % POLL_MS == 0 {
-            for report in self.reports() {
-                controller.add_report(report, self.now);
-            }
-            self.give(controller.clearance().clone());
-        }
         for effect in controller.tick(self.now) {
             match effect {
-                MoveEffect::Cleared { .. } => self.give(controller.clearance().clone()),
+                MoveEffect::Cleared { reason } => {
+                    log::debug!("{} s {reason}", self.elapsed_ms() as f64 / 1e3);
+                    self.give(controller.clearance().clone());
+                }
                 MoveEffect::Decide { verdict, .. } => self.decide(verdict),
                 MoveEffect::AtRisk { .. } => {}
             }
         }
+        if self.elapsed_ms() % POLL_MS == 0 {
+            controller.note_poll(self.now);
+            self.give(controller.clearance().clone());
+            for report in self.reports() {
+                controller.add_report(report, self.now);
+            }
+        }
         self.controller = Some(controller);
     }
 
+    /// Returns what the gates answer to a controller that takes over.
+    fn look(&self) -> Vec<PollReply> {
+        let recents = [self.old.recent(), self.new.recent()];
+        let replies = self
+            .reports()
+            .into_iter()
+            .zip(recents)
+            .map(|(report, recent)| PollReply {
+                report,
+                held: None,
+                lease_left_ms: 0,
+                accepted: false,
+                recent,
+            });
+        replies.collect()
+    }
+
     fn give(&mut self, clearance: Clearance) {
         self.share = clearance.usable_share();
         self.lease.renew(clearance, self.now);
--- a/src/lab/run.rs
+++ b/src/lab/run.rs
@@ -21,7 +21,7 @@
   target --listen A --version V [--behaviour good|failing|slow|silent|failing-after:SECONDS]
   call --daemons A,B --requests 'GET /stock,POST /order' --rate N --count N --name NAME [--keep FILE]
   verify --targets A,B --keep FILE     compare the runs at targets with what callers were told
-  figures --trials N --seed N          figures of moves, from the decision code alone
+  figures --trials N --seed N [--only TEXT]  figures of moves, from the decision code alone
   ports --count N                      print N free ports
 
 Stand-ins for tests and the quick start; not for production.
@@ -66,7 +66,11 @@
         "call" => runtime.block_on(call(&options))?,
         "verify" => runtime.block_on(verify(&options))?,
         "figures" => {
-            let rows = figures::measure(option(&options, "trials")?, option(&options, "seed")?);
+            let rows = figures::measure(
+                options.get("only").map_or("", String::as_str),
+                option(&options, "trials")?,
+                option(&options, "seed")?,
+            );
             print!("{}", figures::render(&rows));
         }
         "ports" => print_ports(option(&options, "count")?)?,
--- a/src/moves/controller.rs
+++ b/src/moves/controller.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        clearance::Clearance,
+        clearance::{Clearance, LEASE_MS},
         evidence::{EvidenceWindow, LatencyCounts, RouteEvidence},
         message::{GateReport, PollReply},
         schedule::{MoveSchedule, TOP_SHARE, TRICKLE_SHARE},
@@ -16,10 +16,33 @@
     std::sync::Arc,
 };
 
-/// Time between two evaluations, in milliseconds.
+/// Time between two polls of the gates, and so the length of a window, in milliseconds.
 pub const WINDOW_MS: u64 = 500;
+/// Time that the gates are given to answer a poll before the window is evaluated, in milliseconds.
+const ANSWER_WAIT_MS: u64 = 100;
+/// Time that strong evidence must last under a pause before it is acted on, in milliseconds.
+const CONFIRM_MS: u64 = 400;
 /// Shortest pause, in milliseconds.
-const PAUSE_MS: u64 = 8_000;
+const PAUSE_MS: u64 = 1_500;
+/// Time after which a pause is judged by the long-term rate of the old version if it has too few calls for a
+/// recent one, in milliseconds.
+const CONTROL_WAIT_MS: u64 = 3_000;
+/// Part of the weak threshold below which a pause ends.
+const RESUME_PART: f64 = 0.5;
+/// Highest share at which a controller that takes over goes on.
+const TAKEOVER_SHARE: f64 = 0.10;
+/// Calls that the first steps should give the new version within the time of a step.
+const CALLS_PER_STEP: u64 = 12;
+/// Calls a second that the new version should get at first, so that a bad one is known soon after it shows.
+const FIRST_CALLS_PER_S: f64 = 3.0;
+/// Highest share that a first step takes to get that many calls.
+const MAX_FIRST_SHARE: f64 = 0.04;
+/// Time for which the pool's calls are counted before the first share, in milliseconds.
+const OBSERVE_MS: u64 = 3_000;
+/// Part of the planned time in which a step must have had its calls before the next one.
+const EVIDENCE_FIRST: f64 = 0.5;
+/// Time for which the latencies of a target that gets its first calls are left out, in milliseconds.
+const WARM_UP_MS: u64 = 5_000;
 /// Part of the new version's slots that the share may fill.
 const MAX_FILL: f64 = 0.8;
 /// The old version's latency quantile that the slow-call test starts from.
@@ -28,6 +51,8 @@
 const SLOW_MARGIN_BUCKETS: usize = 3;
 /// Part of the old version's latency counts kept from one window to the next.
 const LATENCY_DECAY: f64 = 0.995;
+/// Most calls that the latencies before the move count for.
+const HISTORY_LATENCIES: f64 = 4_000.0;
 /// Time without a report after which a gate's evidence is left out, in milliseconds.
 const REPORT_LIFE_MS: u64 = 3_000;
 /// Calls of the new version below which the verdict says that there was little evidence.
@@ -92,6 +117,8 @@
 struct KnownReport {
     report: GateReport,
     seen_at: TimePoint,
+    /// When the gate reported its first call.
+    first_call_at: Option<TimePoint>,
 }
 
 /// The strongest evidence against the new version.
@@ -99,6 +126,7 @@
 struct Finding {
     evidence: f64,
     text: String,
+    knows_recent_rate: bool,
 }
 
 /// Decides on the share and the end of one move.
@@ -111,8 +139,18 @@
     reports: IndexMap<Arc<str>, KnownReport>,
     window: EvidenceWindow,
     tests: IndexMap<Arc<str>, RouteTests>,
+    /// Failures over all routes.
+    overall: RateTest,
     phase: MovePhase,
-    paused_until: TimePoint,
+    paused_at: TimePoint,
+    /// Share to go back to when a pause ends.
+    paused_share: f64,
+    began_at: TimePoint,
+    /// Calls of the pool, and of the new version at the present share, since this controller began.
+    pool_calls: u64,
+    step_calls: u64,
+    /// Calls of the new version in the last windows, newest last.
+    new_calls: [u64; 2],
     raised_at: TimePoint,
     evaluate_at: TimePoint,
     decided: Option<(MoveVerdict, Arc<str>)>,
@@ -128,7 +166,7 @@
             move_id: order.id,
             epoch: held.map_or(1, |held| held.epoch + 1),
             seq: 0,
-            share: held.map_or(0.0, Clearance::usable_share),
+            share: 0.0,
             stopped: held.is_some_and(|held| held.stopped),
             holder,
         };
@@ -140,13 +178,23 @@
             reports: IndexMap::new(),
             window: EvidenceWindow::default(),
             tests: IndexMap::new(),
+            overall: RateTest::default(),
             phase: MovePhase::Waiting,
-            paused_until: now,
+            paused_at: now,
+            paused_share: 0.0,
+            began_at: now,
+            pool_calls: 0,
+            step_calls: 0,
+            new_calls: [0; 2],
             raised_at: now,
-            evaluate_at: now.after_ms(WINDOW_MS),
+            evaluate_at: now.after_ms(ANSWER_WAIT_MS),
             decided: None,
             warned: false,
         };
+        let held_share = held.map_or(0.0, Clearance::usable_share);
+        if held_share > 0.0 {
+            controller.start_again(held_share, now);
+        }
         if controller.clearance.stopped {
             controller.decide(
                 MoveVerdict::TakenBack,
@@ -204,24 +252,68 @@
         }
     }
 
+    /// Takes in what the gates counted before this controller took over, oldest first: what its predecessor knew.
+    pub fn add_past(&mut self, replies: &[PollReply]) {
+        let slices = replies.iter().map(|reply| reply.recent.len()).max().unwrap_or(0);
+        for age in (0..slices).rev() {
+            for reply in replies {
+                let Some(slice) = reply.recent.iter().rev().nth(age) else {
+                    continue;
+                };
+                let is_new = reply.report.version == self.order.to;
+                if is_new || reply.report.version == self.order.from {
+                    for (route, counts) in &slice.routes {
+                        self.window.add(route, is_new, counts);
+                    }
+                }
+            }
+            self.close_window();
+        }
+    }
+
     /// Takes in a gate's report: what it counted since its last one joins the present window.
     pub fn add_report(&mut self, report: GateReport, now: TimePoint) {
         let is_new = report.version == self.order.to;
         if !is_new && report.version != self.order.from {
             return;
         }
+        let has_calls = report.routes.values().any(|counts| counts.calls > 0);
+        let mut first_call_at = has_calls.then_some(now);
         let earlier = self
             .reports
             .get(&report.gate)
             .filter(|known| known.report.instance == report.instance);
         if let Some(earlier) = earlier {
+            first_call_at = earlier.first_call_at.or(first_call_at);
+            let is_cold = is_new && first_call_at.is_some_and(|first| now.ms_since(first) < WARM_UP_MS);
             for (route, counts) in &report.routes {
                 let before = earlier.report.routes.get(route).cloned().unwrap_or_default();
-                self.window.add(route, is_new, &counts.since(&before));
+                let mut counts = counts.since(&before);
+                if is_cold {
+                    counts.latency = LatencyCounts::default();
+                }
+                self.window.add(route, is_new, &counts);
+            }
+        } else if !is_new {
+            for (route, counts) in &report.routes {
+                self.overall.add_history(counts.calls, counts.failed);
+                let tests = self.tests.entry(Arc::clone(route)).or_default();
+                tests.add_history(counts);
             }
         }
-        self.reports
-            .insert(Arc::clone(&report.gate), KnownReport { report, seen_at: now });
+        self.reports.insert(
+            Arc::clone(&report.gate),
+            KnownReport {
+                report,
+                seen_at: now,
+                first_call_at,
+            },
+        );
+    }
+
+    /// Takes note that the gates are polled now: the window is evaluated when they have had time to answer.
+    pub fn note_poll(&mut self, now: TimePoint) {
+        self.evaluate_at = now.after_ms(ANSWER_WAIT_MS);
     }
 
     /// Evaluates the present window if it is due.
@@ -232,13 +324,19 @@
         if now < self.evaluate_at {
             return Vec::new();
         }
+        if now.ms_since(self.evaluate_at) > LEASE_MS {
+            // This process was frozen; the gates have stopped the version meanwhile.
+            self.start_again(self.clearance.share, now);
+        }
+        // A controller that is not told of polls goes on all the same.
         self.evaluate_at = now.after_ms(WINDOW_MS);
         self.close_window();
         let finding = self.strongest();
-        if finding.evidence >= self.thresholds.strong {
+        let limits = self.limits();
+        if finding.evidence >= limits.strong && self.is_confirmed(&finding, now) {
             return self.stop(&finding);
         }
-        if finding.evidence >= self.thresholds.weak && self.clearance.share > 0.0 {
+        if finding.evidence >= limits.weak && self.phase != MovePhase::Paused && self.clearance.share > 0.0 {
             return self.pause(&finding, now);
         }
         if now >= self.order.finish_by || (now >= self.schedule.verdict_at() && self.is_at_top()) {
@@ -247,25 +345,81 @@
         self.follow_schedule(&finding, now)
     }
 
+    /// Goes on after nobody watched the version: the evidence is looked at before it gets calls again, and then it
+    /// gets few.
+    fn start_again(&mut self, share: f64, now: TimePoint) {
+        self.phase = MovePhase::Paused;
+        self.paused_at = now;
+        self.paused_share = share.min(TAKEOVER_SHARE);
+        self.set_share(0.0, now);
+    }
+
     fn close_window(&mut self) {
+        let mut overall = (RouteEvidence::default(), RouteEvidence::default());
         for (route, (old, new)) in std::mem::take(&mut self.window).routes {
+            overall.0.add(&old);
+            overall.1.add(&new);
             self.tests.entry(route).or_default().add_window(&old, &new);
         }
+        let new_calls = overall.1.calls;
+        self.pool_calls += overall.0.calls + new_calls;
+        self.step_calls += new_calls;
+        self.new_calls = [self.new_calls[1], new_calls];
+        self.overall
+            .add_window((overall.0.calls, overall.0.failed), (new_calls, overall.1.failed));
+    }
+
+    /// Returns the thresholds for the present rate of calls: the more often evidence is looked at in calls, the
+    /// more of it chance brings in a given time.
+    fn limits(&self) -> TestThresholds {
+        let calls_per_s = (self.new_calls[0] + self.new_calls[1]) as f64 * 1e3 / (2 * WINDOW_MS) as f64;
+        let more = calls_per_s.max(1.0).ln();
+        TestThresholds {
+            weak: self.thresholds.weak + more,
+            strong: self.thresholds.strong + more,
+        }
+    }
+
+    /// Tells whether strong evidence can be acted on: it has lasted under a pause, and the old version's recent
+    /// rate is known or there is no hope for more of its calls.
+    fn is_confirmed(&self, finding: &Finding, now: TimePoint) -> bool {
+        let paused_ms = now.ms_since(self.paused_at);
+        let has_lasted = self.phase == MovePhase::Paused && paused_ms >= CONFIRM_MS;
+        has_lasted && (finding.knows_recent_rate || paused_ms >= CONTROL_WAIT_MS)
     }
 
     fn strongest(&self) -> Finding {
-        let mut strongest = Finding {
+        let by_route = self
+            .tests
+            .iter()
+            .flat_map(|(route, tests)| [tests.failure_finding(route), tests.slowness_finding(route)]);
+        let overall = Finding::new(&self.overall, self.overall_text());
+        let none = Finding {
             evidence: 0.0,
             text: String::new(),
+            knows_recent_rate: false,
         };
-        for (route, tests) in &self.tests {
-            for finding in [tests.failure_finding(route), tests.slowness_finding(route)] {
-                if finding.evidence > strongest.evidence {
-                    strongest = finding;
-                }
+        // Where a route says as much as all calls together, it is the route that is named.
+        by_route.chain([overall]).flatten().fold(none, |best, finding| {
+            if finding.evidence > best.evidence {
+                finding
+            } else {
+                best
             }
+        })
+    }
+
+    fn overall_text(&self) -> String {
+        let mut old = RouteEvidence::default();
+        let mut new = RouteEvidence::default();
+        for tests in self.tests.values() {
+            old.add(&tests.old_total);
+            new.add(&tests.new_total);
         }
-        strongest
+        format!(
+            "all routes: {} of {} calls failed, {} of {} on the old version",
+            new.failed, new.calls, old.failed, old.calls
+        )
     }
 
     fn stop(&mut self, finding: &Finding) -> Vec<MoveEffect> {
@@ -285,46 +439,57 @@
         ]
     }
 
+    /// Holds the share at a trickle until the evidence is confirmed or fades.
     fn pause(&mut self, finding: &Finding, now: TimePoint) -> Vec<MoveEffect> {
-        self.paused_until = now.after_ms(PAUSE_MS);
-        let first = self.phase != MovePhase::Paused;
         self.phase = MovePhase::Paused;
-        let share = self.clearance.share.min(TRICKLE_SHARE);
-        if first || share < self.clearance.share {
-            self.set_share(share, now);
-            return vec![MoveEffect::Cleared {
-                reason: format!("paused: {}", finding.text),
-            }];
+        self.paused_at = now;
+        self.paused_share = self.clearance.share;
+        self.set_share(self.clearance.share.min(self.first_share()), now);
+        vec![MoveEffect::Cleared {
+            reason: format!("paused: {}", finding.text),
+        }]
+    }
+
+    /// Goes back to the share before a pause once the evidence has faded.
+    fn resume(&mut self, finding: &Finding, now: TimePoint) -> Vec<MoveEffect> {
+        let paused_ms = now.ms_since(self.paused_at);
+        let has_faded = finding.evidence < self.thresholds.weak * RESUME_PART;
+        let is_known =
+            paused_ms >= CONTROL_WAIT_MS || self.tests.values().all(RouteTests::knows_recent_rates);
+        if paused_ms < PAUSE_MS || !has_faded || !is_known {
+            return Vec::new();
         }
-        Vec::new()
+        let share = self.paused_share.min(self.share_cap(now));
+        self.phase = MovePhase::Rising;
+        self.set_share(share, now);
+        vec![MoveEffect::Cleared {
+            reason: "resumed: the evidence was not confirmed".into(),
+        }]
     }
 
     fn follow_schedule(&mut self, finding: &Finding, now: TimePoint) -> Vec<MoveEffect> {
         if self.phase == MovePhase::Paused {
-            if now < self.paused_until && finding.evidence > 0.0 {
-                return Vec::new();
-            }
-            // What led to the pause was not confirmed; it must not add up with the next chance event.
-            for tests in self.tests.values_mut() {
-                tests.failures.clear();
-                tests.slowness.clear();
-            }
+            return self.resume(finding, now);
         }
         let cap = self.share_cap(now);
-        let due = self.schedule.due_share(now);
+        let due = self.schedule.due_share(now).max(self.first_share());
         let share = self.clearance.share;
         if cap <= 0.0 {
             self.phase = MovePhase::Waiting;
             return self.wait_for_targets(now);
         }
+        if now.ms_since(self.began_at) < OBSERVE_MS {
+            return Vec::new();
+        }
         self.phase = if share >= TOP_SHARE {
             MovePhase::Soaking
         } else {
             MovePhase::Rising
         };
-        let wanted = due.min(cap).min(MoveSchedule::step_above(share));
-        let rested = now.ms_since(self.raised_at) >= self.schedule.catch_up_ms() || share == 0.0;
-        if wanted > share && rested {
+        let wanted = due
+            .min(cap)
+            .min(MoveSchedule::step_above(share).max(self.first_share()));
+        if wanted > share && self.may_rise(now) {
             self.set_share(wanted, now);
             return vec![MoveEffect::Cleared {
                 reason: format!("raised to {:.0} % on schedule", wanted * 100.0),
@@ -339,6 +504,24 @@
         self.warn_if_late(due, now)
     }
 
+    /// Tells whether the present share has lasted long enough and, while there is time, got enough calls.
+    fn may_rise(&self, now: TimePoint) -> bool {
+        if self.clearance.share == 0.0 {
+            return true;
+        }
+        let has_rested = now.ms_since(self.raised_at) >= self.schedule.catch_up_ms();
+        let has_calls = self.step_calls >= CALLS_PER_STEP || self.schedule.progress(now) >= EVIDENCE_FIRST;
+        has_rested && has_calls
+    }
+
+    /// Returns the share that gives the new version enough calls to judge it by soon: a trickle of a busy pool,
+    /// more of a quiet one.
+    fn first_share(&self) -> f64 {
+        let observed_s = self.evaluate_at.ms_since(self.began_at).max(1) as f64 / 1e3;
+        let calls_per_s = self.pool_calls as f64 / observed_s;
+        (FIRST_CALLS_PER_S / calls_per_s.max(1.0)).clamp(TRICKLE_SHARE, MAX_FIRST_SHARE)
+    }
+
     fn wait_for_targets(&mut self, now: TimePoint) -> Vec<MoveEffect> {
         let mut effects = Vec::new();
         if self.clearance.share > 0.0 {
@@ -414,6 +597,7 @@
         self.clearance.share = share;
         self.clearance.seq += 1;
         self.raised_at = now;
+        self.step_calls = 0;
     }
 
     /// Returns the share that the ready slots of the new version can carry.
@@ -435,6 +619,19 @@
 }
 
 impl RouteTests {
+    fn add_history(&mut self, old: &RouteEvidence) {
+        self.failures.add_history(old.calls, old.failed);
+        self.old_latency.resize(old.latency.0.len(), 0.0);
+        let weight = (HISTORY_LATENCIES / old.latency.total().max(1) as f64).min(1.0);
+        for (kept, count) in self.old_latency.iter_mut().zip(&old.latency.0) {
+            *kept += *count as f64 * weight;
+        }
+        if let Some(limit) = self.slow_limit() {
+            self.slowness
+                .add_history(old.latency.total(), old.latency.above(limit));
+        }
+    }
+
     fn add_window(&mut self, old: &RouteEvidence, new: &RouteEvidence) {
         self.old_total.add(old);
         self.new_total.add(new);
@@ -465,25 +662,22 @@
         Some(quantile + SLOW_MARGIN_BUCKETS)
     }
 
-    fn failure_finding(&self, route: &str) -> Finding {
+    fn knows_recent_rates(&self) -> bool {
+        self.failures.knows_recent_rate()
+            && (self.slow_limit().is_none() || self.slowness.knows_recent_rate())
+    }
+
+    fn failure_finding(&self, route: &str) -> Option<Finding> {
         let (new, old) = (&self.new_total, &self.old_total);
         let text = format!(
             "route {route}: {} of {} calls failed, {} of {} on the old version",
             new.failed, new.calls, old.failed, old.calls
         );
-        Finding {
-            evidence: self.failures.evidence(),
-            text,
-        }
+        Finding::new(&self.failures, text)
     }
 
-    fn slowness_finding(&self, route: &str) -> Finding {
-        let Some(limit) = self.slow_limit() else {
-            return Finding {
-                evidence: 0.0,
-                text: String::new(),
-            };
-        };
+    fn slowness_finding(&self, route: &str) -> Option<Finding> {
+        let limit = self.slow_limit()?;
         let (new, old) = (&self.new_total.latency, &self.old_total.latency);
         let text = format!(
             "route {route}: {} of {} calls took over {:.0} ms, {} of {} on the old version",
@@ -493,10 +687,18 @@
             old.above(limit),
             old.total()
         );
-        Finding {
-            evidence: self.slowness.evidence(),
+        Finding::new(&self.slowness, text)
+    }
+}
+
+impl Finding {
+    fn new(test: &RateTest, text: String) -> Option<Self> {
+        let evidence = test.evidence();
+        (evidence > 0.0).then(|| Self {
+            evidence,
             text,
-        }
+            knows_recent_rate: test.knows_recent_rate(),
+        })
     }
 }
 
@@ -504,11 +706,11 @@
     match policy {
         MovePolicy::Prompt => TestThresholds {
             weak: 6.0,
-            strong: 11.0,
+            strong: 9.2,
         },
         MovePolicy::Cautious => TestThresholds {
-            weak: 4.5,
-            strong: 9.2,
+            weak: 5.0,
+            strong: 7.5,
         },
     }
 }
--- a/src/moves/message.rs
+++ b/src/moves/message.rs
@@ -27,6 +27,15 @@
     }
 }
 
+value_type! {
+    /// What one gate counted in one window.
+    #[derive(Default)]
+    pub struct EvidenceSlice {
+        /// Outcomes by route.
+        pub routes: IndexMap<Arc<str>, RouteEvidence>,
+    }
+}
+
 value_type! {
     /// Asks a gate for its report and hands it the clearance.
     pub struct PollRequest {
@@ -50,5 +59,7 @@
         pub lease_left_ms: u64,
         /// Whether the sent clearance was taken over.
         pub accepted: bool,
+        /// What the gate counted in its last windows, oldest first; only for a daemon that looks.
+        pub recent: Vec<EvidenceSlice>,
     }
 }
--- a/src/moves/mod.rs
+++ b/src/moves/mod.rs
@@ -9,9 +9,9 @@
 
 pub use {
     clearance::{Clearance, GateLease, LEASE_MS},
-    controller::{ControllerStart, MoveController, MoveEffect, MovePhase},
+    controller::{ControllerStart, MoveController, MoveEffect, MovePhase, WINDOW_MS},
     evidence::{EvidenceWindow, LatencyCounts, RouteEvidence},
-    message::{GateReport, PollReply, PollRequest},
+    message::{EvidenceSlice, GateReport, PollReply, PollRequest},
     schedule::{MIN_MOVE_MS, MoveSchedule, TOP_SHARE, TRICKLE_SHARE},
     sequential::{RateTest, TestThresholds},
 };
--- a/src/moves/schedule.rs
+++ b/src/moves/schedule.rs
@@ -51,12 +51,17 @@
 
     /// Returns the share that is due at `now`.
     pub fn due_share(&self, now: TimePoint) -> f64 {
-        let planned_ms = self.verdict_at.ms_since(self.start).max(1);
-        let progress = now.ms_since(self.start) as f64 / planned_ms as f64;
+        let progress = self.progress(now);
         let due = STEPS.iter().rev().find(|(from, _)| progress >= *from);
         due.map_or(TRICKLE_SHARE, |(_, share)| *share)
     }
 
+    /// Returns the part of the planned time that has passed.
+    pub fn progress(&self, now: TimePoint) -> f64 {
+        let planned_ms = self.verdict_at.ms_since(self.start).max(1);
+        now.ms_since(self.start) as f64 / planned_ms as f64
+    }
+
     /// Returns the step above a share.
     pub fn step_above(share: f64) -> f64 {
         let above = STEPS.iter().find(|(_, step)| *step > share);
