Move decisions: prove a rise of the old version's rate before granting it

Cause of late stops at a trickle: the granted rate followed every chance rise of the old version's recent rate (upper bound 0.95 % where the true rate is 0.1 %). Now a rise is granted only when it is proven, and then for all routes; strong evidence must tell the old version's present rate apart from the new one's. Thresholds grow with the logarithm of the call rate.

--- a/src/moves/controller.rs
+++ b/src/moves/controller.rs
@@ -6,14 +6,14 @@
         evidence::{EvidenceWindow, LatencyCounts, RouteEvidence},
         message::{GateReport, PollReply},
         schedule::{MoveSchedule, TOP_SHARE, TRICKLE_SHARE},
-        sequential::{RateTest, TestThresholds},
+        sequential::{OPEN_WINDOWS, RateTest, TestThresholds},
     },
     crate::{
         clock::TimePoint,
         config::{MoveOrder, MovePolicy, MoveVerdict},
     },
     indexmap::IndexMap,
-    std::sync::Arc,
+    std::{collections::VecDeque, sync::Arc},
 };
 
 /// Time between two polls of the gates, and so the length of a window, in milliseconds.
@@ -126,7 +126,7 @@
 struct Finding {
     evidence: f64,
     text: String,
-    knows_recent_rate: bool,
+    tells_apart: bool,
 }
 
 /// Decides on the share and the end of one move.
@@ -150,7 +150,7 @@
     pool_calls: u64,
     step_calls: u64,
     /// Calls of the new version in the last windows, newest last.
-    new_calls: [u64; 2],
+    new_calls: VecDeque<u64>,
     raised_at: TimePoint,
     evaluate_at: TimePoint,
     decided: Option<(MoveVerdict, Arc<str>)>,
@@ -185,7 +185,7 @@
             began_at: now,
             pool_calls: 0,
             step_calls: 0,
-            new_calls: [0; 2],
+            new_calls: VecDeque::new(),
             raised_at: now,
             evaluate_at: now.after_ms(ANSWER_WAIT_MS),
             decided: None,
@@ -356,23 +356,39 @@
 
     fn close_window(&mut self) {
         let mut overall = (RouteEvidence::default(), RouteEvidence::default());
-        for (route, (old, new)) in std::mem::take(&mut self.window).routes {
-            overall.0.add(&old);
-            overall.1.add(&new);
-            self.tests.entry(route).or_default().add_window(&old, &new);
+        let routes = std::mem::take(&mut self.window).routes;
+        for (old, new) in routes.values() {
+            overall.0.add(old);
+            overall.1.add(new);
         }
         let new_calls = overall.1.calls;
         self.pool_calls += overall.0.calls + new_calls;
         self.step_calls += new_calls;
-        self.new_calls = [self.new_calls[1], new_calls];
-        self.overall
-            .add_window((overall.0.calls, overall.0.failed), (new_calls, overall.1.failed));
+        self.new_calls.push_back(new_calls);
+        if self.new_calls.len() > OPEN_WINDOWS {
+            self.new_calls.pop_front();
+        }
+        self.overall.add_window(
+            (overall.0.calls, overall.0.failed),
+            (new_calls, overall.1.failed),
+            0.0,
+        );
+        // A rise over all routes is known before it is known for a route with few calls.
+        let granted = self.overall.peak();
+        for (route, (old, new)) in routes {
+            self.tests
+                .entry(route)
+                .or_default()
+                .add_window(&old, &new, granted);
+        }
     }
 
-    /// Returns the thresholds for the present rate of calls: the more often evidence is looked at in calls, the
-    /// more of it chance brings in a given time.
+    /// Returns the thresholds for the rate of calls that the evidence comes from: the more calls there are in a given
+    /// time, the more evidence chance brings.
     fn limits(&self) -> TestThresholds {
-        let calls_per_s = (self.new_calls[0] + self.new_calls[1]) as f64 * 1e3 / (2 * WINDOW_MS) as f64;
+        let windows = self.new_calls.iter().zip(self.new_calls.iter().skip(1));
+        let highest = windows.map(|(first, second)| first + second).max().unwrap_or(0);
+        let calls_per_s = highest as f64 * 1e3 / (2 * WINDOW_MS) as f64;
         let more = calls_per_s.max(1.0).ln();
         TestThresholds {
             weak: self.thresholds.weak + more,
@@ -385,7 +401,7 @@
     fn is_confirmed(&self, finding: &Finding, now: TimePoint) -> bool {
         let paused_ms = now.ms_since(self.paused_at);
         let has_lasted = self.phase == MovePhase::Paused && paused_ms >= CONFIRM_MS;
-        has_lasted && (finding.knows_recent_rate || paused_ms >= CONTROL_WAIT_MS)
+        has_lasted && (finding.tells_apart || paused_ms >= CONTROL_WAIT_MS)
     }
 
     fn strongest(&self) -> Finding {
@@ -397,7 +413,7 @@
         let none = Finding {
             evidence: 0.0,
             text: String::new(),
-            knows_recent_rate: false,
+            tells_apart: false,
         };
         // Where a route says as much as all calls together, it is the route that is named.
         by_route.chain([overall]).flatten().fold(none, |best, finding| {
@@ -632,11 +648,11 @@
         }
     }
 
-    fn add_window(&mut self, old: &RouteEvidence, new: &RouteEvidence) {
+    fn add_window(&mut self, old: &RouteEvidence, new: &RouteEvidence, granted: f64) {
         self.old_total.add(old);
         self.new_total.add(new);
         self.failures
-            .add_window((old.calls, old.failed), (new.calls, new.failed));
+            .add_window((old.calls, old.failed), (new.calls, new.failed), granted);
         self.old_latency.resize(old.latency.0.len(), 0.0);
         for (kept, count) in self.old_latency.iter_mut().zip(&old.latency.0) {
             *kept = *kept * LATENCY_DECAY + *count as f64;
@@ -644,7 +660,7 @@
         if let Some(limit) = self.slow_limit() {
             let old = (old.latency.total(), old.latency.above(limit));
             let new = (new.latency.total(), new.latency.above(limit));
-            self.slowness.add_window(old, new);
+            self.slowness.add_window(old, new, 0.0);
         }
     }
 
@@ -697,7 +713,7 @@
         (evidence > 0.0).then(|| Self {
             evidence,
             text,
-            knows_recent_rate: test.knows_recent_rate(),
+            tells_apart: test.tells_apart(),
         })
     }
 }
--- a/src/moves/sequential.rs
+++ b/src/moves/sequential.rs
@@ -2,8 +2,8 @@
 //!
 //! The statistic is the highest of several cumulative sums (Page's CUSUM) of log-likelihood ratios, one for each
 //! of a grid of alternative rates, so that badness which begins late is seen as fast as badness from the start. The rate
-//! under the null hypothesis is an upper bound of the old version's rate, long-term or recent, whichever is
-//! higher: trouble that hits both versions does not count against the new one. The recent rate is known a moment
+//! under the null hypothesis is an upper bound of the old version's long-term rate, or of its recent rate where that
+//! is proven to be higher: trouble that hits both versions does not count against the new one. The recent rate is known a moment
 //! late, so the null rate of the last windows is raised when it turns out to have been higher.
 
 use std::collections::VecDeque;
@@ -21,12 +21,16 @@
 const HISTORY_CALLS: f64 = 4_000.0;
 /// Rate assumed of an old version that never shows a bad event.
 const RATE_FLOOR: f64 = 0.001;
-/// Standard errors added to an estimated rate.
-const RATE_MARGIN: f64 = 2.0;
+/// Standard errors added to a rate for its upper bound.
+const UPPER_ERRORS: f64 = 2.0;
+/// Standard errors taken from a rate for its lower bound.
+const LOWER_ERRORS: f64 = 0.75;
+/// Weighted recent bad events from which a rise of the rate can be proven.
+const PROVEN_BAD: f64 = 3.0;
 /// Weighted recent calls of the old version from which its recent rate counts as known.
 const KNOWN_CALLS: f64 = 25.0;
 /// Windows whose null rate may still be raised.
-const OPEN_WINDOWS: usize = 24;
+pub const OPEN_WINDOWS: usize = 24;
 
 /// Evidence, in natural logarithms of the likelihood ratio, at which a controller acts.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -51,9 +55,21 @@
 
     /// Returns an upper bound of the rate.
     fn upper(&self) -> f64 {
+        let (rate, error) = self.estimate();
+        (rate + UPPER_ERRORS * error).clamp(RATE_FLOOR, 0.98)
+    }
+
+    /// Returns a lower bound of the rate.
+    fn lower(&self) -> f64 {
+        let (rate, error) = self.estimate();
+        rate - LOWER_ERRORS * error
+    }
+
+    /// Returns the rate and its standard error.
+    fn estimate(&self) -> (f64, f64) {
         let calls = self.calls + 1.0;
         let rate = (self.bad + 0.5) / calls;
-        (rate + RATE_MARGIN * (rate * (1.0 - rate).max(0.0) / calls).sqrt()).clamp(RATE_FLOOR, 0.98)
+        (rate, (rate * (1.0 - rate).max(0.0) / calls).sqrt())
     }
 }
 
@@ -72,7 +88,7 @@
 pub struct RateTest {
     long: DecayedRate,
     recent: DecayedRate,
-    /// Highest recent rate that was known of late.
+    /// Highest recent rate that was proven to be above the long-term one of late.
     peak: f64,
     open: VecDeque<OpenWindow>,
     /// Sums over the windows that are not open any more.
@@ -87,15 +103,22 @@
         self.long.bad += bad as f64 * weight;
     }
 
-    /// Takes in one window: calls and bad events of the old and the new version.
-    pub fn add_window(&mut self, old: (u64, u64), new: (u64, u64)) {
+    /// Returns the highest rate of the old version that was proven to be above the long-term one of late.
+    pub fn peak(&self) -> f64 {
+        self.peak
+    }
+
+    /// Takes in one window: calls and bad events of the old and the new version, and a rate that is granted to the
+    /// new version in any case.
+    pub fn add_window(&mut self, old: (u64, u64), new: (u64, u64), granted: f64) {
         self.long.add(old.0, old.1, LONG_DECAY);
         self.recent.add(old.0, old.1, RECENT_DECAY);
         self.peak *= PEAK_DECAY;
-        if self.knows_recent_rate() {
+        let long = self.long.upper();
+        if self.knows_recent_rate() && self.recent.bad >= PROVEN_BAD && self.recent.lower() > long {
             self.peak = self.peak.max(self.recent.upper());
         }
-        let null = self.long.upper().max(self.peak);
+        let null = long.max(self.peak).max(granted);
         for window in &mut self.open {
             window.null = window.null.max(null);
         }
@@ -126,10 +149,11 @@
         self.recent.calls >= KNOWN_CALLS
     }
 
-    /// Forgets the evidence, but not the rates of the old version.
-    pub fn clear(&mut self) {
-        self.open.clear();
-        self.closed = AlternativeSums::default();
+    /// Tells whether the old version's recent rate is known to be below that of the new version in the open windows.
+    pub fn tells_apart(&self) -> bool {
+        let calls: f64 = self.open.iter().map(|window| window.calls).sum();
+        let bad: f64 = self.open.iter().map(|window| window.bad).sum();
+        self.knows_recent_rate() && self.recent.upper() * calls < bad
     }
 }
 
