--- /dev/null
+++ b/tests/mesh_faults.rs
@@ -0,0 +1,262 @@
+//! The promises under faults, with real processes on loopback: kill -9, SIGSTOP, silent connections, drains, store
+//! outages, lost answers, a replaced daemon and a bad version.
+
+#[path = "common/mesh.rs"]
+mod mesh;
+
+use {
+    fuchsiashore::lab::{CallerReport, CallerSettings, CutRelay, run_caller},
+    mesh::{Mesh, free_ports, wait_until},
+    parking_lot::Mutex,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+fn load(daemons: Vec<SocketAddr>, name: &str, rate: u32, count: u32) -> CallerSettings {
+    CallerSettings {
+        daemons,
+        requests: vec![
+            (reqwest::Method::GET, "/stock".into()),
+            (reqwest::Method::POST, "/reserve".into()),
+        ],
+        rate,
+        count,
+        name: name.into(),
+    }
+}
+
+/// No call was doubled, falsely refused as not run, confirmed without a run, mixed up or cut.
+async fn assert_told_the_truth(mesh: &Mesh, report: &CallerReport) {
+    let runs = mesh.runs().await;
+    for call in &report.confirmed {
+        assert_eq!(
+            runs.get(call),
+            Some(&1),
+            "confirmed call {call} ran another number of times"
+        );
+    }
+    for call in &report.not_run {
+        assert_eq!(runs.get(call), None, "call {call} was refused as not run and ran");
+    }
+    assert_eq!(report.wrong, 0, "answers reached other calls");
+    assert_eq!(
+        report.outcomes.get("cut"),
+        None,
+        "answers were cut: {:?}",
+        report.outcomes
+    );
+    assert_eq!(
+        report.outcomes.get("no-answer"),
+        None,
+        "calls got no answer: {:?}",
+        report.outcomes
+    );
+}
+
+fn answered(report: &CallerReport) -> u64 {
+    report.outcomes.get("answered").copied().unwrap_or(0)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_daemon_loses_and_doubles_nothing() {
+    let mut mesh = Mesh::start("kill", 3);
+    assert!(mesh.apply("v1", 600).status.success());
+    let calls = tokio::spawn(run_caller(load(vec![mesh.pairs[0].calls], "kill", 200, 1_200)));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    mesh.kill_daemon(2);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    mesh.restart_daemon(2);
+    let report = calls.await.unwrap();
+    assert_told_the_truth(&mesh, &report).await;
+    // At most the non-repeatable calls that were at the killed gate are unknown.
+    let unknown = report.outcomes.get("unknown").copied().unwrap_or(0);
+    assert!(
+        unknown <= 12,
+        "more calls are unknown than the gate has slots: {:?}",
+        report.outcomes
+    );
+    assert_eq!(answered(&report) + unknown, 1_200, "{:?}", report.outcomes);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_daemon_is_left_within_the_deadline() {
+    let mesh = Mesh::start("freeze", 3);
+    assert!(mesh.apply("v1", 600).status.success());
+    let mut settings = load(vec![mesh.pairs[0].calls], "freeze", 50, 400);
+    settings.requests.truncate(1);
+    let calls = tokio::spawn(run_caller(settings));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    mesh.signal_daemon(1, "-STOP");
+    let report = calls.await.unwrap();
+    mesh.signal_daemon(1, "-CONT");
+    assert_eq!(
+        answered(&report),
+        400,
+        "repeatable calls were not answered elsewhere: {:?}",
+        report.outcomes
+    );
+    assert_told_the_truth(&mesh, &report).await;
+    assert!(
+        report.latency_us.max() < 4_000_000,
+        "a call took longer than its deadline"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_are_left_for_new_ones() {
+    let mut mesh = Mesh::start("silent", 1);
+    let [near, far] = free_ports(2)[..] else {
+        unreachable!()
+    };
+    let relay = Arc::new(Mutex::new(CutRelay::default()));
+    let number = mesh.add_pair("v1", "good", Some(near));
+    let far_target = mesh.pairs[number].target_address;
+    let _ = far;
+    let listener = fuchsiashore::http::bind(near).unwrap();
+    tokio::spawn(CutRelay::serve(Arc::clone(&relay), listener, far_target));
+    mesh.wait_for_serving(2);
+    assert!(mesh.apply("v1", 600).status.success());
+    let warm = run_caller(load(vec![mesh.pairs[0].calls], "warm", 100, 200)).await;
+    assert_eq!(answered(&warm), 200, "{:?}", warm.outcomes);
+    relay.lock().silence_open();
+    let mut settings = load(vec![mesh.pairs[0].calls], "silent", 100, 400);
+    settings.requests.truncate(1);
+    let report = run_caller(settings).await;
+    assert_eq!(
+        answered(&report),
+        400,
+        "repeatable calls were not answered: {:?}",
+        report.outcomes
+    );
+    assert_told_the_truth(&mesh, &report).await;
+    // Afterwards the target behind the relay serves again, over new connections.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let later = run_caller(load(vec![mesh.pairs[0].calls], "later", 100, 200)).await;
+    assert_eq!(answered(&later), 200, "{:?}", later.outcomes);
+    assert!(
+        later.latency_us.max() < 1_500_000,
+        "a silent connection is still used"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_cuts_nothing_and_takes_no_new_work() {
+    let mut mesh = Mesh::start("drain", 3);
+    assert!(mesh.apply("v1", 600).status.success());
+    let mut settings = load(vec![mesh.pairs[0].calls], "drain", 100, 600);
+    settings.requests = vec![
+        (reqwest::Method::GET, "/stock?work_ms=300".into()),
+        (reqwest::Method::POST, "/reserve?work_ms=300".into()),
+    ];
+    settings.rate = 40;
+    settings.count = 240;
+    let calls = tokio::spawn(run_caller(settings));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    mesh.signal_daemon(1, "-TERM");
+    let end = std::time::Instant::now() + mesh::PATIENCE;
+    while mesh.pairs[1].daemon.try_wait().unwrap().is_none() {
+        assert!(std::time::Instant::now() < end, "the drained daemon did not exit");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(mesh.pairs[1].daemon.wait().unwrap().success());
+    let report = calls.await.unwrap();
+    assert_eq!(
+        answered(&report),
+        240,
+        "the drain cost calls: {:?}",
+        report.outcomes
+    );
+    assert_told_the_truth(&mesh, &report).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn store_outage_stops_changes_but_not_calls_nor_replacements() {
+    let mut mesh = Mesh::start("outage", 3);
+    assert!(mesh.apply("v1", 600).status.success());
+    assert!(mesh.apply("v1", 700).status.success());
+    mesh.ask_store("/lab/faults?down=true").await;
+    let refused = mesh.apply("v1", 800);
+    assert_eq!(
+        refused.status.code(),
+        Some(7),
+        "{}",
+        String::from_utf8_lossy(&refused.stderr)
+    );
+    mesh.kill_daemon(1);
+    mesh.restart_daemon(1);
+    let address = mesh.pairs[1].operators;
+    wait_until("the replaced daemon to have version 2", || {
+        let status = std::process::Command::new(env!("CARGO_BIN_EXE_fuchsiashore"))
+            .args(["status", "--json", "--daemon", &address.to_string()])
+            .output()
+            .unwrap();
+        let text = String::from_utf8(status.stdout).unwrap();
+        let seen: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+        let daemons = seen["daemons"].as_array().cloned().unwrap_or_default();
+        daemons
+            .iter()
+            .any(|daemon| daemon["name"] == "booking-1" && daemon["version"] == 2)
+    });
+    let report = run_caller(load(vec![mesh.pairs[1].calls], "outage", 100, 200)).await;
+    assert_eq!(answered(&report), 200, "{:?}", report.outcomes);
+    mesh.ask_store("/lab/faults?down=false").await;
+    let accepted = mesh.apply("v1", 900);
+    assert!(
+        accepted.status.success(),
+        "{}",
+        String::from_utf8_lossy(&accepted.stderr)
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_make_a_change_once() {
+    let mesh = Mesh::start("lost", 2);
+    assert!(mesh.apply("v1", 600).status.success());
+    mesh.ask_store("/lab/faults?lose_answers=true").await;
+    let file = mesh.write_tables("v1", 700);
+    let applying = std::thread::scope(|scope| {
+        let apply = scope.spawn(|| mesh.operate(&["apply", file.to_str().unwrap(), "--message", "lost"]));
+        std::thread::sleep(Duration::from_secs(2));
+        apply.join().unwrap()
+    });
+    mesh.ask_store("/lab/faults?lose_answers=false").await;
+    let history = String::from_utf8(mesh.operate(&["history"]).stdout).unwrap();
+    let made = history.matches(" lost").count();
+    match applying.status.code() {
+        Some(0) => assert_eq!(made, 1, "{history}"),
+        code => assert!(
+            code == Some(7) && made <= 1,
+            "exit code {code:?}, history:\n{history}"
+        ),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_version_is_taken_back_and_the_timeline_tells_why() {
+    let mut mesh = Mesh::start("move", 3);
+    assert!(mesh.apply("v1", 600).status.success());
+    mesh.add_pair("v2", "failing", None);
+    mesh.wait_for_serving(4);
+    let calls = tokio::spawn(run_caller(load(vec![mesh.pairs[0].calls], "move", 100, 3_000)));
+    let moved = mesh.apply("v2", 120);
+    assert!(
+        moved.status.success(),
+        "{}",
+        String::from_utf8_lossy(&moved.stderr)
+    );
+    wait_until("the move to be taken back", || {
+        String::from_utf8(mesh.operate(&["moves"]).stdout)
+            .unwrap()
+            .contains("taken back")
+    });
+    let report = calls.await.unwrap();
+    assert_told_the_truth(&mesh, &report).await;
+    let failed = report.outcomes.get("status-500").copied().unwrap_or(0);
+    assert!(failed <= 150, "{failed} of 3,000 calls failed, over 5 %");
+    let timeline = String::from_utf8(mesh.operate(&["timeline", "--pool", "booking"]).stdout).unwrap();
+    assert!(
+        timeline.contains("move-decided") && timeline.contains("calls failed"),
+        "{timeline}"
+    );
+    // The same version is not tried again without being told to.
+    assert_eq!(mesh.apply("v2", 600).status.code(), Some(5));
+}
