--- /dev/null
+++ b/benches/scale.rs
@@ -0,0 +1,252 @@
+//! Control at growing sizes: convergence time, store calls, control bytes, processor time and memory of daemons, with
+//! 10, 50 and 150 real ones, and of one daemon that knows up to 4,000 others and a table of 560 pools.
+
+#[path = "../tests/common/mesh.rs"]
+mod mesh;
+#[path = "common/process.rs"]
+mod process;
+
+use {
+    fuchsiashore::{
+        clock::{ProcessClock, TimePoint},
+        config::{ConfigTables, EditRequest, MovePolicy, PoolEntry, RepeatRule, RouteEntry, TableEdit},
+        daemon::{ControlReply, ControlRequest, accept, enclose},
+        member::{MemberRecord, MemberStatus, SyncRequest, TargetRecord, TargetStatus},
+        store::{HttpStore, write_change},
+        timeline::{HybridStamp, TimelineEvent},
+    },
+    mesh::Mesh,
+    process::{cpu_ms, memory_mb},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+const IDLE: Duration = Duration::from_secs(20);
+const CHANGES: usize = 5;
+
+fn main() {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(3)
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        println!("| daemons | convergence ms, median / highest | store calls/s idle | store calls a change | control B/s a daemon idle | B a change and daemon | CPU % a daemon idle | MB a daemon |");
+        println!("|---|---|---|---|---|---|---|---|");
+        for count in [10, 50, 150] {
+            measure_fleet(count).await;
+        }
+        println!();
+        println!("| known daemons | pools | CPU % idle | control B/s | MB |");
+        println!("|---|---|---|---|---|");
+        for (members, pools) in [(0, 1), (1_000, 140), (4_000, 560)] {
+            measure_one(members, pools).await;
+        }
+    });
+}
+
+/// What the daemons have used so far.
+struct Usage {
+    at: Instant,
+    cpu_ms: f64,
+    bytes: f64,
+    store_calls: f64,
+}
+
+impl Usage {
+    async fn now(mesh: &Mesh) -> Self {
+        let mut bytes = 0.0;
+        for pair in &mesh.pairs {
+            bytes += control_bytes(pair.operators).await;
+        }
+        let cpu_ms = mesh.pairs.iter().map(|pair| cpu_ms(pair.daemon.id())).sum();
+        let store_calls = mesh.ask_store("/lab/calls").await.parse().unwrap_or(0.0);
+        Self {
+            at: Instant::now(),
+            cpu_ms,
+            bytes,
+            store_calls,
+        }
+    }
+}
+
+async fn control_bytes(operators: SocketAddr) -> f64 {
+    let text = reqwest::get(format!("http://{operators}/metrics"))
+        .await
+        .unwrap()
+        .text()
+        .await
+        .unwrap();
+    let lines = text
+        .lines()
+        .filter(|line| line.starts_with("fuchsiashore_control_bytes_total{"));
+    lines
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum()
+}
+
+async fn measure_fleet(count: usize) {
+    let mut mesh = Mesh::start(&format!("scale-{count}"), 1);
+    let target = mesh.pairs[0].target_address;
+    for _ in 1..count {
+        mesh.add_daemon("v1", target);
+    }
+    mesh.wait_for_serving(count);
+    assert!(mesh.apply("v1", 600).status.success());
+    tokio::time::sleep(Duration::from_secs(15)).await;
+    let before = Usage::now(&mesh).await;
+    tokio::time::sleep(IDLE).await;
+    let after = Usage::now(&mesh).await;
+    let idle_s = (after.at - before.at).as_secs_f64();
+    let store_idle = (after.store_calls - before.store_calls) / idle_s;
+    let bytes_idle = (after.bytes - before.bytes) / idle_s / count as f64;
+    let cpu_idle = (after.cpu_ms - before.cpu_ms) / 10.0 / idle_s / count as f64;
+    let (delays, changed) = make_changes(&mesh, after).await;
+    let memory = mesh
+        .pairs
+        .iter()
+        .map(|pair| memory_mb(pair.daemon.id()))
+        .sum::<f64>()
+        / count as f64;
+    println!(
+        "| {count} | {} / {} | {store_idle:.2} | {:.1} | {bytes_idle:.0} | {:.0} | {cpu_idle:.2} | {memory:.1} |",
+        delays[delays.len() / 2],
+        delays.last().unwrap(),
+        changed.0 - store_idle * changed.2 / CHANGES as f64,
+        (changed.1 - bytes_idle * changed.2) / CHANGES as f64,
+    );
+}
+
+/// Makes changes and returns all convergence times, and per change the store calls, and in all the bytes a daemon and
+/// the seconds.
+async fn make_changes(mesh: &Mesh, before: Usage) -> (Vec<u64>, (f64, f64, f64)) {
+    for change in 0..CHANGES {
+        assert!(mesh.apply("v1", 700 + change as u64).status.success());
+        tokio::time::sleep(Duration::from_secs(2)).await;
+    }
+    let after = Usage::now(mesh).await;
+    let mut delays = Vec::new();
+    for pair in &mesh.pairs {
+        let url = format!("http://{}/timeline", pair.operators);
+        let events: Vec<TimelineEvent> =
+            serde_json::from_slice(&reqwest::get(url).await.unwrap().bytes().await.unwrap()).unwrap();
+        // The first version reached daemons that were still starting.
+        let applied = events
+            .iter()
+            .filter(|event| event.kind.word() == "applied")
+            .skip(1);
+        delays.extend(applied.filter_map(|event| event.detail.rsplit('=').next()?.parse::<u64>().ok()));
+    }
+    delays.sort_unstable();
+    let seconds = (after.at - before.at).as_secs_f64();
+    let store = (after.store_calls - before.store_calls) / CHANGES as f64;
+    let bytes = (after.bytes - before.bytes) / mesh.pairs.len() as f64;
+    (delays, (store, bytes, seconds))
+}
+
+/// Makes one daemon know many others, of which it probes one a second, and a large table.
+async fn measure_one(members: usize, pools: usize) {
+    let mesh = Mesh::start(&format!("known-{members}"), 1);
+    let pair = &mesh.pairs[0];
+    let store = HttpStore::new(&mesh.store.to_string());
+    let clock = ProcessClock::start();
+    let request = EditRequest {
+        change_id: "bench".into(),
+        base_version: None,
+        author: "bench".into(),
+        message: "bench".into(),
+        at: clock.now(),
+        edit: TableEdit::Replace {
+            tables: tables(pools),
+            again: false,
+        },
+    };
+    write_change(&store, &clock, request, clock.now().after_ms(10_000))
+        .await
+        .unwrap();
+    for chunk in (0..members).collect::<Vec<_>>().chunks(500) {
+        tell_members(&pair.control_address(), chunk).await;
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let before = Usage::now(&mesh).await;
+    tokio::time::sleep(IDLE).await;
+    let after = Usage::now(&mesh).await;
+    let seconds = (after.at - before.at).as_secs_f64();
+    println!(
+        "| {members} | {pools} | {:.2} | {:.0} | {:.1} |",
+        (after.cpu_ms - before.cpu_ms) / 10.0 / seconds,
+        (after.bytes - before.bytes) / seconds,
+        memory_mb(pair.daemon.id()),
+    );
+}
+
+async fn tell_members(control: &str, numbers: &[usize]) {
+    let records: Vec<MemberRecord> = numbers.iter().map(|number| record(*number)).collect();
+    let request = SyncRequest {
+        own: records[0].clone(),
+        digests: Vec::new(),
+        records,
+    };
+    let stamp = HybridStamp::default();
+    let bytes = enclose(&"test".into(), stamp, ControlRequest::Sync(Box::new(request))).unwrap();
+    let client = reqwest::Client::new();
+    let answer = client
+        .post(format!("http://{control}/control"))
+        .body(bytes)
+        .send()
+        .await
+        .unwrap();
+    let bytes = answer.bytes().await.unwrap();
+    accept::<ControlReply>("test", &bytes).expect("the daemon takes the records");
+}
+
+fn record(number: usize) -> MemberRecord {
+    // Addresses in 127.0.0.0/8 at which nobody listens.
+    let address =
+        |port: u16| SocketAddr::from(([127, 1, (number / 250) as u8, (number % 250) as u8 + 1], port));
+    MemberRecord {
+        name: format!("service-{}-target-{number}", number / 7).into(),
+        incarnation: 1,
+        status: MemberStatus::Alive,
+        control: address(7_002),
+        gate: address(7_001),
+        operators: address(7_003),
+        region: format!("region-{}", number % 6).into(),
+        data_centre: format!("centre-{}", number % 19).into(),
+        target: TargetRecord {
+            service: format!("service-{}", number / 7).into(),
+            version: "2026.12.1".into(),
+            slots: 12,
+            status: TargetStatus::Serving,
+        },
+        applied: 1,
+    }
+}
+
+fn tables(pools: usize) -> ConfigTables {
+    let mut tables = ConfigTables::default();
+    for number in 0..pools {
+        let pool = PoolEntry {
+            service: format!("service-{number}").into(),
+            version: "2026.12.1".into(),
+            finish_by: Some(TimePoint(1_800_000_000_000)),
+            policy: MovePolicy::Cautious,
+        };
+        tables.pools.insert(format!("pool-{number}").into(), pool);
+        for route in 0..2 {
+            let entry = RouteEntry {
+                path: format!("/service-{number}/route-{route}").into(),
+                methods: vec!["GET".into()],
+                pool: format!("pool-{number}").into(),
+                repeat: RepeatRule::ByMethod,
+                timeout_ms: 800,
+            };
+            tables
+                .routes
+                .insert(format!("route-{number}-{route}").into(), entry);
+        }
+    }
+    tables
+}
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -47,10 +47,10 @@
 
 /// All faults found in a set of tables.
 #[derive(Debug, Clone, PartialEq, Eq, Error, Diagnostic)]
-#[error("{} fault(s) in the tables:\n{}", .0.len(), join_lines(.0))]
+#[error("{} fault(s) found:\n{}", .0.len(), join_lines(.0))]
 #[diagnostic(
     code(fuchsiashore::tables),
-    help("mend the lines named above and run `fuchsiashore check` again")
+    help("mend the lines named above and check again")
 )]
 pub struct ParseFaults(pub Vec<ParseFault>);
 
--- a/src/lab/figures/trial.rs
+++ b/src/lab/figures/trial.rs
@@ -342,7 +342,7 @@
                 MoveEffect::AtRisk { .. } => {}
             }
         }
-        if self.elapsed_ms() % POLL_MS == 0 {
+        if self.elapsed_ms().is_multiple_of(POLL_MS) {
             controller.note_poll(self.now);
             self.give(controller.clearance().clone());
             for report in self.reports() {
--- a/src/lab/target.rs
+++ b/src/lab/target.rs
@@ -120,7 +120,9 @@
             TargetBehaviour::Silent => return std::future::pending().await,
             _ => work_ms.map_or(GOOD_WORK, Duration::from_millis),
         };
-        tokio::time::sleep(work).await;
+        if !work.is_zero() {
+            tokio::time::sleep(work).await;
+        }
         if self.is_failing() && rand::rng().random::<f64>() < FAIL_SHARE {
             respond(res, StatusCode::INTERNAL_SERVER_ERROR, "bad version\n");
             return;
--- a/src/moves/controller.rs
+++ b/src/moves/controller.rs
@@ -472,9 +472,12 @@
         let has_faded = finding.evidence < self.thresholds.weak * RESUME_PART;
         let is_known =
             paused_ms >= CONTROL_WAIT_MS || self.tests.values().all(RouteTests::knows_recent_rates);
-        if paused_ms < PAUSE_MS || !has_faded || !is_known {
+        if paused_ms < PAUSE_MS || !is_known {
             return Vec::new();
         }
+        if !has_faded {
+            return self.trickle(now);
+        }
         let share = self.paused_share.min(self.share_cap(now));
         self.phase = MovePhase::Rising;
         self.set_share(share, now);
@@ -483,6 +486,18 @@
         }]
     }
 
+    /// Gives a version without calls a trickle, as evidence can't fade or be confirmed without any.
+    fn trickle(&mut self, now: TimePoint) -> Vec<MoveEffect> {
+        let share = self.paused_share.min(self.first_share()).min(self.share_cap(now));
+        if self.clearance.share > 0.0 || share <= 0.0 {
+            return Vec::new();
+        }
+        self.set_share(share, now);
+        vec![MoveEffect::Cleared {
+            reason: "trickle: the evidence is neither confirmed nor faded".into(),
+        }]
+    }
+
     fn follow_schedule(&mut self, finding: &Finding, now: TimePoint) -> Vec<MoveEffect> {
         if self.phase == MovePhase::Paused {
             return self.resume(finding, now);
--- a/tests/acceptance_fuzz.rs
+++ b/tests/acceptance_fuzz.rs
@@ -23,7 +23,7 @@
 const OPERATORS: usize = 3;
 const DEADLINE_MS: u64 = 2_000;
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 enum Action {
     /// An operator starts a change if it has none under way.
     Start {
@@ -269,7 +269,7 @@
                 Verdict::Accepted(version) => assert_eq!(made, [*version], "{change_id} was accepted"),
                 Verdict::Refused => assert!(made.is_empty(), "{change_id} was refused and appears"),
                 Verdict::Open { tried: false } => {
-                    assert!(made.is_empty(), "{change_id} was not tried and appears")
+                    assert!(made.is_empty(), "{change_id} was not tried and appears");
                 }
                 Verdict::Open { tried: true } => assert!(made.len() <= 1, "{change_id} was made twice"),
             }
--- a/tests/common/mesh.rs
+++ b/tests/common/mesh.rs
@@ -1,5 +1,7 @@
 //! A small mesh of real processes on loopback, ended by id when dropped.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use std::{
     collections::HashMap,
     fs,
@@ -10,7 +12,7 @@
 };
 
 /// Time that anything may take to happen; generous, as CI machines are slow.
-pub const PATIENCE: Duration = Duration::from_secs(60);
+pub const PATIENCE: Duration = Duration::from_mins(1);
 
 /// One target with its daemon.
 #[derive(Debug)]
@@ -21,7 +23,7 @@
     pub target_address: SocketAddr,
     settings: PathBuf,
     pub daemon: Child,
-    pub target: Child,
+    pub target: Option<Child>,
 }
 
 /// A store, pairs and their files.
@@ -59,18 +61,32 @@
 
     /// Starts a pair; `through` is the address at which the daemon reaches the target, if it is not its own.
     pub fn add_pair(&mut self, version: &str, behaviour: &str, through: Option<SocketAddr>) -> usize {
-        let ports = free_ports(5);
-        let [target_address, calls, gate, control, operators] = ports[..] else {
+        let address = free_ports(1)[0];
+        let target = spawn(Command::new(env!("CARGO_BIN_EXE_fuchsiashore-lab")).args([
+            "target",
+            "--listen",
+            &address.to_string(),
+            "--version",
+            version,
+            "--behaviour",
+            behaviour,
+        ]));
+        let number = self.add_daemon(version, through.unwrap_or(address));
+        let pair = &mut self.pairs[number];
+        pair.target_address = address;
+        pair.target = Some(target);
+        number
+    }
+
+    /// Starts a daemon beside a target that runs already.
+    pub fn add_daemon(&mut self, version: &str, target_address: SocketAddr) -> usize {
+        let ports = free_ports(4);
+        let [calls, gate, control, operators] = ports[..] else {
             unreachable!()
         };
         let number = self.pairs.len();
         let name = format!("booking-{number}");
-        let peers: Vec<String> = self
-            .pairs
-            .iter()
-            .take(2)
-            .map(|pair| pair.control_address())
-            .collect();
+        let peers: Vec<String> = self.pairs.iter().take(2).map(Pair::control_address).collect();
         let peers = if peers.is_empty() {
             String::new()
         } else {
@@ -79,22 +95,12 @@
         let text = format!(
             "[daemon]\nname = {name}\nmesh = test\nregion = r\ndata_centre = dc{}\ncalls = {calls}\ngate = {gate}\n\
              control = {control}\noperators = {operators}\nstore = {}\nmax_body_bytes = 20000000\n{peers}\n[target]\n\
-             service = booking\nversion = {version}\naddress = {}\nslots = 12\nconnections = 110\n",
+             service = booking\nversion = {version}\naddress = {target_address}\nslots = 12\nconnections = 110\n",
             number % 2,
             self.store,
-            through.unwrap_or(target_address),
         );
         let settings = self.folder.join(format!("{name}.ini"));
         fs::write(&settings, text).unwrap();
-        let target = spawn(Command::new(env!("CARGO_BIN_EXE_fuchsiashore-lab")).args([
-            "target",
-            "--listen",
-            &target_address.to_string(),
-            "--version",
-            version,
-            "--behaviour",
-            behaviour,
-        ]));
         let daemon = spawn_daemon(&settings);
         self.pairs.push(Pair {
             name,
@@ -103,7 +109,7 @@
             target_address,
             settings,
             daemon,
-            target,
+            target: None,
         });
         number
     }
@@ -210,7 +216,8 @@
 }
 
 impl Pair {
-    fn control_address(&self) -> String {
+    /// Returns the address of its control listener.
+    pub fn control_address(&self) -> String {
         let text = fs::read_to_string(&self.settings).unwrap();
         let line = text.lines().find_map(|line| line.strip_prefix("control = "));
         line.unwrap().to_owned()
@@ -220,8 +227,10 @@
 impl Drop for Mesh {
     fn drop(&mut self) {
         for pair in &mut self.pairs {
-            let _ = (pair.daemon.kill(), pair.target.kill());
-            let _ = (pair.daemon.wait(), pair.target.wait());
+            let _ = (pair.daemon.kill(), pair.daemon.wait());
+            if let Some(target) = &mut pair.target {
+                let _ = (target.kill(), target.wait());
+            }
         }
         let _ = (self.kv.kill(), self.kv.wait());
         let _ = fs::remove_dir_all(&self.folder);
--- a/tests/member_fuzz.rs
+++ b/tests/member_fuzz.rs
@@ -25,7 +25,7 @@
 /// time and the spread of the news.
 const SETTLE_MS: u64 = 40_000;
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 enum Action {
     /// Time passes.
     Run { steps: u8 },
--- a/tests/move_fuzz.rs
+++ b/tests/move_fuzz.rs
@@ -27,7 +27,7 @@
 const GATES: usize = 3;
 const MOVE_MS: u64 = 120_000;
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 enum Action {
     /// Time passes.
     Wait { ms: u64 },
--- a/tests/request_fuzz.rs
+++ b/tests/request_fuzz.rs
@@ -26,7 +26,7 @@
 /// A retry budget allows at most this many retries at first, and a tenth of the calls after that.
 const FIRST_RETRIES: usize = 80;
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 enum Action {
     /// A caller sends a call.
     Call { repeatable: bool, held: bool },
@@ -320,9 +320,9 @@
                 panic!("a call that is not waiting was woken")
             };
             if runs {
-                self.run(call)
+                self.run(call);
             } else {
-                self.end_attempt(call, AttemptOutcome::NotRun)
+                self.end_attempt(call, AttemptOutcome::NotRun);
             }
         }
     }
--- /dev/null
+++ b/tests/settings_and_tables.rs
@@ -0,0 +1,65 @@
+//! Settings and tables: the example files load, faults are named all at once, tables survive a round trip.
+
+use {
+    fuchsiashore::{
+        cmd::OperatorSettings,
+        config::{diff_tables, parse_tables, render_tables},
+        settings::DaemonSettings,
+    },
+    std::{fs, path::Path, sync::Arc},
+};
+
+fn example(name: &str) -> String {
+    fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("examples").join(name)).unwrap()
+}
+
+fn tables_of(text: &str) -> Result<fuchsiashore::config::ConfigTables, fuchsiashore::config::ParseFaults> {
+    parse_tables(&[(Arc::from("tables.ini"), text.to_owned())])
+}
+
+#[test]
+fn example_files_load() {
+    let daemon = DaemonSettings::parse("daemon.ini", &example("daemon.ini")).unwrap();
+    assert_eq!(
+        (&*daemon.name, daemon.target.slots, daemon.peers.len()),
+        ("booking-3", 12, 3)
+    );
+    let operator = OperatorSettings::parse("operator.ini", &example("operator.ini")).unwrap();
+    assert_eq!(operator.author.as_deref(), Some("mette"));
+    assert_eq!(tables_of(&example("tables.ini")).unwrap().routes.len(), 2);
+}
+
+#[test]
+fn tables_survive_a_round_trip() {
+    let tables = tables_of(&example("tables.ini")).unwrap();
+    assert_eq!(tables_of(&render_tables(&tables)).unwrap(), tables);
+}
+
+#[test]
+fn all_faults_of_settings_are_named_at_once() {
+    let text = "[daemon]\nname = a\nmesh = m\nregion = r\ndata_centre = d\ncalls = here\ngate = 1.2.3.4:1\n\
+                control = 1.2.3.4:2\nstore = s:1\ntraffic_threads = 0\ntypo = 1\nname = b\n\
+                [target]\nservice = s\nversion = v\naddress = 1.2.3.4:3\nslots = 9\nconnections = 3\n[other]\n";
+    let faults = DaemonSettings::parse("daemon.ini", text).unwrap_err();
+    insta::assert_snapshot!(faults.to_string());
+}
+
+#[test]
+fn all_faults_of_tables_are_named_at_once() {
+    let text = "key = 1\n[route a]\npath = stock\npool = none\ntimeout_ms = 0\nmethods = GET\n\
+                [route b]\npath = /x\npool = p\nrepeat = maybe\n[route c]\npath = /x\npool = p\n\
+                [pool p]\nservice = s\nversion = v 1\nfinish_by = tomorrow\n[pool p]\nservice = s\nversion = v\n[thing]\n";
+    insta::assert_snapshot!(tables_of(text).unwrap_err().to_string());
+}
+
+#[test]
+fn difference_of_tables_is_shown_by_key() {
+    let old = tables_of(&example("tables.ini")).unwrap();
+    let mut new = old.clone();
+    new.routes.shift_remove("reserve");
+    new.pools["booking"].version = "2026.12.2".into();
+    let mut added = old.routes["stock-check"].clone();
+    added.path = "/shelf".into();
+    new.routes.insert("shelf".into(), added);
+    insta::assert_snapshot!(diff_tables(&old, &new).to_string());
+}
--- a/tests/spread_fuzz.rs
+++ b/tests/spread_fuzz.rs
@@ -22,7 +22,7 @@
 
 const DAEMONS: usize = 4;
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 enum Action {
     /// An operator's change is accepted.
     Change { entry: u8 },
