--- a/tests/member_fuzz.rs
+++ b/tests/member_fuzz.rs
@@ -352,7 +352,12 @@
     let mut world = World::new();
     (0..200).for_each(|_| world.step());
     world.cuts.insert((0, 1));
-    (0..30_000 / STEP_MS).for_each(|_| world.step());
+    for _ in 0..30_000 / STEP_MS {
+        world.step();
+        let view = world.daemons[0].state.as_ref().unwrap();
+        let seen = view.others().find(|record| record.control == address(1)).unwrap();
+        assert_eq!(seen.status, MemberStatus::Alive, "a daemon that others reach came under suspicion");
+    }
     world.check_views();
 }
 
@@ -379,7 +384,7 @@
     world.daemons[3].state = None;
     let mut successor = MemberState::new(record(3, world.now.after_ms(1)), 9, world.now);
     let mut floor = 0;
-    let own = successor.own().name.clone();
+    let own = successor.own().name.to_string();
     for peer in 0..3 {
         let state = world.daemons[peer].state.as_mut().unwrap();
         let (reply, _) = state.answer_sync(successor.sync_request(Vec::new()), world.now);
