--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -210,6 +210,13 @@
                 self.moves
                     .finish_poll(&pool, move_id, with_clearance, reply, &mut self.ring, now);
             }
+            ControlEvent::ProgressRead {
+                pool,
+                move_id,
+                stored,
+            } => {
+                self.moves.finish_progress(&pool, move_id, stored, now);
+            }
             ControlEvent::HeadRead(result) => self.finish_read(result, now),
             ControlEvent::VerdictWritten {
                 pool,
--- a/src/daemon/move_runner.rs
+++ b/src/daemon/move_runner.rs
@@ -42,12 +42,22 @@
     until: TimePoint,
 }
 
+/// What is known of the progress that an earlier controller kept in the store. It is asked for only when no gate
+/// knows of the move any more.
+#[derive(Debug)]
+enum StoredProgress {
+    Unasked,
+    Asked,
+    Known(Option<Clearance>),
+}
+
 /// One open move as this daemon sees it.
 #[derive(Debug)]
 struct OpenMove {
     order: MoveOrder,
     service: Arc<str>,
     look: Option<MoveLook>,
+    progress: StoredProgress,
     controller: Option<MoveController>,
     due_at: TimePoint,
     verdict_at: TimePoint,
@@ -98,6 +108,7 @@
                     order: order.clone(),
                     service: Arc::clone(&pool.entry.service),
                     look: None,
+                    progress: StoredProgress::Unasked,
                     controller: None,
                     due_at: now,
                     verdict_at: now,
@@ -167,6 +178,16 @@
         if start == ControllerStart::Held {
             return;
         }
+        let held = match (held, &open.progress) {
+            (Some(held), _) => Some(held),
+            (None, StoredProgress::Known(stored)) => stored.clone(),
+            (None, StoredProgress::Asked) => return,
+            (None, StoredProgress::Unasked) => {
+                open.progress = StoredProgress::Asked;
+                read_progress(&self.store, &self.events, pool, open.order.id);
+                return;
+            }
+        };
         let holder = Arc::clone(&members.own().name);
         let mut controller = MoveController::new(open.order.clone(), holder, held.as_ref(), now);
         let epoch = controller.clearance().epoch;
@@ -322,6 +343,20 @@
         controller.add_report(reply.report, now);
     }
 
+    /// Takes in the progress that the store keeps; `None` if there is none or the store is down.
+    pub fn finish_progress(
+        &mut self,
+        pool: &Arc<str>,
+        move_id: u64,
+        stored: Option<Clearance>,
+        now: TimePoint,
+    ) {
+        if let Some(open) = self.moves.get_mut(pool).filter(|open| open.order.id == move_id) {
+            open.progress = StoredProgress::Known(stored.filter(|stored| stored.move_id == move_id));
+            open.due_at = now;
+        }
+    }
+
     /// Takes in the end of a try to write a verdict.
     pub fn finish_verdict(&mut self, pool: &Arc<str>, move_id: u64, now: TimePoint) {
         if let Some(open) = self.moves.get_mut(pool).filter(|open| open.order.id == move_id) {
@@ -392,6 +427,22 @@
     });
 }
 
+/// Reads the share kept by [`save_progress`].
+fn read_progress(store: &HttpStore, events: &mpsc::Sender<ControlEvent>, pool: &Arc<str>, move_id: u64) {
+    let (store, events, pool) = (store.clone(), events.clone(), Arc::clone(pool));
+    tokio::spawn(async move {
+        let value = store.read(&format!("{MOVES_PREFIX}/{pool}")).await.ok().flatten();
+        let stored = value.and_then(|value| codec::decode(&value.data).ok());
+        let _ = events
+            .send(ControlEvent::ProgressRead {
+                pool,
+                move_id,
+                stored,
+            })
+            .await;
+    });
+}
+
 fn write_verdict(
     shared: &Arc<SharedState>,
     store: &HttpStore,
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -19,7 +19,7 @@
             },
         },
     },
-    std::{io, pin::Pin},
+    std::{io, pin::Pin, time::Duration},
     tokio::time::timeout,
 };
 
@@ -51,6 +51,10 @@
 /// passed on, in bytes.
 pub const HELD_BODY_BYTES: u64 = 64 * 1024;
 
+/// Most bytes of a refused body that are read, and the time for it.
+const DISCARD_BYTES: usize = 64 << 20;
+const DISCARD_LIMIT: Duration = Duration::from_secs(2);
+
 const HOP_HEADERS: [HeaderName; 7] = [
     CONNECTION,
     PROXY_AUTHENTICATE,
@@ -132,7 +136,10 @@
         let length = number_header(headers, CONTENT_LENGTH.as_str());
         let is_chunked = headers.contains_key(TRANSFER_ENCODING);
         match length {
-            Some(length) if length > limit => Err(BodyFault::TooLarge),
+            Some(length) if length > limit => {
+                discard(body).await;
+                Err(BodyFault::TooLarge)
+            }
             Some(length) if length <= HELD_BODY_BYTES => {
                 let whole = timeout(deadline.left_from(now), BodyExt::collect(body)).await;
                 match whole {
@@ -167,6 +174,23 @@
     }
 }
 
+/// Reads and drops a body that is refused, within limits, so that the caller gets to read the refusal instead of a
+/// broken connection.
+async fn discard(body: ReqBody) {
+    let mut body = body;
+    let mut left = DISCARD_BYTES;
+    let reading = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    // A body that is not through by then is cut off.
+    let _ = timeout(DISCARD_LIMIT, reading).await;
+}
+
 fn limited(body: ReqBody, limit: u64) -> impl Stream<Item = io::Result<Bytes>> + Send {
     let mut left = limit;
     body.filter_map(|frame| async move {
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -8,7 +8,7 @@
     crate::{
         config::ConfigHead,
         member::{ProbeMessage, SyncReply},
-        moves::PollReply,
+        moves::{Clearance, PollReply},
         spread::ConfigReply,
         store::{StoreError, StoreValue, WriteError},
         timeline::HybridStamp,
@@ -64,6 +64,15 @@
     },
     /// The store answered a read or a watch of the head.
     HeadRead(Result<Option<StoreValue>, StoreError>),
+    /// The store was asked for a move's progress.
+    ProgressRead {
+        /// Pool that moves.
+        pool: Arc<str>,
+        /// Identity of the move.
+        move_id: u64,
+        /// The clearance last kept.
+        stored: Option<Clearance>,
+    },
     /// A verdict was written, or not.
     VerdictWritten {
         /// Pool that moved.
--- a/tests/common/mesh.rs
+++ b/tests/common/mesh.rs
@@ -78,7 +78,8 @@
         number
     }
 
-    /// Starts a daemon beside a target that runs already.
+    /// Starts a daemon beside a target that runs already. The first four share a data centre, so that calls of one of
+    /// them go to all.
     pub fn add_daemon(&mut self, version: &str, target_address: SocketAddr) -> usize {
         let ports = free_ports(4);
         let [calls, gate, control, operators] = ports[..] else {
@@ -96,7 +97,7 @@
             "[daemon]\nname = {name}\nmesh = test\nregion = r\ndata_centre = dc{}\ncalls = {calls}\ngate = {gate}\n\
              control = {control}\noperators = {operators}\nstore = {}\nmax_body_bytes = 20000000\n{peers}\n[target]\n\
              service = booking\nversion = {version}\naddress = {target_address}\nslots = 12\nconnections = 110\n",
-            number % 2,
+            number / 4 % 2,
             self.store,
         );
         let settings = self.folder.join(format!("{name}.ini"));
--- a/tests/member_fuzz.rs
+++ b/tests/member_fuzz.rs
@@ -327,23 +327,34 @@
     (0..200).for_each(|_| world.step());
     for _ in 0..10 {
         world.daemons[1].is_frozen = true;
-        (0..3_000 / STEP_MS).for_each(|_| world.step());
+        for _ in 0..3_000 / STEP_MS {
+            world.step();
+            assert_present(&world, 1);
+        }
         world.daemons[1].is_frozen = false;
         (0..2_000 / STEP_MS).for_each(|_| world.step());
-        for (viewer, daemon) in world
-            .daemons
-            .iter()
-            .enumerate()
-            .filter(|(viewer, _)| *viewer != 1)
-        {
-            let view = daemon.state.as_ref().unwrap();
-            let seen = view.others().find(|record| record.control == address(1)).unwrap();
-            assert!(
-                seen.status.is_present(),
-                "daemon {viewer} holds the slow daemon for {:?}",
-                seen.status
-            );
-        }
+        assert_present(&world, 1);
+    }
+}
+
+/// Every other daemon sees one as present.
+fn assert_present(world: &World, number: usize) {
+    for (viewer, daemon) in world
+        .daemons
+        .iter()
+        .enumerate()
+        .filter(|(viewer, _)| *viewer != number)
+    {
+        let view = daemon.state.as_ref().unwrap();
+        let seen = view
+            .others()
+            .find(|record| record.control == address(number))
+            .unwrap();
+        assert!(
+            seen.status.is_present(),
+            "daemon {viewer} holds the slow daemon for {:?}",
+            seen.status
+        );
     }
 }
 
@@ -356,7 +367,11 @@
         world.step();
         let view = world.daemons[0].state.as_ref().unwrap();
         let seen = view.others().find(|record| record.control == address(1)).unwrap();
-        assert_eq!(seen.status, MemberStatus::Alive, "a daemon that others reach came under suspicion");
+        assert_eq!(
+            seen.status,
+            MemberStatus::Alive,
+            "a daemon that others reach came under suspicion"
+        );
     }
     world.check_views();
 }
--- a/tests/spread_fuzz.rs
+++ b/tests/spread_fuzz.rs
@@ -10,8 +10,8 @@
     fuchsiashore::{
         clock::TimePoint,
         config::{
-            ConfigHead, ConfigTables, EditRequest, HeadEdit, MovePolicy, PoolEntry, RepeatRule, RouteEntry,
-            TableEdit, apply_edit,
+            ConfigHead, ConfigTables, EditRequest, HeadDelta, HeadEdit, MovePolicy, PoolEntry, RepeatRule,
+            RouteEntry, TableEdit, apply_edit,
         },
         spread::{ConfigReply, ConfigRequest, SpreadState},
     },
@@ -148,7 +148,11 @@
             },
         };
         if let Ok(HeadEdit::Next(edit)) = apply_edit(&head, &request) {
-            self.accepted.push(edit.head.seal().expect("small heads fit").0);
+            let next = edit.head.seal().expect("small heads fit").0;
+            if let Some(delta) = HeadDelta::between(head.version, head.digest, &next) {
+                assert_eq!(delta.apply(&head).expect("a delta fits its base"), next);
+            }
+            self.accepted.push(next);
         }
     }
 
