--- a/src/cmd/change.rs
+++ b/src/cmd/change.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        daemons::{all_operators, fetch_status},
+        daemons::{all_operators, ask_all, fetch_status},
         error::CmdError,
         options::OperatorOptions,
     },
@@ -10,6 +10,7 @@
         clock::{ProcessClock, TimePoint},
         codec,
         config::{ConfigHead, ConfigTables, EditRequest, HeadEdit, MoveOrder, TableEdit, apply_edit},
+        daemon::DaemonStatus,
         moves::MIN_MOVE_MS,
         store::{EditRefusal, HEAD_KEY, HISTORY_PREFIX, HttpStore, StoreClient, write_change},
     },
@@ -124,16 +125,15 @@
     let mut lagging = all_operators(options.daemon()?).await?;
     let total = lagging.len();
     loop {
-        let mut still = Vec::new();
-        for (name, address) in lagging {
-            let in_force = fetch_status(&address)
-                .await
-                .is_ok_and(|status| status.version >= version);
-            if !in_force {
-                still.push((name, address));
-            }
-        }
-        lagging = still;
+        let answers = ask_all(lagging, fetch_status).await;
+        let is_lagging = |answer: &Result<DaemonStatus, CmdError>| {
+            !answer.as_ref().is_ok_and(|status| status.version >= version)
+        };
+        lagging = answers
+            .into_iter()
+            .filter(|(_, answer)| is_lagging(answer))
+            .map(|(daemon, _)| daemon)
+            .collect();
         if lagging.is_empty() {
             eprintln!("in force at all {total} daemons");
             return Ok(());
--- a/src/cmd/daemons.rs
+++ b/src/cmd/daemons.rs
@@ -7,10 +7,13 @@
         http::{POOL_IDLE_TIMEOUT, plain_client},
         timeline::TimelineEvent,
     },
+    futures_util::{StreamExt, stream},
     serde::de::DeserializeOwned,
     std::{sync::Arc, time::Duration},
 };
 
+/// Daemons that are asked at once.
+const ASKED_AT_ONCE: usize = 64;
 /// Time that a daemon is given to answer.
 const ASK_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -31,14 +34,32 @@
     serde_json::from_slice(&bytes).map_err(|error| failure(error.to_string()))
 }
 
+/// Asks many daemons at once and returns each with its answer, in no particular order.
+pub async fn ask_all<T, F>(
+    daemons: Vec<(Arc<str>, String)>,
+    ask: impl Fn(String) -> F,
+) -> Vec<((Arc<str>, String), Result<T, CmdError>)>
+where
+    F: Future<Output = Result<T, CmdError>>,
+{
+    let asked = daemons.into_iter().map(|daemon| {
+        let answer = ask(daemon.1.clone());
+        async { (daemon, answer.await) }
+    });
+    stream::iter(asked)
+        .buffer_unordered(ASKED_AT_ONCE)
+        .collect()
+        .await
+}
+
 /// Asks a daemon for its status.
-pub async fn fetch_status(address: &str) -> Result<DaemonStatus, CmdError> {
-    fetch(address, "/status").await
+pub async fn fetch_status(address: String) -> Result<DaemonStatus, CmdError> {
+    fetch(&address, "/status").await
 }
 
 /// Asks a daemon for its events.
-pub async fn fetch_timeline(address: &str) -> Result<Vec<TimelineEvent>, CmdError> {
-    fetch(address, "/timeline").await
+pub async fn fetch_timeline(address: String) -> Result<Vec<TimelineEvent>, CmdError> {
+    fetch(&address, "/timeline").await
 }
 
 /// Tells a daemon to drain.
@@ -58,7 +79,7 @@
 
 /// Returns name and operators' address of every daemon that one daemon knows to be present.
 pub async fn all_operators(daemon: &str) -> Result<Vec<(Arc<str>, String)>, CmdError> {
-    let status = fetch_status(daemon).await?;
+    let status = fetch_status(daemon.to_owned()).await?;
     let present = status.members.iter().filter(|member| member.status.is_present());
     let all = std::iter::once(&status.own).chain(present);
     Ok(all
--- a/src/cmd/moves.rs
+++ b/src/cmd/moves.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         change::{make_change, read_head},
-        daemons::{all_operators, fetch_status},
+        daemons::{all_operators, ask_all, fetch_status},
         error::CmdError,
         options::OperatorOptions,
     },
@@ -83,10 +83,8 @@
         Ok(daemon) => all_operators(daemon).await.unwrap_or_default(),
         Err(_) => Vec::new(),
     };
-    for (_, address) in daemons {
-        let Ok(status) = fetch_status(&address).await else {
-            continue;
-        };
+    for (_, answer) in ask_all(daemons, fetch_status).await {
+        let Ok(status) = answer else { continue };
         for told in status.moves.into_iter().filter(|told| told.phase.is_some()) {
             if let Some(known) = open.iter_mut().find(|known| known.order.id == told.order.id) {
                 *known = told;
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -1,7 +1,7 @@
 //! `fuchsiashore status`.
 
 use super::{
-    daemons::{all_operators, fetch_status},
+    daemons::{all_operators, ask_all, fetch_status},
     error::CmdError,
     options::OperatorOptions,
 };
@@ -10,8 +10,9 @@
 pub async fn run(options: &OperatorOptions) -> Result<(), CmdError> {
     let mut statuses = Vec::new();
     let mut silent = Vec::new();
-    for (name, address) in all_operators(options.daemon()?).await? {
-        match fetch_status(&address).await {
+    let daemons = all_operators(options.daemon()?).await?;
+    for ((name, address), answer) in ask_all(daemons, fetch_status).await {
+        match answer {
             Ok(status) => statuses.push(status),
             Err(_) => silent.push(format!("{name} ({address})")),
         }
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        daemons::{all_operators, fetch_timeline},
+        daemons::{all_operators, ask_all, fetch_timeline},
         error::CmdError,
         options::OperatorOptions,
     },
@@ -12,8 +12,9 @@
 /// Prints the merged events of all daemons.
 pub async fn run(options: &OperatorOptions) -> Result<(), CmdError> {
     let mut events = Vec::new();
-    for (name, address) in all_operators(options.daemon()?).await? {
-        match fetch_timeline(&address).await {
+    let daemons = all_operators(options.daemon()?).await?;
+    for ((name, address), answer) in ask_all(daemons, fetch_timeline).await {
+        match answer {
             Ok(more) => events.extend(more),
             Err(_) => eprintln!("{name} ({address}) does not answer; its events are missing"),
         }
--- /dev/null
+++ b/src/daemon/control/answers.rs
@@ -0,0 +1,94 @@
+//! Answers to other daemons and to operators.
+
+use {
+    super::ControlState,
+    crate::{
+        clock::TimePoint,
+        daemon::{
+            envelope::{ControlReply, ControlRequest, Envelope},
+            move_runner::answer_poll,
+            operators::{DaemonStatus, MoveStatus},
+            tasks::OperatorQuery,
+        },
+        member::TargetStatus,
+        moves::Clearance,
+        spread::ConfigReply,
+        timeline::TimelineEvent,
+    },
+    std::sync::Arc,
+    tokio::sync::oneshot,
+};
+
+impl ControlState {
+    pub(super) fn answer(&mut self, request: Envelope<ControlRequest>, now: TimePoint) -> ControlReply {
+        match request.body {
+            ControlRequest::Sync(request) => {
+                let (reply, effects) = self.members.answer_sync(*request, now);
+                self.carry_out(effects, now);
+                ControlReply::Sync(reply)
+            }
+            ControlRequest::Config(request) => ControlReply::Config(ConfigReply::answer(
+                &request,
+                self.spread.head().map(|head| &**head),
+            )),
+            ControlRequest::Poll(request) => {
+                let is_serving = self.members.own().target.status == TargetStatus::Serving;
+                ControlReply::Poll(Box::new(answer_poll(
+                    &self.shared,
+                    request,
+                    self.instance,
+                    is_serving,
+                    now,
+                )))
+            }
+        }
+    }
+
+    pub(super) fn answer_query(&self, query: OperatorQuery) {
+        match query {
+            OperatorQuery::Status(reply) => send_json(reply, &self.status()),
+            OperatorQuery::Timeline(reply) => {
+                let events: Vec<&TimelineEvent> = self.ring.events().collect();
+                send_json(reply, &events);
+            }
+            OperatorQuery::Head(reply) => {
+                let _ = reply.send(self.spread.head().cloned());
+            }
+        }
+    }
+
+    pub(super) fn status(&self) -> DaemonStatus {
+        let head = self.spread.head();
+        let open = head.map(|head| head.moves.clone()).unwrap_or_default();
+        let board = self.shared.moves.lock();
+        let moves = open.into_iter().map(|(pool, order)| {
+            let controller = self.moves.controller(&pool);
+            let phase = controller.map(|controller| format!("{:?}", controller.phase()).to_lowercase());
+            let known = board
+                .clearance(&pool)
+                .filter(|clearance| clearance.move_id == order.id);
+            MoveStatus {
+                share: known.map(Clearance::usable_share),
+                phase,
+                pool,
+                order,
+            }
+        });
+        DaemonStatus {
+            name: Arc::clone(&self.shared.settings.name),
+            version: self.spread.version(),
+            floor: self.spread.floor(),
+            is_store_up: !self.watch.is_down(),
+            in_flight: self.shared.gate.lock().state.in_flight(),
+            own: self.members.own().clone(),
+            members: self.members.others().cloned().collect(),
+            moves: moves.collect(),
+            closed: head.map(|head| head.closed.clone()).unwrap_or_default(),
+        }
+    }
+}
+
+fn send_json<T: serde::Serialize>(reply: oneshot::Sender<String>, value: &T) {
+    let text = serde_json::to_string(value).unwrap_or_else(|error| format!("{{\"error\":\"{error}\"}}"));
+    let _ = reply.send(text);
+}
--- /dev/null
+++ b/src/daemon/control/mod.rs
@@ -0,0 +1,264 @@
+//! The control thread: owns all control state, handles events one by one and hands traffic new snapshots.
+
+mod answers;
+mod configuration;
+mod joining;
+mod leaving;
+mod members;
+mod target;
+
+use {
+    super::{
+        move_runner::MoveRunner,
+        shared::{SharedState, TrafficNote},
+        store_watch::StoreWatch,
+        tasks::{ControlClient, ControlEvent},
+    },
+    crate::{
+        clock::TimePoint,
+        config::CompiledTable,
+        member::{MemberRecord, MemberState, MemberStatus, TargetRecord, TargetStatus},
+        moves::WINDOW_MS,
+        spread::SpreadState,
+        store::HttpStore,
+        timeline::{EventKind, EventRing},
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        net::UdpSocket,
+        sync::mpsc,
+        time::{MissedTickBehavior, interval},
+    },
+};
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between two rounds of anti-entropy, in milliseconds.
+const SYNC_INTERVAL_MS: u64 = 10_000;
+/// Time after which a daemon stops waiting for what its peers know of it, in milliseconds.
+const JOIN_LIMIT_MS: u64 = 4_000;
+/// Time between two looks at the stored seeds, in milliseconds.
+const SEEDS_INTERVAL_MS: u64 = 60_000;
+
+/// How far the daemon is with leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DrainPhase {
+    Serving,
+    /// New work is refused at the gate; what runs is finished.
+    Finishing {
+        announced_until: TimePoint,
+        limit: TimePoint,
+    },
+    /// Late calls of callers are refused.
+    Quiet {
+        until: TimePoint,
+    },
+}
+
+/// How far the daemon is with joining.
+#[derive(Debug)]
+struct JoinProgress {
+    limit: TimePoint,
+    next_at: TimePoint,
+    contacts: Vec<SocketAddr>,
+    pending: usize,
+    has_synced: bool,
+    asked_keepers: bool,
+    asked_seeds: bool,
+}
+
+/// All control state of a daemon.
+#[derive(Debug)]
+pub struct ControlState {
+    shared: Arc<SharedState>,
+    instance: u64,
+    members: MemberState,
+    spread: SpreadState,
+    table: Option<Arc<CompiledTable>>,
+    ring: EventRing,
+    moves: MoveRunner,
+    watch: StoreWatch,
+    join: JoinProgress,
+    drain: DrainPhase,
+    client: ControlClient,
+    store: HttpStore,
+    events: mpsc::Sender<ControlEvent>,
+    datagrams: Arc<UdpSocket>,
+    sync_at: TimePoint,
+    slice_at: TimePoint,
+    seeds_at: TimePoint,
+    target_probe_at: TimePoint,
+    target_failures: u32,
+    store_was_down: bool,
+    is_stale: bool,
+    rng: SmallRng,
+}
+
+impl ControlState {
+    /// Makes the state of a daemon that starts now.
+    pub fn new(
+        shared: Arc<SharedState>,
+        events: mpsc::Sender<ControlEvent>,
+        datagrams: Arc<UdpSocket>,
+        now: TimePoint,
+    ) -> Self {
+        let settings = &shared.settings;
+        let mut rng = SmallRng::seed_from_u64(rand::random());
+        let store = HttpStore::new(&settings.store);
+        let client = ControlClient::new(Arc::clone(&shared), events.clone());
+        let first_call = now.after_ms(rng.random_range(0..1_000));
+        let mut ring = EventRing::new(Arc::clone(&settings.name));
+        let target = &settings.target;
+        let detail = format!(
+            "service={} version={} slots={}",
+            target.service, target.version, target.slots
+        );
+        ring.record(EventKind::Started, detail, now);
+        Self {
+            instance: now.0,
+            members: MemberState::new(own_record(&shared, now), rng.random(), now),
+            spread: SpreadState::default(),
+            table: None,
+            ring,
+            moves: MoveRunner::new(Arc::clone(&shared), client.clone(), store.clone(), events.clone()),
+            watch: StoreWatch::new(first_call, settings.store_calls_per_s, rng.random()),
+            join: JoinProgress {
+                limit: now.after_ms(JOIN_LIMIT_MS),
+                next_at: now,
+                contacts: settings.peers.clone(),
+                pending: 0,
+                has_synced: false,
+                asked_keepers: false,
+                asked_seeds: false,
+            },
+            drain: DrainPhase::Serving,
+            client,
+            store,
+            events,
+            datagrams,
+            slice_at: now,
+            sync_at: now.after_ms(rng.random_range(0..SYNC_INTERVAL_MS)),
+            seeds_at: now.after_ms(SEEDS_INTERVAL_MS / 4),
+            target_probe_at: now,
+            target_failures: 0,
+            store_was_down: false,
+            is_stale: true,
+            rng,
+            shared,
+        }
+    }
+
+    /// Handles events until the daemon has drained.
+    pub async fn run(mut self, mut events: mpsc::Receiver<ControlEvent>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                event = events.recv() => match event {
+                    Some(event) => self.handle(event, self.shared.now()),
+                    None => return,
+                },
+                _ = ticks.tick() => {
+                    if self.tick(self.shared.now()) {
+                        return;
+                    }
+                }
+            }
+            self.publish_snapshot();
+        }
+    }
+
+    fn handle(&mut self, event: ControlEvent, now: TimePoint) {
+        match event {
+            ControlEvent::Datagram { from, message } => {
+                self.ring.observe(message.stamp, now);
+                let effects = self.members.receive(from, message.body, now);
+                self.carry_out(effects, now);
+            }
+            ControlEvent::Request { request, reply } => {
+                self.ring.observe(request.stamp, now);
+                let answer = self.answer(request, now);
+                let _ = reply.send((self.ring.stamp(now), answer));
+            }
+            ControlEvent::SyncDone { peer, reply } => self.finish_sync(peer, reply, now),
+            ControlEvent::PullDone { peer, reply } => self.finish_pull(peer, reply, now),
+            ControlEvent::PollDone {
+                pool,
+                move_id,
+                with_clearance,
+                reply,
+            } => {
+                self.moves
+                    .finish_poll(&pool, move_id, with_clearance, reply, &mut self.ring, now);
+            }
+            ControlEvent::ProgressRead {
+                pool,
+                move_id,
+                stored,
+            } => {
+                self.moves.finish_progress(&pool, move_id, stored, now);
+            }
+            ControlEvent::HeadRead(result) => self.finish_read(result, now),
+            ControlEvent::VerdictWritten {
+                pool,
+                move_id,
+                result,
+            } => {
+                self.finish_verdict(&pool, move_id, result, now);
+            }
+            ControlEvent::SeedsRead(seeds) => self.join.contacts.extend(seeds),
+            ControlEvent::TargetProbed(is_ready) => self.finish_target_probe(is_ready, now),
+            ControlEvent::Note(TrafficNote::Ejected { target }) => {
+                self.ring
+                    .record(EventKind::Ejected, format!("target={target}"), now);
+            }
+            ControlEvent::Note(TrafficNote::TargetRefuses) => self.finish_target_probe(false, now),
+            ControlEvent::Query(query) => self.answer_query(query),
+            ControlEvent::Drain => self.start_drain(now),
+        }
+    }
+
+    /// Does what is due. Returns true when the daemon has drained and may exit.
+    fn tick(&mut self, now: TimePoint) -> bool {
+        {
+            let mut gate = self.shared.gate.lock();
+            let wakes = gate.state.tick(now);
+            gate.wake(wakes, now);
+        }
+        if now >= self.slice_at {
+            self.slice_at = now.after_ms(WINDOW_MS);
+            self.shared.evidence.lock().end_slice();
+        }
+        let effects = self.members.tick(now);
+        self.carry_out(effects, now);
+        self.tick_join(now);
+        self.tick_store(now);
+        self.tick_sync(now);
+        self.tick_target(now);
+        self.moves.tick(&self.members, &mut self.ring, now);
+        self.tick_pull(now);
+        self.tick_drain(now)
+    }
+}
+
+fn own_record(shared: &SharedState, now: TimePoint) -> MemberRecord {
+    let settings = &shared.settings;
+    MemberRecord {
+        name: Arc::clone(&settings.name),
+        incarnation: now.0,
+        status: MemberStatus::Alive,
+        control: settings.control,
+        gate: settings.gate,
+        operators: settings.operators,
+        region: Arc::clone(&settings.region),
+        data_centre: Arc::clone(&settings.data_centre),
+        target: TargetRecord {
+            service: Arc::clone(&settings.target.service),
+            version: Arc::clone(&settings.target.version),
+            slots: settings.target.slots,
+            status: TargetStatus::Starting,
+        },
+        applied: 0,
+    }
+}
--- a/src/member/state.rs
+++ b/src/member/state.rs
@@ -262,9 +262,14 @@
             .iter()
             .map(|record| (Arc::clone(&record.name), record.clone()))
             .collect();
+        let waiting = self.updates.clone();
         for record in reply.records {
             self.absorb(record, now);
         }
+        // What a peer tells at length is known to others already; it is not passed on once more.
+        let own = Arc::clone(&self.own.name);
+        self.updates
+            .retain(|name, _| *name == own || waiting.contains_key(name));
         let known = std::iter::once(&self.own).chain(self.others());
         let in_buckets = known.filter(|record| buckets.contains(&bucket_of(&record.name)));
         let newer = in_buckets.filter(|record| {
@@ -287,7 +292,7 @@
 
     fn spread(&mut self, name: &Arc<str>) {
         let members = self.entries.len() as u32 + 2;
-        self.updates.insert(Arc::clone(name), 3 * (members.ilog2() + 1));
+        self.updates.insert(Arc::clone(name), members.ilog2() + 2);
     }
 
     /// Returns the control addresses of the daemons that keep note of the version applied by this one, so that
--- a/src/moves/controller.rs
+++ b/src/moves/controller.rs
@@ -5,6 +5,7 @@
         clearance::{Clearance, LEASE_MS},
         evidence::{EvidenceWindow, LatencyCounts, RouteEvidence},
         message::{GateReport, PollReply},
+        route_tests::{Finding, RouteTests},
         schedule::{MoveSchedule, TOP_SHARE, TRICKLE_SHARE},
         sequential::{OPEN_WINDOWS, RateTest, TestThresholds},
     },
@@ -45,14 +46,6 @@
 const WARM_UP_MS: u64 = 5_000;
 /// Part of the new version's slots that the share may fill.
 const MAX_FILL: f64 = 0.8;
-/// The old version's latency quantile that the slow-call test starts from.
-const SLOW_QUANTILE: f64 = 0.95;
-/// Buckets by which a call must exceed that quantile to count as slow; three are a factor of 1.7.
-const SLOW_MARGIN_BUCKETS: usize = 3;
-/// Part of the old version's latency counts kept from one window to the next.
-const LATENCY_DECAY: f64 = 0.995;
-/// Most calls that the latencies before the move count for.
-const HISTORY_LATENCIES: f64 = 4_000.0;
 /// Time without a report after which a gate's evidence is left out, in milliseconds.
 const REPORT_LIFE_MS: u64 = 3_000;
 /// Calls of the new version below which the verdict says that there was little evidence.
@@ -104,15 +97,6 @@
     },
 }
 
-#[derive(Debug, Clone, Default)]
-struct RouteTests {
-    failures: RateTest,
-    slowness: RateTest,
-    old_latency: Vec<f64>,
-    new_total: RouteEvidence,
-    old_total: RouteEvidence,
-}
-
 #[derive(Debug, Clone)]
 struct KnownReport {
     report: GateReport,
@@ -121,14 +105,6 @@
     first_call_at: Option<TimePoint>,
 }
 
-/// The strongest evidence against the new version.
-#[derive(Debug, Clone, PartialEq)]
-struct Finding {
-    evidence: f64,
-    text: String,
-    tells_apart: bool,
-}
-
 /// Decides on the share and the end of one move.
 #[derive(Debug, Clone)]
 pub struct MoveController {
@@ -649,90 +625,6 @@
     }
 }
 
-impl RouteTests {
-    fn add_history(&mut self, old: &RouteEvidence) {
-        self.failures.add_history(old.calls, old.failed);
-        self.old_latency.resize(old.latency.0.len(), 0.0);
-        let weight = (HISTORY_LATENCIES / old.latency.total().max(1) as f64).min(1.0);
-        for (kept, count) in self.old_latency.iter_mut().zip(&old.latency.0) {
-            *kept += *count as f64 * weight;
-        }
-        if let Some(limit) = self.slow_limit() {
-            self.slowness
-                .add_history(old.latency.total(), old.latency.above(limit));
-        }
-    }
-
-    fn add_window(&mut self, old: &RouteEvidence, new: &RouteEvidence, granted: f64) {
-        self.old_total.add(old);
-        self.new_total.add(new);
-        self.failures
-            .add_window((old.calls, old.failed), (new.calls, new.failed), granted);
-        self.old_latency.resize(old.latency.0.len(), 0.0);
-        for (kept, count) in self.old_latency.iter_mut().zip(&old.latency.0) {
-            *kept = *kept * LATENCY_DECAY + *count as f64;
-        }
-        if let Some(limit) = self.slow_limit() {
-            let old = (old.latency.total(), old.latency.above(limit));
-            let new = (new.latency.total(), new.latency.above(limit));
-            self.slowness.add_window(old, new, 0.0);
-        }
-    }
-
-    /// Returns the bucket above which a call counts as slow, once enough calls of the old version are known.
-    fn slow_limit(&self) -> Option<usize> {
-        let total: f64 = self.old_latency.iter().sum();
-        if total < 30.0 {
-            return None;
-        }
-        let mut seen = 0.0;
-        let quantile = self.old_latency.iter().position(|count| {
-            seen += count;
-            seen >= total * SLOW_QUANTILE
-        })?;
-        Some(quantile + SLOW_MARGIN_BUCKETS)
-    }
-
-    fn knows_recent_rates(&self) -> bool {
-        self.failures.knows_recent_rate()
-            && (self.slow_limit().is_none() || self.slowness.knows_recent_rate())
-    }
-
-    fn failure_finding(&self, route: &str) -> Option<Finding> {
-        let (new, old) = (&self.new_total, &self.old_total);
-        let text = format!(
-            "route {route}: {} of {} calls failed, {} of {} on the old version",
-            new.failed, new.calls, old.failed, old.calls
-        );
-        Finding::new(&self.failures, text)
-    }
-
-    fn slowness_finding(&self, route: &str) -> Option<Finding> {
-        let limit = self.slow_limit()?;
-        let (new, old) = (&self.new_total.latency, &self.old_total.latency);
-        let text = format!(
-            "route {route}: {} of {} calls took over {:.0} ms, {} of {} on the old version",
-            new.above(limit),
-            new.total(),
-            LatencyCounts::edge_ms(limit),
-            old.above(limit),
-            old.total()
-        );
-        Finding::new(&self.slowness, text)
-    }
-}
-
-impl Finding {
-    fn new(test: &RateTest, text: String) -> Option<Self> {
-        let evidence = test.evidence();
-        (evidence > 0.0).then(|| Self {
-            evidence,
-            text,
-            tells_apart: test.tells_apart(),
-        })
-    }
-}
-
 fn thresholds_of(policy: MovePolicy) -> TestThresholds {
     match policy {
         MovePolicy::Prompt => TestThresholds {
--- a/src/moves/mod.rs
+++ b/src/moves/mod.rs
@@ -4,6 +4,7 @@
 mod controller;
 mod evidence;
 mod message;
+mod route_tests;
 mod schedule;
 mod sequential;
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -20,3 +20,30 @@
         ..Config::with_cases(cases.unwrap_or(default_cases))
     }
 }
+
+/// Defines `AnyAction`, the reference state machine of an oracle that needs no state of its own: every action that
+/// `$strategy` makes fits every moment.
+#[macro_export]
+macro_rules! any_action {
+    ($action:ty, $strategy:expr) => {
+        #[derive(Debug, Clone)]
+        struct AnyAction;
+
+        impl proptest_state_machine::ReferenceStateMachine for AnyAction {
+            type State = Self;
+            type Transition = $action;
+
+            fn init_state() -> BoxedStrategy<Self> {
+                Just(Self).boxed()
+            }
+
+            fn transitions(_: &Self) -> BoxedStrategy<$action> {
+                $strategy.boxed()
+            }
+
+            fn apply(state: Self, _: &$action) -> Self {
+                state
+            }
+        }
+    };
+}
