--- a/tests/common/mesh.rs
+++ b/tests/common/mesh.rs
@@ -37,6 +37,8 @@
 pub struct Mesh {
     pub store: SocketAddr,
     pub pairs: Vec<Pair>,
+    /// Whether the settings of further daemons name peers.
+    pub names_peers: bool,
     folder: PathBuf,
     kv: Child,
 }
@@ -55,6 +57,7 @@
         let mut mesh = Self {
             store,
             pairs: Vec::new(),
+            names_peers: true,
             folder,
             kv,
         };
@@ -94,7 +97,7 @@
         let number = self.pairs.len();
         let name = format!("booking-{number}");
         let peers: Vec<String> = self.pairs.iter().take(2).map(Pair::control_address).collect();
-        let peers = if peers.is_empty() {
+        let peers = if peers.is_empty() || !self.names_peers {
             String::new()
         } else {
             format!("peers = {}\n", peers.join(" "))
--- a/tests/mesh_faults.rs
+++ b/tests/mesh_faults.rs
@@ -261,3 +261,11 @@
     // The same version is not tried again without being told to.
     assert_eq!(mesh.apply("v2", 600).status.code(), Some(5));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_without_peers_meet_by_the_seeds_in_the_store() {
+    let mut mesh = Mesh::start("seeds", 1);
+    mesh.names_peers = false;
+    mesh.add_pair("v1", "good", None);
+    mesh.wait_for_serving(2);
+}
