--- a/tests/mesh_requests.rs
+++ b/tests/mesh_requests.rs
@@ -73,6 +73,9 @@
 
     // Refusals.
     let refusals = [
+        (client.get(format!("{base}/")), StatusCode::NOT_FOUND),
+        (client.get(format!("{base}//stock//")), StatusCode::NOT_FOUND),
+        (client.get(format!("{base}/stockpile")), StatusCode::NOT_FOUND),
         (client.get(format!("{base}/nowhere")), StatusCode::NOT_FOUND),
         (
             client.delete(format!("{base}/stock")),
