--- a/src/daemon/outbound.rs
+++ b/src/daemon/outbound.rs
@@ -239,13 +239,19 @@
             let mut rng = self.rng.lock();
             (rng.random::<f64>(), SmallRng::seed_from_u64(rng.random()))
         };
+        let old_is_gone = pool.order.as_ref().is_some_and(|order| {
+            snapshot
+                .targets_of(&pool.entry.service, &order.from)
+                .next()
+                .is_none()
+        });
         let (choice, preferred_is_stopped) = {
             let board = shared.moves.lock();
             let share = pool
                 .order
                 .as_ref()
                 .map_or(0.0, |order| board.share(&pool.name, order.id));
-            let choice = choose_version(pool, share, draw);
+            let choice = choose_version(pool, share, draw, old_is_gone);
             let stopped = board.is_stopped(&pool.name, &choice.version, now);
             (choice, stopped)
         };
--- a/tests/request_fuzz.rs
+++ b/tests/request_fuzz.rs
@@ -9,8 +9,12 @@
 use {
     common::fuzz_config,
     fuchsiashore::{
-        call::{AttemptOutcome, CallOutcome, CallPlan, CallStep, CandidateTarget, RetryBudget, TargetBook},
+        call::{
+            AttemptOutcome, CallOutcome, CallPlan, CallStep, CandidateTarget, RetryBudget, TargetBook,
+            choose_version,
+        },
         clock::TimePoint,
+        config::{CompiledPool, MoveOrder, MovePolicy, PoolEntry},
         gate::{GateAdmission, GateState, GateWake, TicketId},
     },
     proptest::{prelude::*, strategy::Union},
@@ -547,3 +551,37 @@
         assert_ne!(chosen.name, candidates[0].name);
     }
 }
+
+#[test]
+fn new_version_takes_over_only_where_old_targets_are_gone() {
+    let order = MoveOrder {
+        id: 2,
+        from: "v1".into(),
+        to: "v2".into(),
+        opened_at: TimePoint(0),
+        finish_by: TimePoint(600_000),
+        policy: MovePolicy::Prompt,
+    };
+    let entry = PoolEntry {
+        service: "booking".into(),
+        version: "v2".into(),
+        finish_by: Some(order.finish_by),
+        policy: order.policy,
+    };
+    let pool = CompiledPool {
+        name: "booking".into(),
+        entry,
+        order: Some(order),
+    };
+    let versions = |share, draw, old_is_gone| {
+        let choice = choose_version(&pool, share, draw, old_is_gone);
+        (
+            choice.version.to_string(),
+            choice.fallback.map(|version| version.to_string()),
+        )
+    };
+    assert_eq!(versions(0.3, 0.2, false), ("v2".into(), Some("v1".into())));
+    assert_eq!(versions(0.3, 0.4, false), ("v1".into(), None));
+    // A proxy that has learnt no share yet can learn it only from a gate of the new version.
+    assert_eq!(versions(0.0, 0.4, true), ("v1".into(), Some("v2".into())));
+}
