--- a/tests/mesh_requests.rs
+++ b/tests/mesh_requests.rs
@@ -205,3 +205,13 @@
         assert!(!arrived.contains(dropped), "{dropped} was passed on: {arrived}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeatable_call_may_take_over_half_of_its_deadline() {
+    let mesh = Mesh::start("long", 2);
+    assert!(mesh.apply("v1", 600).status.success());
+    // The route allows 4 s.
+    let url = format!("http://{}/stock?work_ms=2500", mesh.pairs[0].calls);
+    let answer = reqwest::get(url).await.unwrap();
+    assert_eq!(answer.status(), StatusCode::OK, "{:?}", outcome(&answer));
+}
