--- a/benches/scale.rs
+++ b/benches/scale.rs
@@ -9,7 +9,7 @@
 use {
     fuchsiashore::{
         clock::{ProcessClock, TimePoint},
-        config::{ConfigTables, EditRequest, MovePolicy, PoolEntry, RepeatRule, RouteEntry, TableEdit},
+        config::{ConfigTables, EditRequest, MovePolicy, PoolEntry, PoolShare, RepeatRule, RouteEntry, TableEdit},
         daemon::{ControlReply, ControlRequest, accept, enclose},
         member::{MemberRecord, MemberStatus, SyncRequest, TargetRecord, TargetStatus},
         store::{HttpStore, write_change},
@@ -239,9 +239,10 @@
             let entry = RouteEntry {
                 path: format!("/service-{number}/route-{route}").into(),
                 methods: vec!["GET".into()],
-                pool: format!("pool-{number}").into(),
+                pools: PoolShare::whole(format!("pool-{number}")),
                 repeat: RepeatRule::ByMethod,
                 timeout_ms: 800,
+                ..RouteEntry::default()
             };
             tables
                 .routes
--- a/src/bin/fuchsiashored.rs
+++ b/src/bin/fuchsiashored.rs
@@ -1,7 +1,10 @@
 //! The daemon that stands beside each target.
 
 use {
-    fuchsiashore::{daemon, settings::DaemonSettings},
+    fuchsiashore::{
+        daemon::{self, DaemonEdges},
+        settings::DaemonSettings,
+    },
     lexopt::prelude::{Long, Short},
     miette::{IntoDiagnostic, Result},
     std::path::PathBuf,
@@ -21,7 +24,7 @@
 ";
 
 fn main() -> Result<()> {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    daemon::start_logs();
     let mut settings = None;
     let mut check_only = false;
     let mut parser = lexopt::Parser::from_env();
@@ -53,5 +56,5 @@
         println!("{}: no faults", path.display());
         return Ok(());
     }
-    Ok(daemon::run(settings)?)
+    Ok(daemon::run(settings, DaemonEdges::own())?)
 }
--- a/src/call/book.rs
+++ b/src/call/book.rs
@@ -2,8 +2,13 @@
 
 use {
     crate::clock::TimePoint,
-    rand::{Rng, RngExt},
-    std::{collections::HashMap, sync::Arc},
+    rand::{Rng, seq::IndexedRandom},
+    std::{
+        collections::HashMap,
+        fmt::{Display, Formatter},
+        str::FromStr,
+        sync::Arc,
+    },
 };
 
 /// Failures in a row after which a target is ejected.
@@ -17,8 +22,20 @@
 /// Latency assumed of a target that was never called, and added for one in another data centre, in
 /// milliseconds.
 const BASE_LATENCY_MS: f64 = 1.0;
-/// Load above which calls spill to other data centres.
-const SPILL_LOAD: f64 = 0.8;
+/// Load above which calls spill to other data centres: bytes and time between them are dear.
+const SPILL_LOAD: f64 = 0.9;
+/// Targets that are compared for one call; a few are as good as all, and cheaper.
+const COMPARED: usize = 5;
+/// Part of a run's time that a fully loaded target is expected to add before anything queues.
+const LOADED_PART: f64 = 0.5;
+/// Runs that a target which fails every call counts as dearer.
+const FAILURE_COST: f64 = 8.0;
+/// Weight of a new outcome in the moving share of failures.
+const FAILURE_WEIGHT: f64 = 0.1;
+/// Time for which a target that refused a call as full counts as full, in milliseconds.
+const FULL_MS: u64 = 150;
+/// Load assumed of a target that refused a call as full.
+const FULL_LOAD: f64 = 2.0;
 /// Time after which a target's own report of its load is forgotten, in milliseconds.
 const REPORT_LIFE_MS: u64 = 1_000;
 
@@ -35,16 +52,47 @@
     pub is_suspect: bool,
 }
 
+/// What a gate tells of its target's load on each answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct LoadReport {
+    /// Calls that run and wait.
+    pub calls: u32,
+    /// Typical time of a run, in milliseconds; 0 if unknown.
+    pub run_ms: f64,
+}
+
+impl Display for LoadReport {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{},{:.0}", self.calls, self.run_ms)
+    }
+}
+
+impl FromStr for LoadReport {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (calls, run_ms) = text.split_once(',').ok_or("a load has two numbers")?;
+        Ok(Self {
+            calls: calls.parse().map_err(|error| format!("{error}"))?,
+            run_ms: run_ms.parse().map_err(|error| format!("{error}"))?,
+        })
+    }
+}
+
 /// What was observed of one target.
 #[derive(Debug, Clone, Default)]
 pub struct TargetStats {
     in_flight: u32,
     latency_ms: f64,
+    /// Failures in a row.
     failures: u32,
+    /// Moving share of failures.
+    failure_share: f64,
     ejections: u32,
     ejected_until: TimePoint,
-    reported_load: u32,
+    report: LoadReport,
     reported_until: TimePoint,
+    full_until: TimePoint,
 }
 
 /// Observations by daemon name.
@@ -54,7 +102,7 @@
 }
 
 impl TargetBook {
-    /// Chooses a target: near ones first unless they are loaded, the better of two random ones, and none that
+    /// Chooses a target: near ones first unless they are loaded, the best of a few random ones, and none that
     /// was tried or ejected while another is left. Returns `None` only if `candidates` holds none that was not
     /// tried.
     pub fn choose<'a>(
@@ -73,16 +121,9 @@
         let close = prefer(trusted, |target| {
             target.is_near && self.load_of(target, now) < SPILL_LOAD
         });
-        match close.len() {
-            0 => None,
-            1 => Some(close[0]),
-            count => {
-                let first = close[rng.random_range(0..count)];
-                let second = close[rng.random_range(0..count)];
-                let first_is_better = self.cost_of(first, now) <= self.cost_of(second, now);
-                Some(if first_is_better { first } else { second })
-            }
-        }
+        let compared = close.sample(rng, COMPARED);
+        let best = compared.min_by(|a, b| self.cost_of(a, now).total_cmp(&self.cost_of(b, now)));
+        best.copied()
     }
 
     /// Takes note of a request sent to a target.
@@ -91,25 +132,40 @@
     }
 
     /// Takes note of an answer, with the load that the target's gate reported.
-    pub fn succeed(&mut self, name: &Arc<str>, latency_ms: f64, load: Option<u32>, now: TimePoint) {
+    pub fn succeed(&mut self, name: &Arc<str>, latency_ms: f64, load: Option<LoadReport>, now: TimePoint) {
         let stats = self.stats.entry(Arc::clone(name)).or_default();
         stats.failures = 0;
         stats.ejections = 0;
+        stats.failure_share *= 1.0 - FAILURE_WEIGHT;
         stats.latency_ms = if stats.latency_ms == 0.0 {
             latency_ms
         } else {
             stats.latency_ms * (1.0 - LATENCY_WEIGHT) + latency_ms * LATENCY_WEIGHT
         };
         if let Some(load) = load {
-            stats.reported_load = load;
+            stats.report = load;
             stats.reported_until = now.after_ms(REPORT_LIFE_MS);
         }
     }
 
-    /// Takes note of a refusal, a broken or a stalled attempt. Returns true if the target is now ejected.
+    /// Takes note of a load that a gate reported with a refusal.
+    pub fn note_load(&mut self, name: &Arc<str>, load: LoadReport, now: TimePoint) {
+        let stats = self.stats.entry(Arc::clone(name)).or_default();
+        stats.report = load;
+        stats.reported_until = now.after_ms(REPORT_LIFE_MS);
+    }
+
+    /// Takes note that a gate refused a call as full.
+    pub fn note_full(&mut self, name: &Arc<str>, now: TimePoint) {
+        self.stats.entry(Arc::clone(name)).or_default().full_until = now.after_ms(FULL_MS);
+    }
+
+    /// Takes note of a failed, broken or stalled attempt, or of a gate that is closed. Returns true if the target
+    /// is now ejected.
     pub fn fail(&mut self, name: &Arc<str>, now: TimePoint) -> bool {
         let stats = self.stats.entry(Arc::clone(name)).or_default();
         stats.failures += 1;
+        stats.failure_share += (1.0 - stats.failure_share) * FAILURE_WEIGHT;
         if stats.failures < EJECT_AFTER || stats.ejected_until > now {
             return false;
         }
@@ -143,18 +199,30 @@
         let Some(stats) = self.stats.get(&target.name) else {
             return 0.0;
         };
+        if stats.full_until > now {
+            return FULL_LOAD;
+        }
         let reported = if stats.reported_until > now {
-            stats.reported_load
+            stats.report.calls
         } else {
             0
         };
         f64::from(stats.in_flight.max(reported)) / f64::from(target.slots.max(1))
     }
 
+    /// Returns the expected time to an answer, in milliseconds.
     fn cost_of(&self, target: &CandidateTarget, now: TimePoint) -> f64 {
-        let latency_ms = self.stats.get(&target.name).map_or(0.0, |stats| stats.latency_ms);
+        let unknown = TargetStats::default();
+        let stats = self.stats.get(&target.name).unwrap_or(&unknown);
+        let run_ms = match (stats.report.run_ms, stats.latency_ms) {
+            (reported, _) if reported > 0.0 => reported,
+            (_, observed) => observed,
+        };
         let distance_ms = if target.is_near { 0.0 } else { BASE_LATENCY_MS };
-        (self.load_of(target, now) + 0.1) * (latency_ms.max(BASE_LATENCY_MS) + distance_ms)
+        let load = self.load_of(target, now);
+        let runs = 1.0 + load.min(1.0) * LOADED_PART + (load - 1.0).max(0.0);
+        let failing = 1.0 + FAILURE_COST * stats.failure_share;
+        run_ms.max(BASE_LATENCY_MS) * runs * failing + distance_ms
     }
 }
 
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -7,9 +7,9 @@
 mod version;
 
 pub use {
-    book::{CandidateTarget, TargetBook, TargetStats},
-    budget::RetryBudget,
+    book::{CandidateTarget, LoadReport, TargetBook, TargetStats},
+    budget::{DEFAULT_SAVED_RETRIES, RetryBudget},
     outcome::{AttemptOutcome, CallOutcome, RefusalReason},
-    plan::{CallPlan, CallStep},
+    plan::{CallPlan, CallRules, CallStep},
     version::{VersionChoice, choose_version},
 };
--- a/src/call/outcome.rs
+++ b/src/call/outcome.rs
@@ -29,10 +29,12 @@
     pub enum AttemptOutcome {
         /// The target answered.
         Answered,
-        /// The target answered that it sheds load (502, 503 or 504).
-        Shed,
-        /// The gate refused the request, or no connection was made: it did not run.
+        /// The target answered that it failed.
+        Failed,
+        /// The gate refused the request, or no connection was made: it did not reach the target.
         NotRun,
+        /// The target turned the request away without running it.
+        Rejected,
         /// The connection broke after the request was sent: it may have run.
         Broken,
         /// Nothing came within the attempt's deadline: it may have run.
@@ -57,8 +59,14 @@
         Refused,
         /// The connection broke after the request was sent.
         Broken,
-        /// The request head or body breaks a limit.
+        /// The request is malformed.
         BadRequest,
+        /// The request head is over the limit.
+        HeadTooLarge,
+        /// The request body is over the limit.
+        BodyTooLarge,
+        /// The request body did not arrive whole in time.
+        BodyIncomplete,
         /// This daemon is leaving.
         Leaving,
     }
@@ -76,6 +84,9 @@
             Self::Refused => "refused",
             Self::Broken => "connection-broken",
             Self::BadRequest => "bad-request",
+            Self::HeadTooLarge => "head-too-large",
+            Self::BodyTooLarge => "body-too-large",
+            Self::BodyIncomplete => "body-incomplete",
             Self::Leaving => "leaving",
         }
     }
@@ -96,7 +107,10 @@
             Self::Broken => {
                 "the connection to the target broke; find out whether the request ran before repeating it"
             }
-            Self::BadRequest => "the request breaks a limit or is malformed; see the body for the limit",
+            Self::BadRequest => "the request is malformed; see what follows:",
+            Self::HeadTooLarge => "the request head is over the limit; send fewer or shorter headers",
+            Self::BodyTooLarge => "the request body is over the limit; send less:",
+            Self::BodyIncomplete => "the body did not arrive whole before the deadline; send it again",
             Self::Leaving => "this daemon is leaving; use another one",
         }
     }
--- a/src/call/plan.rs
+++ b/src/call/plan.rs
@@ -9,19 +9,33 @@
     std::sync::Arc,
 };
 
-/// Most attempts of one call.
-pub const MAX_ATTEMPTS: usize = 4;
-/// Shortest time that an attempt is given before another target is tried, in milliseconds.
-const MIN_ATTEMPT_MS: u64 = 50;
+/// Most gates that one call is offered to.
+pub const MAX_OFFERS: usize = 5;
+/// Part of the time left after which a second attempt starts beside one that has not answered.
+const HEDGE_PART: u64 = 2;
+/// Shortest time that an attempt is given before a second one starts beside it, in milliseconds.
+const MIN_HEDGE_MS: u64 = 50;
+
+/// What may be done with a call.
+#[derive(Debug, Clone, Copy)]
+pub struct CallRules {
+    /// Whether the request may run twice.
+    pub repeatable: bool,
+    /// Whether its whole body is held, so that it can be sent again.
+    pub resendable: bool,
+    /// Most targets that it may reach.
+    pub attempts: u32,
+    /// When the call is given up.
+    pub deadline: TimePoint,
+}
 
 /// What is done next for a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallStep {
     /// Send the request to a target that has not been tried.
-    Send {
-        /// When the attempt is given up.
-        deadline: TimePoint,
-    },
+    Send,
+    /// Wait for the attempts under way.
+    Wait,
     /// Pass the answer in hand on to the caller.
     Answer,
     /// Refuse the call.
@@ -33,25 +47,29 @@
     },
 }
 
-/// One call.
+/// One call. At most two attempts are under way at a time.
 #[derive(Debug, Clone)]
 pub struct CallPlan {
-    repeatable: bool,
-    resendable: bool,
-    deadline: TimePoint,
+    rules: CallRules,
     tried: Vec<Arc<str>>,
+    /// Attempts under way.
+    open: u32,
+    /// Attempts that reached a target or may have.
+    reached: u32,
     maybe_run: bool,
+    hedge_at: TimePoint,
 }
 
 impl CallPlan {
-    /// Starts a call. A `repeatable` request may run twice; a `resendable` one still has its whole body.
-    pub fn new(repeatable: bool, resendable: bool, deadline: TimePoint) -> Self {
+    /// Starts a call.
+    pub fn new(rules: CallRules) -> Self {
         Self {
-            repeatable,
-            resendable,
-            deadline,
+            rules,
             tried: Vec::new(),
+            open: 0,
+            reached: 0,
             maybe_run: false,
+            hedge_at: TimePoint::NEVER,
         }
     }
 
@@ -62,22 +80,43 @@
 
     /// Returns when the call is given up.
     pub fn deadline(&self) -> TimePoint {
-        self.deadline
+        self.rules.deadline
+    }
+
+    /// Returns when [`Self::hedge`] is due; never if the call may not run twice.
+    pub fn hedge_at(&self) -> TimePoint {
+        self.hedge_at
     }
 
     /// Takes note that the request is sent to a target.
-    pub fn note_attempt(&mut self, target: Arc<str>) {
+    pub fn note_attempt(&mut self, target: Arc<str>, now: TimePoint) {
         self.tried.push(target);
+        self.open += 1;
+        let may_hedge = self.rules.repeatable && self.rules.resendable && self.open == 1;
+        self.hedge_at = if may_hedge {
+            let part_ms = self.rules.deadline.ms_since(now) / HEDGE_PART;
+            now.after_ms(part_ms.max(MIN_HEDGE_MS))
+        } else {
+            TimePoint::NEVER
+        };
     }
 
     /// Returns the first step.
     pub fn begin(&self, budget: &mut RetryBudget, now: TimePoint) -> CallStep {
         budget.add_call();
-        if now >= self.deadline {
+        if now >= self.rules.deadline {
             return self.refuse(RefusalReason::DeadlinePassed);
         }
-        CallStep::Send {
-            deadline: self.attempt_deadline(now),
+        CallStep::Send
+    }
+
+    /// Returns the step when an attempt has not answered for long: a second one beside it, if the budget allows.
+    pub fn hedge(&mut self, budget: &mut RetryBudget, now: TimePoint) -> CallStep {
+        self.hedge_at = TimePoint::NEVER;
+        if now < self.rules.deadline && self.may_reach_another() && budget.take_retry() {
+            CallStep::Send
+        } else {
+            CallStep::Wait
         }
     }
 
@@ -88,42 +127,43 @@
         budget: &mut RetryBudget,
         now: TimePoint,
     ) -> CallStep {
+        self.open = self.open.saturating_sub(1);
         match outcome {
-            AttemptOutcome::Answered => CallStep::Answer,
-            AttemptOutcome::Shed if self.may_repeat(budget, now) => self.send_again(now),
-            AttemptOutcome::Shed => CallStep::Answer,
-            AttemptOutcome::NotRun => {
-                let again = self.may_try(now) && self.resendable && budget.take_not_run();
-                if again {
-                    self.send_again(now)
-                } else {
-                    self.refuse_late(RefusalReason::Refused, now)
-                }
-            }
-            AttemptOutcome::Broken => {
+            AttemptOutcome::Answered => return CallStep::Answer,
+            AttemptOutcome::NotRun => {}
+            AttemptOutcome::Rejected => self.reached += 1,
+            AttemptOutcome::Failed | AttemptOutcome::Broken | AttemptOutcome::Stalled => {
+                self.reached += 1;
                 self.maybe_run = true;
-                let again = self.may_repeat(budget, now);
-                if again {
-                    self.send_again(now)
-                } else {
-                    self.refuse_late(RefusalReason::Broken, now)
-                }
-            }
-            AttemptOutcome::Stalled => {
-                self.maybe_run = true;
-                let again = self.may_repeat(budget, now);
-                if again {
-                    self.send_again(now)
-                } else {
-                    self.refuse(RefusalReason::DeadlinePassed)
-                }
             }
         }
+        if self.open > 0 {
+            return CallStep::Wait;
+        }
+        if now < self.rules.deadline && self.may_send_again(outcome, budget) {
+            return CallStep::Send;
+        }
+        match outcome {
+            AttemptOutcome::Failed => CallStep::Answer,
+            AttemptOutcome::Broken => self.refuse_late(RefusalReason::Broken, now),
+            AttemptOutcome::Stalled => self.refuse(RefusalReason::DeadlinePassed),
+            _ => self.refuse_late(RefusalReason::Refused, now),
+        }
+    }
+
+    /// Returns the step when no untried target is left.
+    pub fn lack_target(&self, has_answer: bool) -> CallStep {
+        match (self.open, has_answer) {
+            (1.., _) => CallStep::Wait,
+            (0, true) => CallStep::Answer,
+            (0, false) if self.tried.is_empty() => self.refuse(RefusalReason::NoTarget),
+            (0, false) => self.refuse(RefusalReason::Refused),
+        }
     }
 
     /// Refuses the call with what is known of the request.
     pub fn refuse(&self, reason: RefusalReason) -> CallStep {
-        let outcome = if self.maybe_run {
+        let outcome = if self.maybe_run || self.open > 0 {
             CallOutcome::Unknown
         } else {
             CallOutcome::NotRun
@@ -132,35 +172,25 @@
     }
 
     fn refuse_late(&self, reason: RefusalReason, now: TimePoint) -> CallStep {
-        self.refuse(if now >= self.deadline {
+        self.refuse(if now >= self.rules.deadline {
             RefusalReason::DeadlinePassed
         } else {
             reason
         })
     }
 
-    fn may_try(&self, now: TimePoint) -> bool {
-        now < self.deadline && self.tried.len() < MAX_ATTEMPTS
-    }
-
-    fn may_repeat(&self, budget: &mut RetryBudget, now: TimePoint) -> bool {
-        self.repeatable && self.resendable && self.may_try(now) && budget.take_retry()
-    }
-
-    fn send_again(&self, now: TimePoint) -> CallStep {
-        CallStep::Send {
-            deadline: self.attempt_deadline(now),
+    fn may_send_again(&self, outcome: AttemptOutcome, budget: &mut RetryBudget) -> bool {
+        if !self.rules.resendable || self.tried.len() >= MAX_OFFERS || !self.may_reach_another() {
+            return false;
+        }
+        match outcome {
+            AttemptOutcome::NotRun => budget.take_not_run(),
+            AttemptOutcome::Rejected => budget.take_retry(),
+            _ => self.rules.repeatable && budget.take_retry(),
         }
     }
 
-    /// A request that may be repeated is given half of the time left, so that a stalled target leaves time for
-    /// another one; any other request is given all of it.
-    fn attempt_deadline(&self, now: TimePoint) -> TimePoint {
-        let last = self.tried.len() + 1 >= MAX_ATTEMPTS;
-        if !self.repeatable || !self.resendable || last {
-            return self.deadline;
-        }
-        let half_ms = self.deadline.ms_since(now) / 2;
-        now.after_ms(half_ms.max(MIN_ATTEMPT_MS)).min(self.deadline)
+    fn may_reach_another(&self) -> bool {
+        self.reached + self.open < self.rules.attempts
     }
 }
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -3,9 +3,10 @@
 use {
     crate::macros::key_type,
     jiff::Timestamp,
+    rustix::time::{ClockId, clock_gettime},
     std::{
         fmt::{Display, Formatter},
-        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+        time::{Duration, SystemTime, UNIX_EPOCH},
     },
 };
 
@@ -55,11 +56,11 @@
     }
 }
 
-/// A clock that starts from the wall time and then follows the monotonic clock, so that a step of the wall
-/// clock can't move deadlines.
+/// A clock that starts from the wall time and then follows the time since boot, so that a step of the wall clock can't
+/// move deadlines and a suspension counts.
 #[derive(Debug, Clone, Copy)]
 pub struct ProcessClock {
-    started: Instant,
+    started: Duration,
     started_at: TimePoint,
 }
 
@@ -68,14 +69,19 @@
     pub fn start() -> Self {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Self {
-            started: Instant::now(),
+            started: since_boot(),
             started_at: TimePoint(since_epoch.as_millis() as u64),
         }
     }
 
     /// Returns the present time.
     pub fn now(&self) -> TimePoint {
-        self.started_at
-            .after_ms(self.started.elapsed().as_millis() as u64)
+        let elapsed = since_boot().saturating_sub(self.started);
+        self.started_at.after_ms(elapsed.as_millis() as u64)
     }
 }
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -3,8 +3,8 @@
 
 use {
     super::{
-        head::{ConfigHead, MoveOrder},
-        tables::{PoolEntry, RepeatRule, TableFault},
+        head::{ConfigHead, MoveOrder, TrafficLimits},
+        tables::{ANY_VERSION, PoolEntry, RepeatRule, TableFault},
     },
     std::{collections::HashMap, sync::Arc},
     thiserror::Error,
@@ -21,7 +21,22 @@
     pub order: Option<MoveOrder>,
 }
 
-/// A route that holds its pool.
+impl CompiledPool {
+    /// Tells whether a target version may serve the pool at all.
+    pub fn allows(&self, version: &str) -> bool {
+        match &self.order {
+            Some(order) => *order.to == *version || is_version(&order.from, version),
+            None => is_version(&self.entry.version, version),
+        }
+    }
+}
+
+/// Tells whether a wanted version is `version` or any.
+pub fn is_version(wanted: &str, version: &str) -> bool {
+    wanted == version || wanted == ANY_VERSION
+}
+
+/// A route that holds its pools.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CompiledRoute {
     /// Name of the route.
@@ -30,12 +45,18 @@
     pub path: Arc<str>,
     /// Methods; empty for all.
     pub methods: Vec<Arc<str>>,
-    /// The pool that serves the route.
-    pub pool: Arc<CompiledPool>,
+    /// The pools that serve the route, with the sum of the weights up to and with each; never empty.
+    pools: Vec<(u32, Arc<CompiledPool>)>,
     /// Whether requests may be repeated.
     pub repeat: RepeatRule,
-    /// Default timeout, in milliseconds.
+    /// Longest time that a call may take, in milliseconds.
     pub timeout_ms: u64,
+    /// Latency within which an answer has its full value, in milliseconds.
+    pub target_latency_ms: u64,
+    /// Rank under load; 0 is the most urgent.
+    pub priority: u8,
+    /// Most targets that one request may be sent to.
+    pub attempts: u32,
 }
 
 impl CompiledRoute {
@@ -48,6 +69,14 @@
         }
     }
 
+    /// Returns the pool of one request; `draw` is a uniform number from 0 to below 1.
+    pub fn pool(&self, draw: f64) -> &Arc<CompiledPool> {
+        let last = &self.pools[self.pools.len() - 1];
+        let at = (draw * f64::from(last.0)) as u32;
+        let drawn = self.pools.iter().find(|(end, _)| at < *end);
+        &drawn.unwrap_or(last).1
+    }
+
     fn takes_method(&self, method: &str) -> bool {
         self.methods.is_empty() || self.methods.iter().any(|own| &**own == method)
     }
@@ -74,13 +103,17 @@
     None,
 }
 
+type PathTable = HashMap<Arc<str>, Vec<Arc<CompiledRoute>>>;
+
 /// The compiled configuration, swapped in whole.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct CompiledTable {
     /// Version of the configuration.
     pub version: u64,
-    /// Routes by path.
-    routes: HashMap<Arc<str>, Vec<Arc<CompiledRoute>>>,
+    /// Routes by path, by host; those that take every host stand under the empty one.
+    hosts: HashMap<Arc<str>, PathTable>,
+    /// Limits on what callers send.
+    pub limits: TrafficLimits,
     /// Pools by name.
     pub pools: HashMap<Arc<str>, Arc<CompiledPool>>,
 }
@@ -97,6 +130,7 @@
         }
         let mut table = Self {
             version: head.version,
+            limits: head.limits,
             ..Self::default()
         };
         for (name, row) in &head.pools {
@@ -108,19 +142,35 @@
             table.pools.insert(Arc::clone(name), Arc::new(pool));
         }
         for (name, row) in &head.routes {
-            let Some(pool) = table.pools.get(&row.entry.pool) else {
+            let mut sum = 0;
+            let pools: Vec<(u32, Arc<CompiledPool>)> = row
+                .entry
+                .pools
+                .iter()
+                .filter_map(|share| {
+                    sum += share.weight;
+                    Some((sum, Arc::clone(table.pools.get(&share.pool)?)))
+                })
+                .collect();
+            if pools.is_empty() {
                 continue;
-            };
+            }
             let route = CompiledRoute {
                 name: Arc::clone(name),
                 path: Arc::clone(&row.entry.path),
                 methods: row.entry.methods.clone(),
-                pool: Arc::clone(pool),
+                pools,
                 repeat: row.entry.repeat,
                 timeout_ms: row.entry.timeout_ms,
+                target_latency_ms: row.entry.target_latency_ms.unwrap_or(row.entry.timeout_ms),
+                priority: row.entry.priority,
+                attempts: row.entry.attempts,
             };
+            let host = row.entry.host.clone().unwrap_or_default();
             table
-                .routes
+                .hosts
+                .entry(host)
+                .or_default()
                 .entry(Arc::clone(&route.path))
                 .or_default()
                 .push(Arc::new(route));
@@ -128,17 +178,21 @@
         Ok(table)
     }
 
-    /// Finds the route of a request: the longest path prefix that ends at a segment border and has the method.
-    pub fn find(&self, method: &str, path: &str) -> RouteMatch {
+    /// Finds the route of a request: the longest path prefix that ends at a segment border and has the method,
+    /// among the routes of the host, then among those that take every host.
+    pub fn find(&self, host: &str, method: &str, path: &str) -> RouteMatch {
         let mut wrong_method = false;
-        for prefix in prefixes(path) {
-            let Some(routes) = self.routes.get(prefix) else {
-                continue;
-            };
-            if let Some(route) = routes.iter().find(|route| route.takes_method(method)) {
-                return RouteMatch::Found(Arc::clone(route));
+        let tables = [self.hosts.get(host), self.hosts.get("")];
+        for table in tables.into_iter().flatten() {
+            for prefix in prefixes(path) {
+                let Some(routes) = table.get(prefix) else {
+                    continue;
+                };
+                if let Some(route) = routes.iter().find(|route| route.takes_method(method)) {
+                    return RouteMatch::Found(Arc::clone(route));
+                }
+                wrong_method = true;
             }
-            wrong_method = true;
         }
         if wrong_method {
             RouteMatch::WrongMethod
@@ -149,19 +203,19 @@
 
     /// Returns every route.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<CompiledRoute>> {
-        self.routes.values().flatten()
+        self.hosts.values().flat_map(HashMap::values).flatten()
     }
 }
 
-/// Yields the path itself and then each shorter prefix down to `/`.
+/// Yields the path itself and then each shorter prefix down to `/`: with its last slash, then without.
 fn prefixes(path: &str) -> impl Iterator<Item = &str> {
     std::iter::successors(Some(path), |current| shorter_prefix(current))
 }
 
 fn shorter_prefix(path: &str) -> Option<&str> {
-    match path.rfind('/') {
-        Some(0) if path.len() > 1 => Some("/"),
-        Some(at) if at > 0 => Some(&path[..at]),
-        _ => None,
+    if path.len() > 1 && path.ends_with('/') {
+        return Some(&path[..path.len() - 1]);
     }
+    let at = path.rfind('/')?;
+    (path.len() > 1).then(|| &path[..=at])
 }
--- a/src/config/delta.rs
+++ b/src/config/delta.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        head::{ChangeNote, ClosedMove, ConfigHead, HeadError, MoveOrder, Stamped, Tombstone},
+        head::{ChangeNote, ClosedMove, ConfigHead, HeadError, MoveOrder, Stamped, Tombstone, TrafficLimits},
         tables::{PoolEntry, RouteEntry, TableKind},
     },
     crate::macros::value_type,
@@ -24,6 +24,9 @@
         pub routes: IndexMap<Arc<str>, Stamped<RouteEntry>>,
         /// Pools that are new or changed.
         pub pools: IndexMap<Arc<str>, Stamped<PoolEntry>>,
+        /// Limits of the new head.
+        #[serde(default)]
+        pub limits: TrafficLimits,
         /// Tombstones of the new head.
         pub tombstones: Vec<Tombstone>,
         /// Delta floor of the new head.
@@ -69,6 +72,7 @@
             version: head.version,
             routes: changed_rows(&head.routes, base),
             pools: changed_rows(&head.pools, base),
+            limits: head.limits,
             tombstones: head
                 .tombstones
                 .iter()
@@ -99,6 +103,7 @@
         }
         let mut head = base.clone();
         head.version = self.version;
+        head.limits = self.limits;
         for tombstone in &self.tombstones {
             match tombstone.kind {
                 TableKind::Route => head.routes.shift_remove(&tombstone.name).map(drop),
--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -115,6 +115,17 @@
     }
 }
 
+key_type! {
+    /// Limits on what callers send; where one is missing, the daemon's settings hold.
+    #[derive(Default)]
+    pub struct TrafficLimits {
+        /// Largest request head, in bytes.
+        pub head_bytes: Option<u64>,
+        /// Largest request body, in bytes.
+        pub body_bytes: Option<u64>,
+    }
+}
+
 value_type! {
     /// The accepted configuration.
     #[derive(Default)]
@@ -125,6 +136,9 @@
         pub routes: IndexMap<Arc<str>, Stamped<RouteEntry>>,
         /// Pools by name.
         pub pools: IndexMap<Arc<str>, Stamped<PoolEntry>>,
+        /// Limits on what callers send.
+        #[serde(default)]
+        pub limits: TrafficLimits,
         /// Entries removed in the recent past, oldest first.
         pub tombstones: Vec<Tombstone>,
         /// Deltas to versions below this one can't be made, as older tombstones are gone.
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -10,13 +10,13 @@
 
 pub use {
     change::{AppliedEdit, EditError, EditRequest, HeadEdit, TableEdit, apply_edit},
-    compile::{CompileError, CompiledPool, CompiledRoute, CompiledTable, RouteMatch},
+    compile::{CompileError, CompiledPool, CompiledRoute, CompiledTable, RouteMatch, is_version},
     delta::{DeltaError, HeadDelta},
     diff::{EntryChange, TableDiff, diff_tables},
     head::{
         ChangeNote, ClosedMove, ConfigHead, HeadError, MAX_HEAD_BYTES, MoveOrder, MoveVerdict, Stamped,
-        Tombstone,
+        Tombstone, TrafficLimits,
     },
     parse::{ParseFault, ParseFaults, parse_tables, render_tables},
-    tables::{ConfigTables, MovePolicy, PoolEntry, RepeatRule, RouteEntry, TableFault, TableKind},
+    tables::{ANY_VERSION, ConfigTables, MovePolicy, PoolEntry, PoolShare, RepeatRule, RouteEntry, TableFault, TableKind},
 };
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -2,14 +2,15 @@
 
 use {
     super::tables::{
-        ConfigTables, DEFAULT_TIMEOUT_MS, MovePolicy, PoolEntry, RepeatRule, RouteEntry, TableFault,
+        ConfigTables, DEFAULT_ATTEMPTS, DEFAULT_TIMEOUT_MS, MAX_WEIGHT, MovePolicy, PoolEntry, PoolShare, RepeatRule,
+        RouteEntry, TableFault,
     },
     crate::{
         clock::TimePoint,
         ini::{IniSection, read_sections},
     },
     miette::Diagnostic,
-    std::{fmt::Write as _, sync::Arc},
+    std::{fmt::Write as _, str::FromStr, sync::Arc},
     thiserror::Error,
 };
 
@@ -131,12 +132,45 @@
             .filter(|m| !m.is_empty())
             .map(|m| m.to_ascii_uppercase().into())
             .collect(),
-        pool: section.take_required("pool", faults),
+        pools: read_shares(section, faults),
         repeat: repeat.unwrap_or_default(),
         timeout_ms: timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS),
+        host: section.take("host").map(Into::into),
+        target_latency_ms: read_number(section, "target_latency_ms", faults),
+        priority: read_number(section, "priority", faults).unwrap_or_default(),
+        attempts: read_number(section, "attempts", faults).unwrap_or(DEFAULT_ATTEMPTS),
     }
 }
 
+fn read_number<T: FromStr>(section: &mut IniSection, key: &str, faults: &mut Vec<ParseFault>) -> Option<T> {
+    section.take_parsed(key, "write a whole number", faults, |text| text.parse().ok())
+}
+
+/// Reads `NAME`, or `NAME:WEIGHT` several times.
+fn read_shares(section: &mut IniSection, faults: &mut Vec<ParseFault>) -> Vec<PoolShare> {
+    if !section.has("pool") {
+        section.take_required("pool", faults);
+        return Vec::new();
+    }
+    let remedy = "write the name of a pool, or several with weights, such as booking:90 trial:10";
+    let shares = section.take_parsed("pool", remedy, faults, |text| {
+        if !text.contains([':', ' ']) {
+            return Some(PoolShare::whole(text));
+        }
+        text.split_whitespace().map(read_share).collect()
+    });
+    shares.unwrap_or_default()
+}
+
+fn read_share(word: &str) -> Option<PoolShare> {
+    let (pool, weight) = word.split_once(':')?;
+    let weight = weight.parse().ok().filter(|weight| *weight <= MAX_WEIGHT)?;
+    Some(PoolShare {
+        pool: pool.into(),
+        weight,
+    })
+}
+
 fn read_pool(section: &mut IniSection, faults: &mut Vec<ParseFault>) -> PoolEntry {
     let finish_by = section.take_parsed(
         "finish_by",
@@ -157,6 +191,17 @@
     }
 }
 
+fn render_shares(shares: &[PoolShare]) -> String {
+    match shares {
+        [only] if only.weight == 1 => only.pool.to_string(),
+        _ => shares
+            .iter()
+            .map(|share| format!("{}:{}", share.pool, share.weight))
+            .collect::<Vec<_>>()
+            .join(" "),
+    }
+}
+
 /// Writes the tables as INI text that [`parse_tables`] reads back to the same value.
 pub fn render_tables(tables: &ConfigTables) -> String {
     let mut text = String::new();
@@ -178,9 +223,23 @@
         }
         let _ = writeln!(
             text,
-            "pool = {}\nrepeat = {repeat}\ntimeout_ms = {}\n",
-            route.pool, route.timeout_ms
+            "pool = {}\nrepeat = {repeat}\ntimeout_ms = {}",
+            render_shares(&route.pools),
+            route.timeout_ms
         );
+        if let Some(host) = &route.host {
+            let _ = writeln!(text, "host = {host}");
+        }
+        if let Some(latency_ms) = route.target_latency_ms {
+            let _ = writeln!(text, "target_latency_ms = {latency_ms}");
+        }
+        if route.priority > 0 {
+            let _ = writeln!(text, "priority = {}", route.priority);
+        }
+        if route.attempts != DEFAULT_ATTEMPTS {
+            let _ = writeln!(text, "attempts = {}", route.attempts);
+        }
+        text.push('\n');
     }
     for (name, pool) in &tables.pools {
         let policy = match pool.policy {
--- a/src/config/tables.rs
+++ b/src/config/tables.rs
@@ -19,6 +19,18 @@
 pub const MAX_NAME_BYTES: usize = 200;
 /// The longest timeout of a route, in milliseconds.
 pub const MAX_TIMEOUT_MS: u64 = 600_000;
+/// The most pools that one route may split its requests between.
+pub const MAX_SHARES: usize = 16;
+/// The highest weight of a pool within a route.
+pub const MAX_WEIGHT: u32 = 10_000;
+/// The least urgent priority of a route; 0 is the most urgent.
+pub const MAX_PRIORITY: u8 = 9;
+/// The most targets that one request may be sent to, where a route states none.
+pub const DEFAULT_ATTEMPTS: u32 = 4;
+/// The highest number of attempts that a route may state.
+pub const MAX_ATTEMPTS: u32 = 16;
+/// Stands for any target version in a pool whose version is not known yet.
+pub const ANY_VERSION: &str = "*";
 /// Stands for every method in messages about routes that name none.
 const ANY_METHOD: &str = "*";
 /// The timeout of a route that states none, in milliseconds.
@@ -70,18 +82,63 @@
 }
 
 value_type! {
-    /// One route: which requests go to which pool.
+    /// A pool's part of a route's requests.
+    pub struct PoolShare {
+        /// Name of the pool.
+        pub pool: Arc<str>,
+        /// Weight among the route's pools.
+        pub weight: u32,
+    }
+}
+
+impl PoolShare {
+    /// Gives all requests of a route to one pool.
+    pub fn whole(pool: impl Into<Arc<str>>) -> Vec<Self> {
+        vec![Self {
+            pool: pool.into(),
+            weight: 1,
+        }]
+    }
+}
+
+value_type! {
+    /// One route: which requests go to which pools.
     pub struct RouteEntry {
-        /// Path prefix, matched at segment borders; the longest match wins.
+        /// Host that the route takes; none for all.
+        pub host: Option<Arc<str>>,
+        /// Path prefix, matched at segment borders; the longest match wins. One that ends with a slash matches
+        /// only paths below it.
         pub path: Arc<str>,
         /// Methods that the route takes, in upper case; empty for all.
         pub methods: Vec<Arc<str>>,
-        /// Name of the pool that serves the route.
-        pub pool: Arc<str>,
+        /// Pools that serve the route, by weight.
+        pub pools: Vec<PoolShare>,
         /// Whether requests may be repeated.
         pub repeat: RepeatRule,
-        /// Time that a call may take when the caller states no deadline, in milliseconds.
+        /// Longest time that a call may take, in milliseconds.
         pub timeout_ms: u64,
+        /// Latency within which an answer has its full value, in milliseconds.
+        pub target_latency_ms: Option<u64>,
+        /// Rank under load; 0 is the most urgent.
+        pub priority: u8,
+        /// Most targets that one request may be sent to.
+        pub attempts: u32,
+    }
+}
+
+impl Default for RouteEntry {
+    fn default() -> Self {
+        Self {
+            host: None,
+            path: "/".into(),
+            methods: Vec::new(),
+            pools: Vec::new(),
+            repeat: RepeatRule::default(),
+            timeout_ms: DEFAULT_TIMEOUT_MS,
+            target_latency_ms: None,
+            priority: 0,
+            attempts: DEFAULT_ATTEMPTS,
+        }
     }
 }
 
@@ -121,6 +178,18 @@
         /// Name of the missing pool.
         pool: Arc<str>,
     },
+    /// A number of a route is out of range.
+    #[error("route {route}: {key} must be {low} to {high}")]
+    OutOfRange {
+        /// Name of the route.
+        route: Arc<str>,
+        /// Key at fault.
+        key: &'static str,
+        /// Lowest value.
+        low: u64,
+        /// Highest value.
+        high: u64,
+    },
     /// Two routes take the same requests.
     #[error("routes {first} and {second} both take {method} {path}; change the path or the methods of one")]
     SameRequests {
@@ -151,12 +220,6 @@
         /// Name of the route.
         route: Arc<str>,
     },
-    /// A timeout is out of range.
-    #[error("route {route}: timeout_ms must be 1 to 600000")]
-    BadTimeout {
-        /// Name of the route.
-        route: Arc<str>,
-    },
     /// A table holds too many entries.
     #[error("the table of {kind}s holds {count} entries, 4000 are allowed; remove unused ones")]
     TooMany {
@@ -203,29 +266,57 @@
                 route: Arc::clone(name),
             });
         }
-        if route.timeout_ms == 0 || route.timeout_ms > MAX_TIMEOUT_MS {
-            faults.push(TableFault::BadTimeout {
-                route: Arc::clone(name),
-            });
+        let weights: u64 = route.pools.iter().map(|share| u64::from(share.weight)).sum();
+        for (key, value, low, high) in [
+            ("timeout_ms", route.timeout_ms, 1, MAX_TIMEOUT_MS),
+            (
+                "target_latency_ms",
+                route.target_latency_ms.unwrap_or(1),
+                1,
+                MAX_TIMEOUT_MS,
+            ),
+            ("priority", u64::from(route.priority), 0, u64::from(MAX_PRIORITY)),
+            ("attempts", u64::from(route.attempts), 1, u64::from(MAX_ATTEMPTS)),
+            ("pool", route.pools.len() as u64, 1, MAX_SHARES as u64),
+            (
+                "sum of weights",
+                weights,
+                1,
+                u64::from(MAX_WEIGHT) * MAX_SHARES as u64,
+            ),
+        ] {
+            if !(low..=high).contains(&value) {
+                faults.push(TableFault::OutOfRange {
+                    route: Arc::clone(name),
+                    key,
+                    low,
+                    high,
+                });
+            }
         }
         for method in &route.methods {
             check_word(faults, TableKind::Route, name, "methods", method);
         }
-        if !self.pools.contains_key(&route.pool) {
-            faults.push(TableFault::DanglingPool {
-                route: Arc::clone(name),
-                pool: Arc::clone(&route.pool),
-            });
+        if let Some(host) = &route.host {
+            check_word(faults, TableKind::Route, name, "host", host);
+        }
+        for share in &route.pools {
+            if !self.pools.contains_key(&share.pool) {
+                faults.push(TableFault::DanglingPool {
+                    route: Arc::clone(name),
+                    pool: Arc::clone(&share.pool),
+                });
+            }
         }
     }
 
     fn check_overlaps(&self, faults: &mut Vec<TableFault>) {
-        let mut taken: IndexMap<(&str, &str), &Arc<str>> = IndexMap::new();
+        let mut taken: IndexMap<(&str, &str, &str), &Arc<str>> = IndexMap::new();
         for (name, route) in &self.routes {
             let methods = route.methods.iter().map(|method| &**method);
             let any = route.methods.is_empty().then_some(ANY_METHOD);
             for method in methods.chain(any) {
-                if let Some(first) = taken.insert((&route.path, method), name) {
+                if let Some(first) = taken.insert((route.host.as_deref().unwrap_or(""), &route.path, method), name) {
                     faults.push(TableFault::SameRequests {
                         first: Arc::clone(first),
                         second: Arc::clone(name),
--- a/src/daemon/control/answers.rs
+++ b/src/daemon/control/answers.rs
@@ -78,7 +78,7 @@
             name: Arc::clone(&self.shared.settings.name),
             version: self.spread.version(),
             floor: self.spread.floor(),
-            is_store_up: !self.watch.is_down(),
+            is_store_up: !self.store_was_down,
             in_flight: self.shared.gate.lock().state.in_flight(),
             own: self.members.own().clone(),
             members: self.members.others().cloned().collect(),
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -1,28 +1,24 @@
 //! Configuration: the watch on the store, pulls from peers, and the snapshot that traffic reads.
 
 use {
-    super::{ControlState, SEEDS_INTERVAL_MS},
+    super::{ControlState, SEEDS_INTERVAL_MS, VERSIONS_INTERVAL_MS},
     crate::{
         clock::TimePoint,
-        config::{CompiledTable, ConfigHead},
+        config::{ANY_VERSION, CompiledPool, CompiledTable, ConfigHead},
         daemon::{
             envelope::{ControlReply, ControlRequest},
-            seeds::{wanted_seeds, write_seeds},
+            seeds::wanted_seeds,
             snapshot::TrafficSnapshot,
-            store_watch::ask_store,
             tasks::ControlEvent,
         },
-        member::is_among_best,
+        member::{MemberRecord, TargetStatus, best_ranked, is_among_best},
         spread::{ConfigReply, OfferRefusal},
-        store::{StoreError, StoreValue, WriteError},
+        store::{StoreError, WriteError},
         timeline::EventKind,
     },
     std::{collections::HashSet, net::SocketAddr, sync::Arc},
 };
 
-/// Daemons in each data centre that hold a watch on the store.
-const WATCHERS_PER_CENTRE: usize = 2;
-
 impl ControlState {
     pub(super) fn tick_store(&mut self, now: TimePoint) {
         let settings = &self.shared.settings;
@@ -32,21 +28,52 @@
             .filter(|record| record.data_centre == settings.data_centre);
         let job = format!("watch/{}", settings.data_centre);
         let names = local.map(|record| &*record.name);
-        let is_watcher = is_among_best(&job, &settings.name, names, WATCHERS_PER_CENTRE);
+        let is_watcher = is_among_best(&job, &settings.name, names, settings.watchers);
         // A daemon that knows nobody yet leaves the store to those that do, for as long as it may still join.
         let may_ask = self.join.has_synced || now >= self.join.limit || settings.peers.is_empty();
-        if is_watcher
-            && may_ask
-            && let Some(index) = self.watch.next_call(now)
-        {
-            ask_store(&self.shared, &self.store, &self.events, index);
-        }
+        self.store.set_watcher(is_watcher && may_ask);
         if now >= self.seeds_at {
             self.seeds_at = now.after_ms(SEEDS_INTERVAL_MS);
             if is_watcher {
                 let wanted = wanted_seeds(self.members.present(), &settings.data_centre);
-                self.shared.metrics.store_calls.inc_by(2);
-                write_seeds(&self.store, Arc::clone(&settings.data_centre), wanted);
+                self.store.keep_seeds(wanted);
+            }
+        }
+    }
+
+    /// Has the version recorded that serves a pool of the own service, where the configuration names none: the one
+    /// that most targets have.
+    pub(super) fn tick_versions(&mut self, now: TimePoint) {
+        if now < self.versions_at {
+            return;
+        }
+        self.versions_at = now.after_ms(VERSIONS_INTERVAL_MS);
+        let Some(table) = &self.table else { return };
+        let service = &self.shared.settings.target.service;
+        let unrecorded = |pool: &&Arc<CompiledPool>| {
+            pool.entry.service == *service && &*pool.entry.version == ANY_VERSION
+        };
+        for pool in table.pools.values().filter(unrecorded) {
+            let moving_to = pool.order.as_ref().map_or("", |order| &order.to);
+            let gates = self.members.present().filter(|record| {
+                record.target.service == *service
+                    && record.target.status == TargetStatus::Serving
+                    && *record.target.version != *moving_to
+            });
+            let gates: Vec<&MemberRecord> = gates.collect();
+            let names = gates.iter().map(|record| &*record.name);
+            if best_ranked(&pool.name, names, 1) != [&*self.shared.settings.name] {
+                continue;
+            }
+            let count = |version: &Arc<str>| {
+                gates
+                    .iter()
+                    .filter(|record| record.target.version == *version)
+                    .count()
+            };
+            let versions = gates.iter().map(|record| &record.target.version);
+            if let Some(version) = versions.max_by_key(|version| count(version)) {
+                self.store.record_version(&pool.name, version);
             }
         }
     }
@@ -70,21 +97,19 @@
         }
     }
 
-    pub(super) fn finish_read(&mut self, result: Result<Option<StoreValue>, StoreError>, now: TimePoint) {
+    pub(super) fn finish_read(&mut self, result: Result<Option<Box<ConfigHead>>, StoreError>, now: TimePoint) {
         match result {
-            Ok(value) => {
-                self.watch
-                    .succeed(value.as_ref().map_or(0, |value| value.index), now);
+            Ok(head) => {
                 if std::mem::take(&mut self.store_was_down) {
                     self.ring
                         .record(EventKind::StoreUp, "the store answers again", now);
                 }
-                if let Some(value) = value {
-                    self.offer_stored(&value.data, now);
+                if let Some(head) = head {
+                    let offer = self.spread.offer_stored(*head);
+                    self.finish_offer(offer, "store", now);
                 }
             }
             Err(error) => {
-                self.watch.fail(now);
                 if !std::mem::replace(&mut self.store_was_down, true) {
                     self.ring.record(EventKind::StoreDown, error.to_string(), now);
                 }
@@ -92,16 +117,6 @@
         }
     }
 
-    pub(super) fn offer_stored(&mut self, data: &[u8], now: TimePoint) {
-        match ConfigHead::open(data) {
-            Ok(head) => {
-                let offer = self.spread.offer_stored(head);
-                self.finish_offer(offer, "store", now);
-            }
-            Err(error) => self.finish_offer(Err(error.into()), "store", now),
-        }
-    }
-
     pub(super) fn finish_pull(&mut self, peer: SocketAddr, reply: Option<ConfigReply>, now: TimePoint) {
         let Some(reply) = reply else {
             self.spread.fail_pull(peer);
--- a/src/daemon/control/joining.rs
+++ b/src/daemon/control/joining.rs
@@ -2,13 +2,15 @@
 
 use {
     super::{ControlState, JOIN_LIMIT_MS},
-    crate::{clock::TimePoint, daemon::seeds::read_seeds},
+    crate::clock::TimePoint,
     rand::RngExt,
-    std::{net::SocketAddr, sync::Arc},
+    std::net::SocketAddr,
 };
 
 /// Time between two tries to join, in milliseconds.
 const JOIN_INTERVAL_MS: u64 = 500;
+/// Time between two reads of the stored seeds while no peer answers, in milliseconds.
+const SEEDS_PAUSE_MS: u64 = 1_000;
 
 impl ControlState {
     pub(super) fn tick_join(&mut self, now: TimePoint) {
@@ -49,15 +51,9 @@
             self.start_sync(*contact, Vec::new(), now);
         }
         let alone_for_long = now.after_ms(JOIN_LIMIT_MS / 2) >= self.join.limit;
-        if !self.join.asked_seeds && (contacts.is_empty() || alone_for_long) {
-            self.join.asked_seeds = true;
-            self.shared.metrics.store_calls.inc_by(2);
-            read_seeds(
-                &self.store,
-                &self.events,
-                Arc::clone(&self.shared.settings.data_centre),
-                own,
-            );
+        if now >= self.join.seeds_at && (contacts.is_empty() || alone_for_long) {
+            self.join.seeds_at = now.after_ms(SEEDS_PAUSE_MS);
+            self.store.read_seeds(own);
         }
     }
 }
--- a/src/daemon/control/leaving.rs
+++ b/src/daemon/control/leaving.rs
@@ -8,8 +8,6 @@
 
 /// Quiet time at the end of a drain, in which late calls are refused instead of cut, in milliseconds.
 const DRAIN_QUIET_MS: u64 = 500;
-/// Least time between the announcement of leaving and the exit, in milliseconds.
-const DRAIN_ANNOUNCE_MS: u64 = 1_000;
 
 impl ControlState {
     pub(super) fn start_drain(&mut self, now: TimePoint) {
@@ -22,7 +20,7 @@
             now,
         );
         self.drain = DrainPhase::Finishing {
-            announced_until: now.after_ms(DRAIN_ANNOUNCE_MS),
+            announced_until: now.after_ms(self.shared.settings.leave_ms),
             limit: now.after_ms(self.shared.settings.drain_limit_ms),
         };
         self.shared.is_leaving.store(true, Ordering::Release);
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -9,9 +9,9 @@
 
 use {
     super::{
+        edges::{ControlInbox, DaemonEdges, EdgeContext, StoreEdge},
         move_runner::MoveRunner,
         shared::{SharedState, TrafficNote},
-        store_watch::StoreWatch,
         tasks::{ControlClient, ControlEvent},
     },
     crate::{
@@ -20,7 +20,6 @@
         member::{MemberRecord, MemberState, MemberStatus, TargetRecord, TargetStatus},
         moves::WINDOW_MS,
         spread::SpreadState,
-        store::HttpStore,
         timeline::{EventKind, EventRing},
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
@@ -41,6 +40,9 @@
 /// Time between two looks at the stored seeds, in milliseconds.
 const SEEDS_INTERVAL_MS: u64 = 60_000;
 
+/// Time between two looks for pools whose version is not recorded, in milliseconds.
+const VERSIONS_INTERVAL_MS: u64 = 1_000;
+
 /// How far the daemon is with leaving.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum DrainPhase {
@@ -65,7 +67,16 @@
     pending: usize,
     has_synced: bool,
     asked_keepers: bool,
-    asked_seeds: bool,
+    seeds_at: TimePoint,
+}
+
+/// The latest start of a target that was heard of.
+#[derive(Debug, Clone)]
+struct AnnouncedTarget {
+    id: Arc<str>,
+    born: u64,
+    seq: u64,
+    has_left: bool,
 }
 
 /// All control state of a daemon.
@@ -78,18 +89,20 @@
     table: Option<Arc<CompiledTable>>,
     ring: EventRing,
     moves: MoveRunner,
-    watch: StoreWatch,
     join: JoinProgress,
     drain: DrainPhase,
     client: ControlClient,
-    store: HttpStore,
+    store: Box<dyn StoreEdge>,
     events: mpsc::Sender<ControlEvent>,
     datagrams: Arc<UdpSocket>,
     sync_at: TimePoint,
     slice_at: TimePoint,
     seeds_at: TimePoint,
+    versions_at: TimePoint,
     target_probe_at: TimePoint,
     target_failures: u32,
+    /// Start and latest announcement of the target that stands beside this daemon.
+    announced: Option<AnnouncedTarget>,
     store_was_down: bool,
     is_stale: bool,
     rng: SmallRng,
@@ -101,13 +114,12 @@
         shared: Arc<SharedState>,
         events: mpsc::Sender<ControlEvent>,
         datagrams: Arc<UdpSocket>,
+        edges: DaemonEdges,
         now: TimePoint,
     ) -> Self {
         let settings = &shared.settings;
         let mut rng = SmallRng::seed_from_u64(rand::random());
-        let store = HttpStore::new(&settings.store);
         let client = ControlClient::new(Arc::clone(&shared), events.clone());
-        let first_call = now.after_ms(rng.random_range(0..1_000));
         let mut ring = EventRing::new(Arc::clone(&settings.name));
         let target = &settings.target;
         let detail = format!(
@@ -115,14 +127,22 @@
             target.service, target.version, target.slots
         );
         ring.record(EventKind::Started, detail, now);
+        let context = EdgeContext {
+            settings: Arc::clone(settings),
+            inbox: ControlInbox::new(events.clone()),
+            shared: Arc::clone(&shared),
+        };
+        if let Some(serve) = edges.serve_announcements {
+            tokio::spawn(serve(context.clone()));
+        }
+        let store = (edges.open_store)(&context);
         Self {
             instance: now.0,
             members: MemberState::new(own_record(&shared, now), rng.random(), now),
             spread: SpreadState::default(),
             table: None,
             ring,
-            moves: MoveRunner::new(Arc::clone(&shared), client.clone(), store.clone(), events.clone()),
-            watch: StoreWatch::new(first_call, settings.store_calls_per_s, rng.random()),
+            moves: MoveRunner::new(Arc::clone(&shared), client.clone()),
             join: JoinProgress {
                 limit: now.after_ms(JOIN_LIMIT_MS),
                 next_at: now,
@@ -130,7 +150,7 @@
                 pending: 0,
                 has_synced: false,
                 asked_keepers: false,
-                asked_seeds: false,
+                seeds_at: now,
             },
             drain: DrainPhase::Serving,
             client,
@@ -140,8 +160,10 @@
             slice_at: now,
             sync_at: now.after_ms(rng.random_range(0..SYNC_INTERVAL_MS)),
             seeds_at: now.after_ms(SEEDS_INTERVAL_MS / 4),
+            versions_at: now.after_ms(VERSIONS_INTERVAL_MS),
             target_probe_at: now,
             target_failures: 0,
+            announced: None,
             store_was_down: false,
             is_stale: true,
             rng,
@@ -208,6 +230,9 @@
                 self.finish_verdict(&pool, move_id, result, now);
             }
             ControlEvent::SeedsRead(seeds) => self.join.contacts.extend(seeds),
+            ControlEvent::TargetSaid { message, reply } => {
+                let _ = reply.send(self.hear_target(message, now));
+            }
             ControlEvent::TargetProbed(is_ready) => self.finish_target_probe(is_ready, now),
             ControlEvent::Note(TrafficNote::Ejected { target }) => {
                 self.ring
@@ -234,9 +259,11 @@
         self.carry_out(effects, now);
         self.tick_join(now);
         self.tick_store(now);
+        self.tick_versions(now);
         self.tick_sync(now);
         self.tick_target(now);
-        self.moves.tick(&self.members, &mut self.ring, now);
+        self.moves
+            .tick(&self.members, &mut *self.store, &mut self.ring, now);
         self.tick_pull(now);
         self.tick_drain(now)
     }
@@ -254,6 +281,7 @@
         region: Arc::clone(&settings.region),
         data_centre: Arc::clone(&settings.data_centre),
         target: TargetRecord {
+            id: Arc::clone(&shared.target.load().id),
             service: Arc::clone(&settings.target.service),
             version: Arc::clone(&settings.target.version),
             slots: settings.target.slots,
--- a/src/daemon/control/target.rs
+++ b/src/daemon/control/target.rs
@@ -1,9 +1,18 @@
 //! Readiness of the own target.
 
 use {
-    super::{ControlState, DrainPhase},
-    crate::{clock::TimePoint, daemon::tasks::ControlEvent, member::TargetStatus, timeline::EventKind},
-    std::time::Duration,
+    super::{AnnouncedTarget, ControlState, DrainPhase},
+    crate::{
+        clock::TimePoint,
+        daemon::{
+            edges::{TargetAnnouncement, TargetMessage},
+            shared::TargetIdentity,
+            tasks::ControlEvent,
+        },
+        member::TargetStatus,
+        timeline::EventKind,
+    },
+    std::{sync::Arc, time::Duration},
     tokio::{net::TcpStream, time::timeout},
 };
 
@@ -16,7 +25,9 @@
 
 impl ControlState {
     pub(super) fn tick_target(&mut self, now: TimePoint) {
-        if now < self.target_probe_at || self.drain != DrainPhase::Serving {
+        if self.shared.settings.announcements.is_some()
+            || now < self.target_probe_at
+            || self.drain != DrainPhase::Serving {
             return;
         }
         self.target_probe_at = now.after_ms(TARGET_PROBE_MS);
@@ -29,7 +40,7 @@
     }
 
     pub(super) fn finish_target_probe(&mut self, is_ready: bool, now: TimePoint) {
-        if self.drain != DrainPhase::Serving {
+        if self.drain != DrainPhase::Serving || self.shared.settings.announcements.is_some() {
             return;
         }
         let status = self.members.own().target.status;
@@ -50,6 +61,99 @@
         }
     }
 
+    /// Takes in what the target says of itself. Returns false if it comes from a start that is over.
+    pub(super) fn hear_target(&mut self, message: TargetMessage, now: TimePoint) -> bool {
+        match message {
+            TargetMessage::Announce(announcement) => self.hear_announcement(announcement, now),
+            TargetMessage::Leave { id, born } => {
+                let is_present = self.announced.as_mut().is_none_or(|known| {
+                    let is_meant = known.id == id && born.is_none_or(|born| born >= known.born);
+                    known.has_left |= is_meant;
+                    is_meant
+                });
+                if is_present {
+                    self.drain_target("the target says that it goes", now);
+                }
+                true
+            }
+        }
+    }
+
+    fn hear_announcement(&mut self, announcement: TargetAnnouncement, now: TimePoint) -> bool {
+        let TargetAnnouncement {
+            id,
+            born,
+            seq,
+            version,
+            address,
+            slots,
+            is_leaving,
+        } = announcement;
+        if let Some(known) = &mut self.announced {
+            let is_same = known.id == id && known.born == born;
+            let is_over = born < known.born || (is_same && (seq <= known.seq || known.has_left));
+            if is_over {
+                log::info!("event=announcement-late target={id} born={born} seq={seq}");
+                // A target that repeats itself after it has left is told so again.
+                return is_same;
+            }
+            if is_same {
+                known.seq = seq;
+                known.has_left |= is_leaving;
+                if is_leaving {
+                    self.drain_target("the target drains", now);
+                    return true;
+                }
+                if self.members.own().target.status == TargetStatus::Serving {
+                    return true;
+                }
+            }
+        }
+        self.announced = Some(AnnouncedTarget {
+            id: Arc::clone(&id),
+            born,
+            seq,
+            has_left: is_leaving,
+        });
+        let identity = TargetIdentity {
+            id: Arc::clone(&id),
+            version: Arc::clone(&version),
+            address,
+            slots,
+        };
+        self.shared.target.store(Arc::new(identity));
+        let mut record = self.members.own().target.clone();
+        record.id = id;
+        record.version = version;
+        record.slots = slots;
+        let may_serve = !is_leaving && self.drain == DrainPhase::Serving;
+        if may_serve {
+            self.shared.gate.lock().state.reopen(slots, now);
+            record.status = TargetStatus::Serving;
+        } else {
+            record.status = TargetStatus::Leaving;
+        }
+        let detail = format!("target={} version={} {}", record.id, record.version, record.status);
+        let effects = self.members.set_target(record);
+        self.is_stale = true;
+        self.carry_out(effects, now);
+        self.ring.record(EventKind::TargetReady, detail, now);
+        true
+    }
+
+    fn drain_target(&mut self, why: &str, now: TimePoint) {
+        if self.members.own().target.status == TargetStatus::Leaving {
+            return;
+        }
+        {
+            let mut gate = self.shared.gate.lock();
+            let wakes = gate.state.drain();
+            gate.wake(wakes, now);
+        }
+        self.set_target_status(TargetStatus::Leaving, now);
+        self.ring.record(EventKind::TargetLost, why, now);
+    }
+
     pub(super) fn set_target_status(&mut self, status: TargetStatus, now: TimePoint) {
         let effects = self.members.set_target_status(status);
         self.is_stale = true;
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -41,6 +41,13 @@
     pub kind: &'static str,
 }
 
+/// Labels of calls to the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StoreLabels {
+    /// What was asked.
+    pub kind: &'static str,
+}
+
 /// Labels of closed moves.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct MoveLabels {
@@ -60,8 +67,8 @@
     pub convergence: Histogram,
     /// Bytes of control traffic.
     pub control_bytes: Family<ControlLabels, Counter>,
-    /// Calls to the store.
-    pub store_calls: Counter,
+    /// Calls to the store by kind.
+    store_calls: Family<StoreLabels, Counter>,
     /// Moves closed by this daemon's controllers.
     pub closed_moves: Family<MoveLabels, Counter>,
     /// Configurations refused.
@@ -83,7 +90,7 @@
             known_labels: Mutex::default(),
             convergence: Histogram::new(exponential_buckets(0.01, 2.0, 14)),
             control_bytes: Family::default(),
-            store_calls: Counter::default(),
+            store_calls: Family::default(),
             closed_moves: Family::default(),
             refused_offers: Counter::default(),
             version: Gauge::default(),
@@ -136,12 +143,17 @@
     }
 
     /// Counts a refused call.
-    pub fn count_refusal(&self, route: &Arc<str>, pool: &Arc<str>, outcome: CallOutcome) {
+    pub fn count_refusal(&self, route: &str, pool: &str, outcome: CallOutcome) {
         let outcome = match outcome {
             CallOutcome::NotRun => "not-run",
             CallOutcome::Unknown => "unknown",
         };
-        self.count(route, pool, &Arc::from(""), outcome);
+        self.count(&route.into(), &pool.into(), &Arc::from(""), outcome);
+    }
+
+    /// Counts a call to the store.
+    pub fn count_store_call(&self, kind: &'static str) {
+        self.store_calls.get_or_create(&StoreLabels { kind }).inc();
     }
 
     /// Counts bytes of control traffic.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,26 +1,30 @@
 //! The daemon: one control thread that owns all control state, and traffic threads that carry calls.
 
 mod control;
+mod edges;
 mod envelope;
 mod evidence_book;
-mod inbound;
+mod logs;
 mod metrics;
 mod move_runner;
 mod operators;
-mod outbound;
-mod peer_client;
-mod relay;
+mod own_store;
+mod readiness;
 mod run;
 mod seeds;
 mod shared;
 mod snapshot;
-mod store_watch;
 mod tasks;
+mod traffic;
 
 pub use {
+    edges::{
+        ControlInbox, DaemonEdges, EdgeContext, MoveClosing, StoreEdge, TargetAnnouncement, TargetMessage,
+    },
     envelope::{ControlReply, ControlRequest, Envelope, EnvelopeError, PROTOCOL_VERSION, accept, enclose},
     operators::{DaemonStatus, MoveStatus},
-    relay::header,
+    logs::start_logs,
     run::{RunError, run},
     snapshot::TrafficSnapshot,
+    traffic::{AnswerVerdict, CallDialect, CallerCall, OwnDialect, TargetCall, header},
 };
--- a/src/daemon/move_runner.rs
+++ b/src/daemon/move_runner.rs
@@ -4,32 +4,28 @@
 use {
     super::{
         envelope::{ControlReply, ControlRequest},
+        edges::{MoveClosing, StoreEdge},
         shared::SharedState,
         tasks::{ControlClient, ControlEvent},
     },
     crate::{
         clock::TimePoint,
-        codec,
-        config::{CompiledPool, CompiledTable, EditRequest, MoveOrder, MoveVerdict, TableEdit},
+        config::{CompiledPool, CompiledTable, MoveOrder},
         member::{MemberState, best_ranked},
         moves::{
             Clearance, ControllerStart, GateReport, MoveController, MoveEffect, PollReply, PollRequest,
             WINDOW_MS,
         },
-        store::{HttpStore, MOVES_PREFIX, StoreClient, write_change},
         timeline::{EventKind, EventRing},
     },
     indexmap::IndexMap,
     std::{net::SocketAddr, sync::Arc},
-    tokio::sync::mpsc,
 };
 
 /// Time between two looks at a move that another daemon holds, in milliseconds.
 const LOOK_INTERVAL_MS: u64 = 1_000;
 /// Time after which a look is evaluated without the gates that did not answer, in milliseconds.
 const LOOK_WAIT_MS: u64 = 800;
-/// Time that one try to write a verdict may take, in milliseconds.
-const VERDICT_TRY_MS: u64 = 5_000;
 /// Pause between two tries, in milliseconds.
 const VERDICT_PAUSE_MS: u64 = 1_000;
 
@@ -69,24 +65,15 @@
 pub struct MoveRunner {
     shared: Arc<SharedState>,
     client: ControlClient,
-    store: HttpStore,
-    events: mpsc::Sender<ControlEvent>,
     moves: IndexMap<Arc<str>, OpenMove>,
 }
 
 impl MoveRunner {
     /// Makes a runner without moves.
-    pub fn new(
-        shared: Arc<SharedState>,
-        client: ControlClient,
-        store: HttpStore,
-        events: mpsc::Sender<ControlEvent>,
-    ) -> Self {
+    pub fn new(shared: Arc<SharedState>, client: ControlClient) -> Self {
         Self {
             shared,
             client,
-            store,
-            events,
             moves: IndexMap::new(),
         }
     }
@@ -127,20 +114,33 @@
     }
 
     /// Does what is due.
-    pub fn tick(&mut self, members: &MemberState, ring: &mut EventRing, now: TimePoint) {
+    pub fn tick(
+        &mut self,
+        members: &MemberState,
+        store: &mut dyn StoreEdge,
+        ring: &mut EventRing,
+        now: TimePoint,
+    ) {
         let pools: Vec<Arc<str>> = self.moves.keys().cloned().collect();
         for pool in pools {
-            self.tick_move(&pool, members, ring, now);
+            self.tick_move(&pool, members, store, ring, now);
         }
     }
 
-    fn tick_move(&mut self, pool: &Arc<str>, members: &MemberState, ring: &mut EventRing, now: TimePoint) {
-        self.finish_look(pool, members, ring, now);
+    fn tick_move(
+        &mut self,
+        pool: &Arc<str>,
+        members: &MemberState,
+        store: &mut dyn StoreEdge,
+        ring: &mut EventRing,
+        now: TimePoint,
+    ) {
+        self.finish_look(pool, members, store, ring, now);
         let Some(open) = self.moves.get_mut(pool) else {
             return;
         };
         if open.controller.is_some() {
-            self.run_controller(pool, members, ring, now);
+            self.run_controller(pool, members, store, ring, now);
             return;
         }
         let service = &open.service;
@@ -162,7 +162,14 @@
         }
     }
 
-    fn finish_look(&mut self, pool: &Arc<str>, members: &MemberState, ring: &mut EventRing, now: TimePoint) {
+    fn finish_look(
+        &mut self,
+        pool: &Arc<str>,
+        members: &MemberState,
+        store: &mut dyn StoreEdge,
+        ring: &mut EventRing,
+        now: TimePoint,
+    ) {
         let Some(open) = self.moves.get_mut(pool) else {
             return;
         };
@@ -184,7 +191,7 @@
             (None, StoredProgress::Asked) => return,
             (None, StoredProgress::Unasked) => {
                 open.progress = StoredProgress::Asked;
-                read_progress(&self.store, &self.events, pool, open.order.id);
+                store.read_progress(pool, open.order.id);
                 return;
             }
         };
@@ -206,6 +213,7 @@
         &mut self,
         pool: &Arc<str>,
         members: &MemberState,
+        store: &mut dyn StoreEdge,
         ring: &mut EventRing,
         now: TimePoint,
     ) {
@@ -230,7 +238,7 @@
                         now,
                     );
                     poll_now = true;
-                    save_progress(&self.store, pool, controller.clearance());
+                    store.save_progress(pool, &open.order, controller.clearance());
                 }
                 MoveEffect::AtRisk { reason } => {
                     ring.record_move(EventKind::MoveAtRisk, pool, move_id, reason, now);
@@ -240,15 +248,13 @@
                         open.is_writing = true;
                         let detail = format!("verdict={verdict}: {reason}");
                         ring.record_move(EventKind::MoveDecided, pool, move_id, detail, now);
-                        write_verdict(
-                            &self.shared,
-                            &self.store,
-                            &self.events,
-                            pool,
-                            move_id,
+                        store.close_move(MoveClosing {
+                            pool: Arc::clone(pool),
+                            order: open.order.clone(),
                             verdict,
-                            &reason,
-                        );
+                            reason,
+                            at: now,
+                        });
                         poll_now = true;
                     }
                 }
@@ -379,7 +385,7 @@
     is_serving: bool,
     now: TimePoint,
 ) -> PollReply {
-    let target = &shared.settings.target;
+    let target = shared.target.load();
     let mut board = shared.moves.lock();
     let lease = board.leases.entry(Arc::clone(&request.pool)).or_default();
     let offered = request.clearance;
@@ -415,67 +421,3 @@
         },
     }
 }
-
-/// Keeps the share in the store, so that a move goes on after the loss of every gate. A failure is harmless.
-fn save_progress(store: &HttpStore, pool: &Arc<str>, clearance: &Clearance) {
-    let (store, key) = (store.clone(), format!("{MOVES_PREFIX}/{pool}"));
-    let Ok(bytes) = codec::encode(clearance) else {
-        return;
-    };
-    tokio::spawn(async move {
-        let _ = store.write(&key, bytes).await;
-    });
-}
-
-/// Reads the share kept by [`save_progress`].
-fn read_progress(store: &HttpStore, events: &mpsc::Sender<ControlEvent>, pool: &Arc<str>, move_id: u64) {
-    let (store, events, pool) = (store.clone(), events.clone(), Arc::clone(pool));
-    tokio::spawn(async move {
-        let value = store.read(&format!("{MOVES_PREFIX}/{pool}")).await.ok().flatten();
-        let stored = value.and_then(|value| codec::decode(&value.data).ok());
-        let _ = events
-            .send(ControlEvent::ProgressRead {
-                pool,
-                move_id,
-                stored,
-            })
-            .await;
-    });
-}
-
-fn write_verdict(
-    shared: &Arc<SharedState>,
-    store: &HttpStore,
-    events: &mpsc::Sender<ControlEvent>,
-    pool: &Arc<str>,
-    move_id: u64,
-    verdict: MoveVerdict,
-    reason: &Arc<str>,
-) {
-    let (store, events, clock, pool) = (store.clone(), events.clone(), shared.clock, Arc::clone(pool));
-    let at = clock.now();
-    let request = EditRequest {
-        change_id: format!("move-{move_id}-{pool}-{verdict}").into(),
-        base_version: None,
-        author: Arc::clone(&shared.settings.name),
-        message: format!("move of {pool} {verdict}: {reason}").into(),
-        at,
-        edit: TableEdit::Close {
-            pool: Arc::clone(&pool),
-            move_id,
-            verdict,
-            reason: Arc::clone(reason),
-        },
-    };
-    shared.metrics.store_calls.inc_by(3);
-    tokio::spawn(async move {
-        let result = write_change(&store, &clock, request, at.after_ms(VERDICT_TRY_MS)).await;
-        let _ = events
-            .send(ControlEvent::VerdictWritten {
-                pool,
-                move_id,
-                result,
-            })
-            .await;
-    });
-}
--- a/src/daemon/operators.rs
+++ b/src/daemon/operators.rs
@@ -3,9 +3,9 @@
 use {
     super::{
         envelope::{ControlRequest, accept, enclose},
-        relay::read_limited,
         shared::SharedState,
         tasks::{ControlEvent, OperatorQuery},
+        traffic::read_limited,
     },
     crate::{
         codec::{self, MAX_MESSAGE_BYTES},
--- /dev/null
+++ b/src/daemon/own_store.rs
@@ -0,0 +1,173 @@
+//! The product's own store edge: the head value, seeds and progress in the platform's key-value service.
+
+use {
+    super::{
+        edges::{EdgeContext, MoveClosing, StoreEdge},
+        seeds::{read_seeds, write_seeds},
+    },
+    crate::{
+        codec,
+        config::{ConfigHead, EditRequest, MoveOrder, TableEdit},
+        moves::Clearance,
+        store::{HEAD_KEY, HttpStore, MOVES_PREFIX, StoreClient, StoreError, write_change},
+    },
+    rand::RngExt,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::sync::watch,
+};
+
+/// Time that a watch waits at the store.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// First pause after a failure, in milliseconds; doubled with each further one.
+const FIRST_PAUSE_MS: u64 = 250;
+/// Longest pause, in milliseconds.
+const MAX_PAUSE_MS: u64 = 8_000;
+/// Time that one try to write a verdict may take, in milliseconds.
+const VERDICT_TRY_MS: u64 = 5_000;
+/// Time over which daemons that start together spread their first call, in milliseconds.
+const FIRST_CALL_MS: u64 = 1_000;
+
+/// The edge to the key-value service.
+#[derive(Debug)]
+pub struct OwnStore {
+    context: EdgeContext,
+    store: HttpStore,
+    is_watcher: watch::Sender<bool>,
+}
+
+impl OwnStore {
+    /// Opens the store of the settings and starts its watch, which rests until this daemon is a watcher.
+    pub fn new(context: &EdgeContext) -> Self {
+        let store = HttpStore::new(&context.settings.store);
+        let (is_watcher, watching) = watch::channel(false);
+        tokio::spawn(watch_head(context.clone(), store.clone(), watching));
+        Self {
+            context: context.clone(),
+            store,
+            is_watcher,
+        }
+    }
+}
+
+impl StoreEdge for OwnStore {
+    fn set_watcher(&mut self, is_watcher: bool) {
+        self.is_watcher
+            .send_if_modified(|present| std::mem::replace(present, is_watcher) != is_watcher);
+    }
+
+    fn read_seeds(&mut self, own: SocketAddr) {
+        self.context.count_store_call("seeds");
+        read_seeds(&self.store, &self.context, own);
+    }
+
+    fn keep_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.context.count_store_call("seeds");
+        write_seeds(
+            &self.store,
+            Arc::clone(&self.context.settings.data_centre),
+            seeds,
+        );
+    }
+
+    fn save_progress(&mut self, pool: &Arc<str>, _order: &MoveOrder, clearance: &Clearance) {
+        let (store, key) = (self.store.clone(), format!("{MOVES_PREFIX}/{pool}"));
+        let Ok(bytes) = codec::encode(clearance) else {
+            return;
+        };
+        self.context.count_store_call("progress");
+        tokio::spawn(async move {
+            if let Err(error) = store.write(&key, bytes).await {
+                log::warn!("event=progress-not-kept key={key} error={error:?}");
+            }
+        });
+    }
+
+    fn read_progress(&mut self, pool: &Arc<str>, move_id: u64) {
+        let (store, inbox, pool) = (
+            self.store.clone(),
+            self.context.inbox.clone(),
+            Arc::clone(pool),
+        );
+        self.context.count_store_call("progress");
+        tokio::spawn(async move {
+            let value = store.read(&format!("{MOVES_PREFIX}/{pool}")).await.ok().flatten();
+            let stored = value.and_then(|value| codec::decode(&value.data).ok());
+            inbox.progress_read(pool, move_id, stored).await;
+        });
+    }
+
+    fn close_move(&mut self, closing: MoveClosing) {
+        let MoveClosing {
+            pool,
+            order,
+            verdict,
+            reason,
+            at,
+        } = closing;
+        let request = EditRequest {
+            change_id: format!("move-{}-{pool}-{verdict}", order.id).into(),
+            base_version: None,
+            author: Arc::clone(&self.context.settings.name),
+            message: format!("move of {pool} {verdict}: {reason}").into(),
+            at,
+            edit: TableEdit::Close {
+                pool: Arc::clone(&pool),
+                move_id: order.id,
+                verdict,
+                reason,
+            },
+        };
+        let (store, context) = (self.store.clone(), self.context.clone());
+        self.context.count_store_call("verdict");
+        tokio::spawn(async move {
+            let clock = context.shared.clock;
+            let result = write_change(&store, &clock, request, at.after_ms(VERDICT_TRY_MS)).await;
+            context.inbox.move_closed(pool, order.id, result).await;
+        });
+    }
+
+    fn record_version(&mut self, _pool: &Arc<str>, _version: &Arc<str>) {
+        // The tables name the version of every pool.
+    }
+}
+
+/// Watches the head for as long as the daemon is a watcher, and reports each answer.
+async fn watch_head(context: EdgeContext, store: HttpStore, mut watching: watch::Receiver<bool>) {
+    let call_gap = Duration::from_millis(1_000 / u64::from(context.settings.store_calls_per_s.max(1)));
+    let mut index = 0;
+    let mut failures = 0_u32;
+    tokio::time::sleep(jittered(FIRST_CALL_MS / 2)).await;
+    loop {
+        if watching.wait_for(|is_watcher| *is_watcher).await.is_err() {
+            return;
+        }
+        context.count_store_call("watch");
+        let answer = match index {
+            0 => store.read(HEAD_KEY).await,
+            index => store.watch(HEAD_KEY, index, WATCH_WAIT).await,
+        };
+        let pause = match &answer {
+            Ok(value) => {
+                failures = 0;
+                index = value.as_ref().map_or(0, |value| value.index);
+                // A missing key can't be watched by index; it is read again after a pause.
+                if index == 0 { jittered(FIRST_PAUSE_MS * 2) } else { call_gap }
+            }
+            Err(_) => {
+                let pause_ms = (FIRST_PAUSE_MS << failures.min(8)).min(MAX_PAUSE_MS);
+                failures += 1;
+                jittered(pause_ms)
+            }
+        };
+        let head = answer.and_then(|value| {
+            let head = value.map(|value| ConfigHead::open(&value.data)).transpose();
+            head.map_err(|error| StoreError::Refused(error.to_string()))
+        });
+        context.inbox.head_read(head).await;
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn jittered(pause_ms: u64) -> Duration {
+    Duration::from_millis(pause_ms / 2 + rand::rng().random_range(0..=pause_ms))
+}
--- /dev/null
+++ b/src/daemon/readiness.rs
@@ -0,0 +1,28 @@
+//! The readiness listener: tells whether callers should be sent to this daemon.
+
+use {
+    super::shared::SharedState,
+    crate::http::respond,
+    salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait, http::StatusCode},
+    std::sync::Arc,
+};
+
+/// Answers 200 while the daemon can serve callers and stays, 503 otherwise.
+#[derive(Debug)]
+pub struct ReadinessHandler {
+    /// Shared state.
+    pub shared: Arc<SharedState>,
+}
+
+#[async_trait]
+impl Handler for ReadinessHandler {
+    async fn handle(&self, _req: &mut Request, _depot: &mut Depot, res: &mut Response, _ctrl: &mut FlowCtrl) {
+        if self.shared.is_leaving() {
+            respond(res, StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
+        } else if self.shared.snapshot.load().table.is_none() {
+            respond(res, StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n");
+        } else {
+            respond(res, StatusCode::OK, "ready\n");
+        }
+    }
+}
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -3,16 +3,17 @@
 use {
     super::{
         control::ControlState,
+        edges::DaemonEdges,
         envelope::accept,
-        inbound::InboundHandler,
         metrics::DaemonMetrics,
         operators::{ControlHandler, OperatorHandler},
-        outbound::OutboundHandler,
-        peer_client::PeerClients,
-        shared::{GateDesk, MoveBoard, SharedState},
+        readiness::ReadinessHandler,
+        shared::{GateDesk, MoveBoard, SharedState, TargetIdentity},
         tasks::ControlEvent,
+        traffic::{InboundHandler, OutboundHandler, PeerClients},
     },
     crate::{
+        call::RetryBudget,
         clock::ProcessClock,
         gate::GateState,
         http::{bind, serve},
@@ -70,14 +71,18 @@
     Runtime(#[from] io::Error),
 }
 
-/// Runs a daemon until it has drained.
-pub fn run(settings: DaemonSettings) -> Result<(), RunError> {
+/// Runs a daemon with its edges until it has drained.
+pub fn run(settings: DaemonSettings, edges: DaemonEdges) -> Result<(), RunError> {
     let calls = bind_for("calls", settings.calls)?;
     let gate = bind_for("gate", settings.gate)?;
     let control = bind_for("control", settings.control)?;
     let operators = bind_for("operators", settings.operators)?;
+    let ready = settings
+        .ready
+        .map(|address| bind_for("ready", address))
+        .transpose()?;
     let (notes, mut note_queue) = mpsc::channel(EVENT_QUEUE);
-    let shared = Arc::new(make_shared(settings, notes));
+    let shared = Arc::new(make_shared(settings, &edges, notes));
     for worker in 0..shared.settings.traffic_threads {
         start_traffic(&shared, worker as u64, calls.try_clone()?, gate.try_clone()?)?;
     }
@@ -98,6 +103,14 @@
                 events: events.clone(),
             },
         ));
+        if let Some(ready) = ready {
+            tokio::spawn(serve(
+                ready,
+                ReadinessHandler {
+                    shared: Arc::clone(&shared),
+                },
+            ));
+        }
         tokio::spawn(receive_datagrams(
             Arc::clone(&shared),
             Arc::clone(&datagrams),
@@ -111,7 +124,7 @@
             }
         });
         let now = shared.now();
-        ControlState::new(Arc::clone(&shared), events, datagrams, now)
+        ControlState::new(Arc::clone(&shared), events, datagrams, edges, now)
             .run(queue)
             .await;
         Ok(())
@@ -133,18 +146,39 @@
     Ok(Arc::new(UdpSocket::from_std(socket)?))
 }
 
-fn make_shared(settings: DaemonSettings, notes: mpsc::Sender<super::shared::TrafficNote>) -> SharedState {
-    let state = GateState::new(settings.target.slots, settings.target.queue);
+fn make_shared(
+    settings: DaemonSettings,
+    edges: &DaemonEdges,
+    notes: mpsc::Sender<super::shared::TrafficNote>,
+) -> SharedState {
+    let target = &settings.target;
+    let state = GateState::new(target.slots, target.queue);
+    let id = if settings.announcements.is_some() {
+        Arc::from("")
+    } else {
+        Arc::clone(&settings.name)
+    };
+    let identity = TargetIdentity {
+        id,
+        version: Arc::clone(&target.version),
+        address: target.address,
+        slots: target.slots,
+    };
+    let budget = RetryBudget::new(settings.saved_retries);
+    let clock = ProcessClock::start();
     SharedState {
-        settings,
-        clock: ProcessClock::start(),
+        settings: Arc::new(settings),
+        started_at: clock.now(),
+        clock,
+        dialect: Arc::clone(&edges.dialect),
+        target: ArcSwap::from_pointee(identity),
         snapshot: ArcSwap::default(),
         gate: Mutex::new(GateDesk {
             state,
             waiting: HashMap::new(),
         }),
         book: Mutex::default(),
-        budget: Mutex::default(),
+        budget: Mutex::new(budget),
         evidence: Mutex::default(),
         moves: Mutex::new(MoveBoard::default()),
         metrics: DaemonMetrics::default(),
--- a/src/daemon/seeds.rs
+++ b/src/daemon/seeds.rs
@@ -1,7 +1,7 @@
 //! Addresses to join at, kept in the store for the case that no peer of the settings answers.
 
 use {
-    super::tasks::ControlEvent,
+    super::edges::EdgeContext,
     crate::{
         codec,
         macros::value_type,
@@ -10,7 +10,6 @@
     },
     indexmap::IndexMap,
     std::{net::SocketAddr, sync::Arc},
-    tokio::sync::mpsc,
 };
 
 /// Addresses kept for each data centre.
@@ -43,13 +42,9 @@
 }
 
 /// Reads all seeds; where the own data centre has none, puts the own address there first.
-pub fn read_seeds(
-    store: &HttpStore,
-    events: &mpsc::Sender<ControlEvent>,
-    data_centre: Arc<str>,
-    own: SocketAddr,
-) {
-    let (store, events) = (store.clone(), events.clone());
+pub fn read_seeds(store: &HttpStore, context: &EdgeContext, own: SocketAddr) {
+    let (store, inbox) = (store.clone(), context.inbox.clone());
+    let data_centre = Arc::clone(&context.settings.data_centre);
     tokio::spawn(async move {
         let table = update_seeds(&store, &data_centre, |seeds| {
             if seeds.is_empty() {
@@ -63,7 +58,7 @@
             .into_values()
             .flatten()
             .filter(|seed| *seed != own);
-        let _ = events.send(ControlEvent::SeedsRead(seeds.collect())).await;
+        inbox.seeds_read(seeds.collect()).await;
     });
 }
 
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -1,7 +1,9 @@
 //! State that the control thread and the traffic threads share, each part behind a short lock.
 
 use {
-    super::{evidence_book::EvidenceBook, metrics::DaemonMetrics, snapshot::TrafficSnapshot},
+    super::{
+        evidence_book::EvidenceBook, metrics::DaemonMetrics, snapshot::TrafficSnapshot, traffic::CallDialect,
+    },
     crate::{
         call::{RetryBudget, TargetBook},
         clock::{ProcessClock, TimePoint},
@@ -13,6 +15,7 @@
     parking_lot::Mutex,
     std::{
         collections::HashMap,
+        net::SocketAddr,
         sync::{
             Arc,
             atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -50,7 +53,7 @@
                 .remove(&ticket)
                 .is_some_and(|sender| sender.send(verdict).is_ok());
             if !told && verdict.is_ok() {
-                wakes.extend(self.state.finish(now));
+                wakes.extend(self.state.finish(None, now));
             }
         }
     }
@@ -128,11 +131,30 @@
     TargetRefuses,
 }
 
+/// The target beside the daemon, as far as it is known.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetIdentity {
+    /// Identity; empty before the target has announced itself.
+    pub id: Arc<str>,
+    /// Version.
+    pub version: Arc<str>,
+    /// Address.
+    pub address: SocketAddr,
+    /// Calls that it serves at once.
+    pub slots: u32,
+}
+
 /// All shared state.
 #[derive(Debug)]
 pub struct SharedState {
     /// Settings.
-    pub settings: DaemonSettings,
+    pub settings: Arc<DaemonSettings>,
+    /// When the process started; tells its attempts from those of earlier ones.
+    pub started_at: TimePoint,
+    /// Dialect of callers and targets.
+    pub dialect: Arc<dyn CallDialect>,
+    /// The target beside the daemon.
+    pub target: ArcSwap<TargetIdentity>,
     /// Clock.
     pub clock: ProcessClock,
     /// Configuration and targets.
--- a/src/daemon/snapshot.rs
+++ b/src/daemon/snapshot.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        config::CompiledTable,
+        config::{CompiledTable, is_version},
         member::{MemberRecord, MemberStatus, TargetStatus},
     },
     std::{collections::HashMap, net::SocketAddr, sync::Arc},
@@ -13,6 +13,8 @@
 pub struct KnownTarget {
     /// Name of its daemon.
     pub name: Arc<str>,
+    /// Identity of the target.
+    pub id: Arc<str>,
     /// Address of its gate.
     pub gate: SocketAddr,
     /// Its version.
@@ -50,6 +52,7 @@
                 .or_default()
                 .push(KnownTarget {
                     name: Arc::clone(&record.name),
+                    id: Arc::clone(&record.target.id),
                     gate: record.gate,
                     version: Arc::clone(&record.target.version),
                     slots: record.target.slots,
@@ -60,13 +63,16 @@
         Self { table, targets }
     }
 
-    /// Returns the targets of one version of a service.
+    /// Returns the targets of one version of a service, or of any but the one that the service moves to.
     pub fn targets_of<'a>(
         &'a self,
         service: &str,
         version: &'a str,
+        moving_to: &'a str,
     ) -> impl Iterator<Item = &'a KnownTarget> {
         let all = self.targets.get(service).map_or(&[][..], Vec::as_slice);
-        all.iter().filter(move |target| *target.version == *version)
+        all.iter().filter(move |target| {
+            *target.version == *version || (*target.version != *moving_to && is_version(version, &target.version))
+        })
     }
 }
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        edges::TargetMessage,
         envelope::{ControlReply, ControlRequest, Envelope, accept, enclose},
         shared::{SharedState, TrafficNote},
     },
@@ -10,7 +11,7 @@
         member::{ProbeMessage, SyncReply},
         moves::{Clearance, PollReply},
         spread::ConfigReply,
-        store::{StoreError, StoreValue, WriteError},
+        store::{StoreError, WriteError},
         timeline::HybridStamp,
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -63,7 +64,7 @@
         reply: Option<PollReply>,
     },
     /// The store answered a read or a watch of the head.
-    HeadRead(Result<Option<StoreValue>, StoreError>),
+    HeadRead(Result<Option<Box<ConfigHead>>, StoreError>),
     /// The store was asked for a move's progress.
     ProgressRead {
         /// Pool that moves.
@@ -86,6 +87,13 @@
     SeedsRead(Vec<SocketAddr>),
     /// The target took a connection, or did not.
     TargetProbed(bool),
+    /// The target said something of itself.
+    TargetSaid {
+        /// What it said.
+        message: TargetMessage,
+        /// Told whether it was taken over.
+        reply: oneshot::Sender<bool>,
+    },
     /// A traffic thread has a note.
     Note(TrafficNote),
     /// An operator asks.
--- /dev/null
+++ b/src/daemon/traffic/mod.rs
@@ -0,0 +1,19 @@
+//! The two filters that carry calls: from a caller to a gate, and from the gate to the target.
+
+mod attempt;
+mod body;
+mod dialect;
+mod hop;
+mod inbound;
+mod outbound;
+mod peer_client;
+mod relay;
+
+pub use {
+    dialect::{AnswerVerdict, CallDialect, CallerCall, OwnDialect, TargetCall},
+    hop::header,
+    inbound::InboundHandler,
+    outbound::OutboundHandler,
+    peer_client::PeerClients,
+    relay::read_limited,
+};
--- /dev/null
+++ b/src/daemon/traffic/outbound.rs
@@ -0,0 +1,437 @@
+//! The proxy for callers: finds the route, chooses a target and carries the call to that target's gate.
+
+use {
+    super::{
+        attempt::{AttemptEnd, BookedCall, CallAttempt, OnwardRequest},
+        body::{AnswerBody, BodyFault, RequestBody},
+        dialect::{CallerCall, deadline_of},
+        hop::HopCall,
+        peer_client::PeerClients,
+        relay::{answer_text, end_to_end, mark_leaving, pass_answer, status_of},
+    },
+    crate::{
+        call::{
+            AttemptOutcome, CallOutcome, CallPlan, CallRules, CallStep, CandidateTarget, RefusalReason,
+            choose_version,
+        },
+        clock::TimePoint,
+        config::{CompiledPool, CompiledRoute, RouteMatch},
+        daemon::{
+            shared::{ActiveCall, SharedState},
+            snapshot::{KnownTarget, TrafficSnapshot},
+        },
+    },
+    futures_util::{StreamExt, stream::FuturesUnordered},
+    hyper::{header::HOST, http::uri::PathAndQuery},
+    parking_lot::Mutex,
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    salvo::{
+        Depot, FlowCtrl, Handler, Request, Response, async_trait,
+        http::{HeaderMap, StatusCode},
+    },
+    std::sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    tokio::time::{Instant, sleep_until},
+};
+
+/// Time after which a caller that was refused may come back, in milliseconds: a few runs have ended by then.
+const RETRY_MS: u64 = 250;
+/// Time after which a caller may come back where a daemon has no configuration or no target yet, in milliseconds.
+const RETRY_UNREADY_MS: u64 = 500;
+
+/// The handler of the callers' listener on one traffic thread.
+#[derive(Debug)]
+pub struct OutboundHandler {
+    shared: Arc<SharedState>,
+    clients: Arc<PeerClients>,
+    rng: Mutex<SmallRng>,
+    worker: u64,
+    next_call: AtomicU64,
+}
+
+/// A refusal with the reason that is logged beside it.
+struct CallRefusal {
+    outcome: CallOutcome,
+    reason: RefusalReason,
+    detail: Arc<str>,
+}
+
+impl CallRefusal {
+    fn not_run(reason: RefusalReason, detail: &str) -> Self {
+        Self {
+            outcome: CallOutcome::NotRun,
+            reason,
+            detail: detail.into(),
+        }
+    }
+}
+
+/// A call whose route is known.
+struct RoutedCall {
+    route: Arc<CompiledRoute>,
+    pool: Arc<CompiledPool>,
+    caller: CallerCall,
+    repeatable: bool,
+    useful_until: TimePoint,
+    deadline: TimePoint,
+}
+
+/// An answer that may be passed on.
+struct AnswerInHand {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: AnswerBody,
+    booked: BookedCall,
+    version: Arc<str>,
+}
+
+impl OutboundHandler {
+    /// Makes the handler of one traffic thread.
+    pub fn new(shared: Arc<SharedState>, clients: Arc<PeerClients>, worker: u64) -> Self {
+        let rng = Mutex::new(SmallRng::seed_from_u64(rand::random()));
+        Self {
+            shared,
+            clients,
+            rng,
+            worker,
+            next_call: AtomicU64::new(0),
+        }
+    }
+
+    async fn carry(&self, req: &mut Request, res: &mut Response) {
+        let active = ActiveCall::start(&self.shared);
+        let mut call = match self.route(req) {
+            Ok(call) => call,
+            Err(refusal) => return self.refuse(req.headers(), None, &refusal, res),
+        };
+        let limit = self.body_limit();
+        let time_left = call.deadline.left_from(self.shared.now());
+        let body = req.take_body();
+        let body = match RequestBody::read(req.headers(), body, limit, time_left).await {
+            Ok(body) => body,
+            Err(fault) => {
+                let refusal = refusal_of(fault, limit);
+                return self.refuse(req.headers(), Some(&call), &refusal, res);
+            }
+        };
+        let mut request = OnwardRequest {
+            method: req.method().clone(),
+            path: path_of(req),
+            headers: end_to_end(req.headers()),
+            host: req.headers().get(HOST).cloned(),
+            body,
+        };
+        match self.run_plan(&mut request, &mut call).await {
+            Ok(answer) => self.answer(answer, &call, active, res),
+            Err(refusal) => self.refuse(req.headers(), Some(&call), &refusal, res),
+        }
+    }
+
+    fn body_limit(&self) -> u64 {
+        let snapshot = self.shared.snapshot.load();
+        let configured = snapshot.table.as_ref().and_then(|table| table.limits.body_bytes);
+        configured.unwrap_or(self.shared.settings.max_body_bytes)
+    }
+
+    /// Finds the route of a call and what the caller states of it.
+    fn route(&self, req: &Request) -> Result<RoutedCall, CallRefusal> {
+        let shared = &self.shared;
+        if shared.is_closed.load(Ordering::Acquire) {
+            return Err(CallRefusal::not_run(RefusalReason::Leaving, ""));
+        }
+        let snapshot = shared.snapshot.load();
+        let route =
+            find_route(&snapshot, req).map_err(|reason| CallRefusal::not_run(reason, req.uri().path()))?;
+        let head_limit = snapshot.table.as_ref().and_then(|table| table.limits.head_bytes);
+        if head_limit.is_some_and(|limit| head_bytes(req) > limit) {
+            return Err(CallRefusal::not_run(RefusalReason::HeadTooLarge, ""));
+        }
+        let caller = shared
+            .dialect
+            .read_call(req.headers())
+            .map_err(|text| CallRefusal::not_run(RefusalReason::BadRequest, text))?;
+        let now = shared.now();
+        let deadline = deadline_of(&caller, route.timeout_ms, now);
+        let pool = Arc::clone(route.pool(self.rng.lock().random::<f64>()));
+        Ok(RoutedCall {
+            repeatable: route.is_repeatable(req.method().as_str()),
+            useful_until: now.after_ms(route.target_latency_ms).min(deadline),
+            route,
+            pool,
+            caller,
+            deadline,
+        })
+    }
+
+    /// Carries out the call's plan, attempt by attempt.
+    async fn run_plan(
+        &self,
+        request: &mut OnwardRequest,
+        call: &mut RoutedCall,
+    ) -> Result<AnswerInHand, CallRefusal> {
+        let shared = &self.shared;
+        let mut plan = CallPlan::new(CallRules {
+            repeatable: call.repeatable,
+            resendable: request.body.is_held(),
+            attempts: call.route.attempts,
+            deadline: call.deadline,
+        });
+        let mut step = plan.begin(&mut shared.budget.lock(), shared.now());
+        let mut open = FuturesUnordered::new();
+        let mut in_hand = None;
+        let mut detail: Arc<str> = "".into();
+        loop {
+            step = match step {
+                CallStep::Answer => match in_hand {
+                    Some(answer) => return Ok(answer),
+                    None => plan.refuse(RefusalReason::Broken),
+                },
+                CallStep::Refuse { outcome, reason } => {
+                    return Err(CallRefusal {
+                        outcome,
+                        reason,
+                        detail,
+                    });
+                }
+                CallStep::Send => match self.choose(&call.pool, plan.tried()) {
+                    Some(target) => {
+                        if !plan.tried().is_empty() {
+                            shared.metrics.retries.inc();
+                        }
+                        plan.note_attempt(Arc::clone(&target.name), shared.now());
+                        let onward = request.to_peer(target.gate);
+                        open.push(self.attempt(call, target).run(onward));
+                        CallStep::Wait
+                    }
+                    None => plan.lack_target(in_hand.is_some()),
+                },
+                CallStep::Wait => {
+                    let hedge_at = Instant::now() + plan.hedge_at().left_from(shared.now());
+                    let can_hedge = plan.hedge_at() != TimePoint::NEVER;
+                    tokio::select! {
+                        Some((attempt, end)) = open.next() => {
+                            let outcome = end.outcome();
+                            match end {
+                                AttemptEnd::Answer { status, headers, body, .. } => {
+                                    in_hand = Some(AnswerInHand {
+                                        status,
+                                        headers,
+                                        body,
+                                        booked: attempt.booked,
+                                        version: attempt.target.version,
+                                    });
+                                }
+                                AttemptEnd::Failure { reason, .. } => {
+                                    log_attempt(call, &attempt.target, &attempt.hop, outcome, &reason);
+                                    detail = reason;
+                                }
+                            }
+                            plan.after_attempt(outcome, &mut shared.budget.lock(), shared.now())
+                        }
+                        () = sleep_until(hedge_at), if can_hedge => {
+                            plan.hedge(&mut shared.budget.lock(), shared.now())
+                        }
+                        else => plan.refuse(RefusalReason::Refused),
+                    }
+                }
+            };
+        }
+    }
+
+    fn attempt(&self, call: &RoutedCall, target: KnownTarget) -> CallAttempt {
+        let shared = &self.shared;
+        CallAttempt {
+            shared: Arc::clone(shared),
+            clients: Arc::clone(&self.clients),
+            pool: Arc::clone(&call.pool),
+            hop: HopCall {
+                id: self.new_call_id(),
+                route: Arc::clone(&call.route.name),
+                pool: Arc::clone(&call.pool.name),
+                target: Arc::clone(&target.id),
+                caller: Arc::clone(&shared.settings.target.service),
+                repeatable: call.repeatable,
+                priority: call.route.priority,
+                useful_until: call.useful_until,
+                deadline: call.deadline,
+            },
+            booked: BookedCall::new(shared, &target),
+            target,
+        }
+    }
+
+    /// Chooses a version and a target of it that has not been tried.
+    fn choose(&self, pool: &CompiledPool, tried: &[Arc<str>]) -> Option<KnownTarget> {
+        let shared = &self.shared;
+        let now = shared.now();
+        let snapshot = shared.snapshot.load();
+        let (draw, mut rng) = {
+            let mut rng = self.rng.lock();
+            (rng.random::<f64>(), SmallRng::seed_from_u64(rng.random()))
+        };
+        let old_is_gone = pool.order.as_ref().is_some_and(|order| {
+            snapshot
+                .targets_of(&pool.entry.service, &order.from, &order.to)
+                .next()
+                .is_none()
+        });
+        let (choice, preferred_is_stopped) = {
+            let board = shared.moves.lock();
+            let share = pool
+                .order
+                .as_ref()
+                .map_or(0.0, |order| board.share(&pool.name, order.id));
+            let choice = choose_version(pool, share, draw, old_is_gone);
+            let stopped = board.is_stopped(&pool.name, &choice.version, now);
+            (choice, stopped)
+        };
+        let moving_to = pool.order.as_ref().map_or("", |order| &order.to);
+        let first = Some(&choice.version).filter(|_| !preferred_is_stopped || choice.fallback.is_none());
+        for version in first.into_iter().chain(&choice.fallback) {
+            let targets: Vec<&KnownTarget> = snapshot
+                .targets_of(&pool.entry.service, version, moving_to)
+                .collect();
+            let candidates: Vec<CandidateTarget> = targets.iter().map(|target| candidate(target)).collect();
+            let chosen = shared
+                .book
+                .lock()
+                .choose(&candidates, tried, &mut rng, now)
+                .map(|chosen| Arc::clone(&chosen.name));
+            if let Some(target) = chosen.and_then(|name| targets.iter().find(|target| target.name == name)) {
+                return Some((*target).clone());
+            }
+        }
+        None
+    }
+
+    fn answer(&self, answer: AnswerInHand, call: &RoutedCall, active: ActiveCall, res: &mut Response) {
+        let shared = &self.shared;
+        let failed = answer.status.is_server_error();
+        shared
+            .metrics
+            .count_answer(&call.route.name, &call.pool.name, &answer.version, failed);
+        pass_answer(
+            res,
+            answer.status,
+            end_to_end(&answer.headers),
+            answer.body,
+            call.deadline,
+            shared.now(),
+            (active, answer.booked),
+        );
+    }
+
+    fn refuse(
+        &self,
+        request: &HeaderMap,
+        call: Option<&RoutedCall>,
+        refusal: &CallRefusal,
+        res: &mut Response,
+    ) {
+        let CallRefusal {
+            outcome,
+            reason,
+            detail,
+        } = refusal;
+        let (route, pool) = call.map_or(("", ""), |call| (&*call.route.name, &*call.pool.name));
+        self.shared.metrics.count_refusal(route, pool, *outcome);
+        let id = call.and_then(|call| call.caller.id.as_deref()).unwrap_or("");
+        log::info!(
+            target: "calls",
+            "event=call-refused id={id} route={route} pool={pool} outcome={outcome} reason={} detail={detail:?}",
+            reason.word()
+        );
+        let retry_ms = match reason {
+            RefusalReason::NoConfiguration | RefusalReason::NoTarget | RefusalReason::Leaving => {
+                RETRY_UNREADY_MS
+            }
+            _ => RETRY_MS,
+        };
+        let status = status_of(*outcome, *reason);
+        answer_text(res, status, *outcome, reason.word(), &format!("{} {detail}", reason.remedy()));
+        self.shared
+            .dialect
+            .mark_refusal(request, *outcome, *reason, retry_ms, res.headers_mut());
+    }
+
+    fn new_call_id(&self) -> Arc<str> {
+        let number = self.next_call.fetch_add(1, Ordering::Relaxed);
+        format!(
+            "{}-{:x}-{}-{number}",
+            self.shared.settings.name, self.shared.started_at.0, self.worker
+        )
+        .into()
+    }
+}
+
+#[async_trait]
+impl Handler for OutboundHandler {
+    async fn handle(&self, req: &mut Request, _depot: &mut Depot, res: &mut Response, _ctrl: &mut FlowCtrl) {
+        self.carry(req, res).await;
+        mark_leaving(&self.shared, res);
+    }
+}
+
+fn find_route(snapshot: &TrafficSnapshot, req: &Request) -> Result<Arc<CompiledRoute>, RefusalReason> {
+    let table = snapshot.table.as_ref().ok_or(RefusalReason::NoConfiguration)?;
+    let host = req
+        .headers()
+        .get(HOST)
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or("");
+    match table.find(host, req.method().as_str(), req.uri().path()) {
+        RouteMatch::Found(route) => Ok(route),
+        RouteMatch::WrongMethod => Err(RefusalReason::WrongMethod),
+        RouteMatch::None => Err(RefusalReason::NoRoute),
+    }
+}
+
+fn path_of(req: &Request) -> PathAndQuery {
+    let path = req.uri().path_and_query();
+    path.cloned().unwrap_or_else(|| PathAndQuery::from_static("/"))
+}
+
+/// Returns the size of a request head, as the limits of the configuration count it.
+fn head_bytes(req: &Request) -> u64 {
+    let fields = req.headers().iter();
+    let bytes: usize = fields.map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    bytes as u64
+}
+
+fn refusal_of(fault: BodyFault, limit: u64) -> CallRefusal {
+    match fault {
+        BodyFault::TooLarge => CallRefusal::not_run(
+            RefusalReason::BodyTooLarge,
+            &format!("the body is over {limit} bytes"),
+        ),
+        BodyFault::Incomplete => CallRefusal::not_run(RefusalReason::BodyIncomplete, ""),
+    }
+}
+
+fn candidate(target: &KnownTarget) -> CandidateTarget {
+    CandidateTarget {
+        name: Arc::clone(&target.name),
+        slots: target.slots,
+        is_near: target.is_near,
+        is_suspect: target.is_suspect,
+    }
+}
+
+fn log_attempt(
+    call: &RoutedCall,
+    target: &KnownTarget,
+    hop: &HopCall,
+    outcome: AttemptOutcome,
+    reason: &str,
+) {
+    log::info!(
+        target: "calls",
+        "event=attempt-failed id={} attempt={} route={} target={} outcome={outcome:?} reason={reason:?}",
+        call.caller.id.as_deref().unwrap_or(""),
+        hop.id,
+        call.route.name,
+        target.name
+    );
+}
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -1,15 +1,11 @@
-//! The pure state of the gate: slots, a short queue, slow start and drain.
+//! The pure state of the gate: slots, a queue ordered by urgency, slow start and drain.
 
-use {
-    crate::{clock::TimePoint, macros::key_type},
-    std::{
-        collections::VecDeque,
-        fmt::{Display, Formatter},
-    },
-};
+use crate::{clock::TimePoint, macros::key_type};
 
 /// Time over which a cold target is given its slots, in milliseconds.
 pub const SLOW_START_MS: u64 = 3_000;
+/// Weight of a new run in the moving average of run times.
+const RUN_WEIGHT: f64 = 0.05;
 
 key_type! {
     /// Identity of an admitted or waiting call.
@@ -29,18 +25,40 @@
         Expired,
         /// The target's version was stopped.
         Stopped,
+        /// Another target than the one that was named stands here.
+        OtherTarget,
+        /// The target itself turned the call away without running it.
+        Shed,
     }
 }
 
-impl Display for GateRefusal {
-    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
+impl GateRefusal {
+    const ALL: [Self; 7] = [
+        Self::Full,
+        Self::Leaving,
+        Self::Starting,
+        Self::Expired,
+        Self::Stopped,
+        Self::OtherTarget,
+        Self::Shed,
+    ];
+
+    /// Returns the word that stands in the gate's answer.
+    pub const fn word(self) -> &'static str {
+        match self {
             Self::Full => "target-full",
             Self::Leaving => "target-leaving",
             Self::Starting => "target-starting",
             Self::Expired => "deadline-passed",
             Self::Stopped => "version-stopped",
-        })
+            Self::OtherTarget => "other-target",
+            Self::Shed => "target-shed",
+        }
+    }
+
+    /// Returns the refusal that a word stands for.
+    pub fn from_word(word: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|refusal| refusal.word() == word)
     }
 }
 
@@ -71,10 +89,28 @@
     Leaving,
 }
 
+/// A call that arrives at the gate.
+#[derive(Debug, Clone, Copy)]
+pub struct GateArrival {
+    /// Rank of its route; 0 is the most urgent.
+    pub priority: u8,
+    /// When an answer loses its value; a call that can't be answered by then is refused at once.
+    pub useful_until: TimePoint,
+    /// When the call is given up.
+    pub deadline: TimePoint,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct WaitingCall {
     ticket: TicketId,
-    deadline: TimePoint,
+    arrival: GateArrival,
+}
+
+impl WaitingCall {
+    /// Orders calls by urgency: rank first, then the earlier end of use, then arrival.
+    fn rank(&self) -> (u8, TimePoint, TicketId) {
+        (self.arrival.priority, self.arrival.useful_until, self.ticket)
+    }
 }
 
 /// The gate of one target.
@@ -85,8 +121,11 @@
     mode: GateMode,
     stopped: bool,
     in_flight: u32,
-    queue: VecDeque<WaitingCall>,
+    /// Ordered by urgency, the most urgent call last.
+    queue: Vec<WaitingCall>,
     next_ticket: u64,
+    /// Moving average of run times, in milliseconds; 0 before the first run.
+    run_ms: f64,
 }
 
 impl GateState {
@@ -98,8 +137,9 @@
             mode: GateMode::Starting,
             stopped: false,
             in_flight: 0,
-            queue: VecDeque::new(),
+            queue: Vec::new(),
             next_ticket: 0,
+            run_ms: 0.0,
         }
     }
 
@@ -140,7 +180,18 @@
         }
     }
 
-    /// Refuses new work for good and everything that waits; calls that run go on.
+    /// Opens the gate for another target, also after a drain. Calls that run keep their slots.
+    pub fn reopen(&mut self, slots: u32, now: TimePoint) {
+        self.slots = slots;
+        self.mode = GateMode::Serving { since: now };
+    }
+
+    /// Returns the typical time of a run, in milliseconds; 0 before the first run.
+    pub fn run_ms(&self) -> f64 {
+        self.run_ms
+    }
+
+    /// Refuses new work and everything that waits; calls that run go on.
     pub fn drain(&mut self) -> Vec<GateWake> {
         self.mode = GateMode::Leaving;
         self.refuse_waiting(GateRefusal::Leaving)
@@ -161,30 +212,49 @@
         self.mode == GateMode::Leaving && self.in_flight == 0
     }
 
-    /// Decides on an arriving call.
-    pub fn arrive(&mut self, deadline: TimePoint, now: TimePoint) -> GateAdmission {
-        if let Some(refusal) = self.refusal(deadline, now) {
-            return GateAdmission::Refuse(refusal);
+    /// Decides on an arriving call. A less urgent call may have to make room: it is refused.
+    pub fn arrive(&mut self, arrival: GateArrival, now: TimePoint) -> (GateAdmission, Option<GateWake>) {
+        if let Some(refusal) = self.refusal(arrival.deadline, now) {
+            return (GateAdmission::Refuse(refusal), None);
         }
         self.next_ticket += 1;
         let ticket = TicketId(self.next_ticket);
         if self.in_flight < self.open_slots(now) && self.queue.is_empty() {
             self.in_flight += 1;
-            return GateAdmission::Run(ticket);
+            return (GateAdmission::Run(ticket), None);
         }
-        if self.queue.len() < self.queue_limit {
-            self.queue.push_back(WaitingCall { ticket, deadline });
-            return GateAdmission::Wait(ticket);
+        let call = WaitingCall { ticket, arrival };
+        let at = self.queue.partition_point(|other| other.rank() > call.rank());
+        let ahead = self.queue.len() - at;
+        if self.is_hopeless(&arrival, ahead, now) || (self.queue.len() >= self.queue_limit && at == 0) {
+            return (GateAdmission::Refuse(GateRefusal::Full), None);
         }
-        GateAdmission::Refuse(GateRefusal::Full)
+        self.queue.insert(at, call);
+        let evicted = (self.queue.len() > self.queue_limit).then(|| self.queue.remove(0));
+        let wake = evicted.map(|call| GateWake::Refuse(call.ticket, GateRefusal::Full));
+        (GateAdmission::Wait(ticket), wake)
     }
 
-    /// Frees the slot of a call that ended and wakes those that wait.
-    pub fn finish(&mut self, now: TimePoint) -> Vec<GateWake> {
+    /// Frees the slot of a call that ended and wakes those that wait. `ran_ms` is the time that a whole run took.
+    pub fn finish(&mut self, ran_ms: Option<f64>, now: TimePoint) -> Vec<GateWake> {
         self.in_flight = self.in_flight.saturating_sub(1);
+        if let Some(ran_ms) = ran_ms {
+            self.run_ms = if self.run_ms == 0.0 {
+                ran_ms
+            } else {
+                self.run_ms + (ran_ms - self.run_ms) * RUN_WEIGHT
+            };
+        }
         self.tick(now)
     }
 
+    /// Tells whether a call with `ahead` others before it can't be answered in time, at the usual pace of runs.
+    fn is_hopeless(&self, arrival: &GateArrival, ahead: usize, now: TimePoint) -> bool {
+        let slots = f64::from(self.open_slots(now).max(1));
+        let wait_ms = (ahead as f64 + 1.0) / slots * self.run_ms;
+        now.after_ms((wait_ms + self.run_ms) as u64) > arrival.useful_until
+    }
+
     /// Forgets a waiting call whose caller went away. Tells whether it was still waiting.
     pub fn abandon(&mut self, ticket: TicketId) -> bool {
         let before = self.queue.len();
@@ -195,16 +265,17 @@
     /// Wakes calls that wait, as far as slots are open, and refuses those whose deadline passed.
     pub fn tick(&mut self, now: TimePoint) -> Vec<GateWake> {
         let mut wakes = Vec::new();
-        while let Some(call) = self.queue.front().copied() {
-            if call.deadline <= now {
+        self.queue.retain(|call| {
+            let is_late = call.arrival.deadline <= now;
+            if is_late {
                 wakes.push(GateWake::Refuse(call.ticket, GateRefusal::Expired));
-            } else if self.in_flight < self.open_slots(now) {
-                self.in_flight += 1;
-                wakes.push(GateWake::Run(call.ticket));
-            } else {
-                break;
             }
-            self.queue.pop_front();
+            !is_late
+        });
+        while self.in_flight < self.open_slots(now) {
+            let Some(call) = self.queue.pop() else { break };
+            self.in_flight += 1;
+            wakes.push(GateWake::Run(call.ticket));
         }
         wakes
     }
--- a/src/http.rs
+++ b/src/http.rs
@@ -18,8 +18,9 @@
 
 /// Connections that wait for `accept`; large enough for a reconnect storm of all peers of a small service.
 const LISTEN_BACKLOG: i32 = 1_024;
-/// Time a client may take for a request head.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time a client may take for a request head. The server counts the wait for a next request as well, so it is longer
+/// than callers keep an idle connection.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(75);
 /// Time after which an idle connection of a caller is closed. Longer than any client of ours keeps one, so
 /// that the client closes first and no request meets a closing connection.
 const SERVER_IDLE_TIMEOUT: Duration = Duration::from_secs(75);
@@ -29,6 +30,11 @@
 pub const MAX_HEADERS: usize = 100;
 /// Time an idle connection to a peer or target is kept for repeatable calls.
 pub const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time an idle connection to a gate or target is kept for repeatable calls; below what targets keep theirs.
+pub const WARM_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time after which a silent connection is probed, and between two probes: a lost machine is noticed in about three
+/// times this.
+pub const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 /// Time an idle connection is trusted with a call that must not be repeated.
 pub const FRESH_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time that a connection attempt may take.
--- a/src/member/record.rs
+++ b/src/member/record.rs
@@ -55,6 +55,8 @@
 value_type! {
     /// The target that a daemon stands beside.
     pub struct TargetRecord {
+        /// Identity of the target; calls for another one are refused.
+        pub id: Arc<str>,
         /// Service name.
         pub service: Arc<str>,
         /// Target version.
--- a/src/member/state.rs
+++ b/src/member/state.rs
@@ -5,7 +5,7 @@
         digest::{bucket_digests, bucket_of},
         message::{ProbeKind, ProbeMessage, SyncReply, SyncRequest},
         rank::best_ranked,
-        record::{MemberRecord, MemberStatus, TargetStatus},
+        record::{MemberRecord, MemberStatus, TargetRecord, TargetStatus},
     },
     crate::clock::TimePoint,
     indexmap::IndexMap,
@@ -162,6 +162,16 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Replaces what is known of the own target and tells others at once.
+    pub fn set_target(&mut self, target: TargetRecord) -> Vec<MemberEffect> {
+        if self.own.target != target {
+            self.own.target = target;
+            self.renew_own(self.own.incarnation);
+            self.notify_peers();
+        }
+        std::mem::take(&mut self.effects)
+    }
+
     /// Leaves the mesh and tells others at once.
     pub fn leave(&mut self) -> Vec<MemberEffect> {
         self.own.status = MemberStatus::Left;
--- a/src/moves/controller.rs
+++ b/src/moves/controller.rs
@@ -11,7 +11,7 @@
     },
     crate::{
         clock::TimePoint,
-        config::{MoveOrder, MovePolicy, MoveVerdict},
+        config::{MoveOrder, MovePolicy, MoveVerdict, is_version},
     },
     indexmap::IndexMap,
     std::{collections::VecDeque, sync::Arc},
@@ -237,7 +237,7 @@
                     continue;
                 };
                 let is_new = reply.report.version == self.order.to;
-                if is_new || reply.report.version == self.order.from {
+                if is_new || is_version(&self.order.from, &reply.report.version) {
                     for (route, counts) in &slice.routes {
                         self.window.add(route, is_new, counts);
                     }
@@ -250,7 +250,7 @@
     /// Takes in a gate's report: what it counted since its last one joins the present window.
     pub fn add_report(&mut self, report: GateReport, now: TimePoint) {
         let is_new = report.version == self.order.to;
-        if !is_new && report.version != self.order.from {
+        if !is_new && !is_version(&self.order.from, &report.version) {
             return;
         }
         let has_calls = report.routes.values().any(|counts| counts.calls > 0);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        call::DEFAULT_SAVED_RETRIES,
         config::{ParseFault, ParseFaults},
         ini::{IniSection, read_sections},
     },
@@ -46,6 +47,10 @@
     pub control: SocketAddr,
     /// Where operators connect.
     pub operators: SocketAddr,
+    /// Where callers' load balancers ask whether to send calls here.
+    pub ready: Option<SocketAddr>,
+    /// Where the target announces itself; without it the section of the target describes it.
+    pub announcements: Option<SocketAddr>,
     /// Address of the platform's key-value service.
     pub store: Arc<str>,
     /// Control addresses of daemons to join at.
@@ -56,6 +61,12 @@
     pub max_body_bytes: u64,
     /// Most calls to the store in a second.
     pub store_calls_per_s: u32,
+    /// Daemons in each data centre that watch the store.
+    pub watchers: usize,
+    /// Retries that the daemon can save up.
+    pub saved_retries: u32,
+    /// Least time between the announcement of leaving and the exit, in milliseconds.
+    pub leave_ms: u64,
     /// Time that a drain may take before the process exits all the same, in milliseconds.
     pub drain_limit_ms: u64,
     /// The target beside the daemon.
@@ -67,7 +78,7 @@
 pub struct TargetSettings {
     /// Service that the target serves.
     pub service: Arc<str>,
-    /// Version of the target.
+    /// Version of the target; empty if the target announces it.
     pub version: Arc<str>,
     /// Address of the target.
     pub address: SocketAddr,
@@ -101,7 +112,8 @@
         }
         let mut daemon = take_section(&mut sections, file, "daemon", &mut faults);
         let mut target = take_section(&mut sections, file, "target", &mut faults);
-        let target_settings = read_target(&mut target, &mut faults);
+        let is_announced = daemon.has("announcements");
+        let target_settings = read_target(&mut target, is_announced, &mut faults);
         let settings = read_daemon(&mut daemon, target_settings, &mut faults);
         daemon.refuse_rest(&mut faults);
         target.refuse_rest(&mut faults);
@@ -141,20 +153,40 @@
         gate: take_address(section, "gate", faults),
         control: take_address(section, "control", faults),
         operators: take_address(section, "operators", faults),
+        ready: take_optional_address(section, "ready", faults),
+        announcements: take_optional_address(section, "announcements", faults),
         store: section.take_required("store", faults),
         peers: take_peers(section, faults),
         traffic_threads: take_number(section, "traffic_threads", (1, 64), 1, faults) as usize,
         max_body_bytes: take_number(section, "max_body_bytes", (1, 1 << 40), 64 << 20, faults),
         store_calls_per_s: take_number(section, "store_calls_per_s", (1, 1_000), 2, faults) as u32,
+        watchers: take_number(section, "watchers", (1, 1_000), 2, faults) as usize,
+        saved_retries: take_number(
+            section,
+            "saved_retries",
+            (0, 10_000),
+            u64::from(DEFAULT_SAVED_RETRIES),
+            faults,
+        ) as u32,
+        leave_ms: take_number(section, "leave_ms", (0, 3_600_000), 1_000, faults),
         drain_limit_ms: take_number(section, "drain_limit_ms", (1, 3_600_000), 60_000, faults),
         target,
     }
 }
 
-fn read_target(section: &mut IniSection, faults: &mut Vec<ParseFault>) -> TargetSettings {
+fn read_target(
+    section: &mut IniSection,
+    is_announced: bool,
+    faults: &mut Vec<ParseFault>,
+) -> TargetSettings {
+    let version = if is_announced {
+        section.take("version").unwrap_or_default().into()
+    } else {
+        section.take_required("version", faults)
+    };
     let target = TargetSettings {
         service: section.take_required("service", faults),
-        version: section.take_required("version", faults),
+        version,
         address: take_address(section, "address", faults),
         slots: take_number(section, "slots", (1, 100_000), 12, faults) as u32,
         connections: take_number(section, "connections", (1, 100_000), 120, faults) as u32,
@@ -199,6 +231,14 @@
         .unwrap_or(nowhere)
 }
 
+fn take_optional_address(
+    section: &mut IniSection,
+    key: &str,
+    faults: &mut Vec<ParseFault>,
+) -> Option<SocketAddr> {
+    section.has(key).then(|| take_address(section, key, faults))
+}
+
 fn take_peers(section: &mut IniSection, faults: &mut Vec<ParseFault>) -> Vec<SocketAddr> {
     let peers = section.take_parsed(
         "peers",
--- a/tests/acceptance_fuzz.rs
+++ b/tests/acceptance_fuzz.rs
@@ -11,7 +11,7 @@
     fuchsiashore::{
         clock::TimePoint,
         config::{
-            ConfigHead, ConfigTables, EditRequest, MovePolicy, PoolEntry, RepeatRule, RouteEntry, TableEdit,
+            ConfigHead, ConfigTables, EditRequest, MovePolicy, PoolEntry, PoolShare, RepeatRule, RouteEntry, TableEdit,
         },
         store::{ChangeWriter, StoreValue, WriteEvent, WriteStep},
     },
@@ -275,10 +275,11 @@
     let route = RouteEntry {
         path: format!("/{}", entry % 7).into(),
         methods: Vec::new(),
-        pool: "pool".into(),
+        pools: PoolShare::whole("pool"),
         repeat: RepeatRule::ByMethod,
         timeout_ms: 1_000 + u64::from(entry),
-    };
+                ..RouteEntry::default()
+            };
     tables.routes.insert("route".into(), route);
     tables
 }
--- a/tests/member_fuzz.rs
+++ b/tests/member_fuzz.rs
@@ -280,6 +280,7 @@
         region: "region".into(),
         data_centre: "centre".into(),
         target: TargetRecord {
+            id: "t".into(),
             service: "booking".into(),
             version: "v1".into(),
             slots: 12,
--- a/tests/request_fuzz.rs
+++ b/tests/request_fuzz.rs
@@ -10,12 +10,12 @@
     common::fuzz_config,
     fuchsiashore::{
         call::{
-            AttemptOutcome, CallOutcome, CallPlan, CallStep, CandidateTarget, RetryBudget, TargetBook,
+            AttemptOutcome, CallOutcome, CallPlan, CallRules, CallStep, CandidateTarget, RetryBudget, TargetBook,
             choose_version,
         },
         clock::TimePoint,
         config::{CompiledPool, MoveOrder, MovePolicy, PoolEntry},
-        gate::{GateAdmission, GateState, GateWake, TicketId},
+        gate::{GateAdmission, GateArrival, GateState, GateWake, TicketId},
     },
     proptest::{prelude::*, strategy::Union},
     proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine},
@@ -27,21 +27,38 @@
 const SLOTS: u32 = 2;
 const QUEUE: usize = 2;
 const TIMEOUT_MS: u64 = 1_000;
+const ATTEMPTS: u32 = 3;
 /// A retry budget allows at most this many retries at first, and a tenth of the calls after that.
 const FIRST_RETRIES: usize = 80;
 
+/// One of the two attempts of a call that may be under way.
+#[derive(Debug, Clone, Copy)]
+struct AttemptKey {
+    call: usize,
+    slot: usize,
+}
+
+/// How a target ends a run.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum RunEnd {
+    Answered,
+    Failed,
+    /// The target says that it has not run the request.
+    Rejected,
+}
+
 #[derive(Debug, Clone, Copy)]
 enum Action {
     /// A caller sends a call.
     Call { repeatable: bool, held: bool },
-    /// The request under way of a call reaches its gate, or the connection can't be made.
-    Deliver { call: usize, connects: bool },
-    /// The target ends its run of a call.
-    EndRun { call: usize, shed: bool },
+    /// The request of an attempt reaches its gate, or the connection can't be made.
+    Deliver { key: AttemptKey, connects: bool },
+    /// The target ends its run of an attempt, or rejects it.
+    EndRun { key: AttemptKey, end: RunEnd },
     /// The answer of an ended run reaches the proxy whole, or cut.
-    Answer { call: usize, cut: bool },
-    /// The connection of a call's attempt breaks.
-    Break { call: usize },
+    Answer { key: AttemptKey, cut: bool },
+    /// The connection of an attempt breaks.
+    Break { key: AttemptKey },
     /// Time passes.
     Wait { ms: u64 },
     /// A gate drains.
@@ -83,15 +100,21 @@
         if state.0 > 0 {
             // Recent calls are the ones that are still under way.
             let call = state.0.saturating_sub(8)..state.0;
+            let key = (call.clone(), 0..2_usize).prop_map(|(call, slot)| AttemptKey { call, slot });
             let (yes_mostly, yes_rarely) = (prop::bool::weighted(0.85), prop::bool::weighted(0.2));
+            let ends = prop_oneof![
+                8 => Just(RunEnd::Answered),
+                2 => Just(RunEnd::Failed),
+                1 => Just(RunEnd::Rejected),
+            ];
             let deliver =
-                (call.clone(), yes_mostly).prop_map(|(call, connects)| Action::Deliver { call, connects });
-            let end = (call.clone(), yes_rarely).prop_map(|(call, shed)| Action::EndRun { call, shed });
-            let answer = (call.clone(), yes_rarely).prop_map(|(call, cut)| Action::Answer { call, cut });
+                (key.clone(), yes_mostly).prop_map(|(key, connects)| Action::Deliver { key, connects });
+            let end = (key.clone(), ends).prop_map(|(key, end)| Action::EndRun { key, end });
+            let answer = (key.clone(), yes_rarely).prop_map(|(key, cut)| Action::Answer { key, cut });
             actions.push((8, deliver.boxed()));
             actions.push((6, end.boxed()));
             actions.push((6, answer.boxed()));
-            actions.push((2, call.clone().prop_map(|call| Action::Break { call }).boxed()));
+            actions.push((2, key.prop_map(|key| Action::Break { key }).boxed()));
             actions.push((1, call.prop_map(|call| Action::GoAway { call }).boxed()));
         }
         Union::new_weighted(actions).boxed()
@@ -142,7 +165,7 @@
     /// Running at the target.
     Running,
     /// The target has answered; the answer names the call that it belongs to.
-    Ended { belongs_to: usize, shed: bool },
+    Ended { belongs_to: usize, end: RunEnd },
     /// Nothing comes any more.
     Lost,
 }
@@ -151,7 +174,6 @@
 struct Attempt {
     target: usize,
     place: Place,
-    deadline: TimePoint,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -166,9 +188,12 @@
 struct Call {
     plan: CallPlan,
     repeatable: bool,
-    attempt: Option<Attempt>,
+    priority: u8,
+    attempts: [Option<Attempt>; 2],
     told: Told,
     runs: u32,
+    /// Attempts that reached a target.
+    arrivals: u32,
     in_hand: bool,
 }
 
@@ -200,10 +225,10 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Call { repeatable, held } => self.start_call(repeatable, held),
-            Action::Deliver { call, connects } => self.deliver(call, connects),
-            Action::EndRun { call, shed } => self.end_run(call, shed),
-            Action::Answer { call, cut } => self.answer(call, cut),
-            Action::Break { call } => self.break_connection(call),
+            Action::Deliver { key, connects } => self.deliver(key, connects),
+            Action::EndRun { key, end } => self.end_run(key, end),
+            Action::Answer { key, cut } => self.answer(key, cut),
+            Action::Break { key } => self.break_connection(key),
             Action::Wait { ms } => self.wait(ms),
             Action::Drain { target } => {
                 let wakes = self.gates[target].drain();
@@ -215,14 +240,21 @@
     }
 
     fn start_call(&mut self, repeatable: bool, held: bool) {
-        let plan = CallPlan::new(repeatable, held, self.now.after_ms(TIMEOUT_MS));
+        let plan = CallPlan::new(CallRules {
+            repeatable,
+            resendable: held,
+            attempts: ATTEMPTS,
+            deadline: self.now.after_ms(TIMEOUT_MS),
+        });
         let step = plan.begin(&mut self.budget, self.now);
         self.calls.push(Call {
             plan,
             repeatable,
-            attempt: None,
+            priority: (self.calls.len() % 3) as u8,
+            attempts: [None, None],
             told: Told::Nothing,
             runs: 0,
+            arrivals: 0,
             in_hand: false,
         });
         self.follow(self.calls.len() - 1, step);
@@ -231,83 +263,109 @@
     /// Does what the daemon does with a step.
     fn follow(&mut self, call: usize, step: CallStep) {
         match step {
-            CallStep::Answer => self.calls[call].told = Told::Answer,
-            CallStep::Refuse { outcome, .. } => self.calls[call].told = Told::Refused(outcome),
-            CallStep::Send { deadline } => {
-                let candidates: Vec<CandidateTarget> = (0..TARGETS).map(candidate).collect();
-                let tried = self.calls[call].plan.tried().to_vec();
-                let Some(chosen) = self.book.choose(&candidates, &tried, &mut self.rng, self.now) else {
-                    let refused = self.calls[call]
-                        .plan
-                        .refuse(fuchsiashore::call::RefusalReason::Refused);
-                    let step = if self.calls[call].in_hand {
-                        CallStep::Answer
-                    } else {
-                        refused
-                    };
-                    return self.follow(call, step);
-                };
-                let name = Arc::clone(&chosen.name);
-                self.retries += usize::from(!tried.is_empty());
-                let target = candidates
-                    .iter()
-                    .position(|candidate| candidate.name == name)
-                    .unwrap();
-                self.calls[call].plan.note_attempt(name);
-                self.calls[call].attempt = Some(Attempt {
-                    target,
-                    place: Place::Sent,
-                    deadline,
-                });
+            CallStep::Wait => {}
+            CallStep::Answer => {
+                assert!(self.calls[call].in_hand, "call {call} is answered without an answer");
+                self.end_call(call, Told::Answer);
             }
+            CallStep::Refuse { outcome, .. } => self.end_call(call, Told::Refused(outcome)),
+            CallStep::Send => self.send(call),
+        }
+    }
+
+    fn send(&mut self, call: usize) {
+        let candidates: Vec<CandidateTarget> = (0..TARGETS).map(candidate).collect();
+        let tried = self.calls[call].plan.tried().to_vec();
+        let Some(chosen) = self.book.choose(&candidates, &tried, &mut self.rng, self.now) else {
+            let step = self.calls[call].plan.lack_target(self.calls[call].in_hand);
+            return self.follow(call, step);
+        };
+        let name = Arc::clone(&chosen.name);
+        self.retries += usize::from(!tried.is_empty());
+        let target = candidates
+            .iter()
+            .position(|candidate| candidate.name == name)
+            .unwrap();
+        let now = self.now;
+        let call = &mut self.calls[call];
+        call.plan.note_attempt(name, now);
+        let slot = call.attempts.iter().position(Option::is_none);
+        call.attempts[slot.expect("more than two attempts are under way")] = Some(Attempt {
+            target,
+            place: Place::Sent,
+        });
+    }
+
+    /// Ends a call; what is still under way is given up, as the daemon does.
+    fn end_call(&mut self, call: usize, told: Told) {
+        self.calls[call].told = told;
+        for slot in 0..2 {
+            let key = AttemptKey { call, slot };
+            self.release(key);
+            self.calls[call].attempts[slot] = None;
         }
     }
 
-    fn end_attempt(&mut self, call: usize, outcome: AttemptOutcome) {
-        let Some(attempt) = self.calls[call].attempt.take() else {
+    fn end_attempt(&mut self, key: AttemptKey, outcome: AttemptOutcome) {
+        let call = key.call;
+        let Some(attempt) = self.calls[call].attempts[key.slot].take() else {
             return;
         };
         let name = candidate(attempt.target).name;
         match outcome {
             AttemptOutcome::Answered => self.book.succeed(&name, 1.0, None, self.now),
+            AttemptOutcome::NotRun => self.book.note_full(&name, self.now),
             _ => drop(self.book.fail(&name, self.now)),
         }
-        self.calls[call].in_hand |= matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Shed);
+        self.calls[call].in_hand |= matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Failed);
         let step = self.calls[call]
             .plan
             .after_attempt(outcome, &mut self.budget, self.now);
         self.follow(call, step);
     }
 
-    fn place(&self, call: usize) -> Option<(usize, Place)> {
-        let attempt = self.calls.get(call)?.attempt.as_ref()?;
+    fn place(&self, key: AttemptKey) -> Option<(usize, Place)> {
+        let attempt = self.calls.get(key.call)?.attempts[key.slot].as_ref()?;
         Some((attempt.target, attempt.place.clone()))
     }
 
-    fn set_place(&mut self, call: usize, place: Place) {
-        if let Some(attempt) = &mut self.calls[call].attempt {
+    fn keys(&self) -> impl Iterator<Item = AttemptKey> + use<> {
+        let calls = 0..self.calls.len();
+        calls.flat_map(|call| (0..2).map(move |slot| AttemptKey { call, slot }))
+    }
+
+    fn set_place(&mut self, key: AttemptKey, place: Place) {
+        if let Some(attempt) = &mut self.calls[key.call].attempts[key.slot] {
             attempt.place = place;
         }
     }
 
-    fn deliver(&mut self, call: usize, connects: bool) {
-        let Some((target, Place::Sent)) = self.place(call) else {
+    fn deliver(&mut self, key: AttemptKey, connects: bool) {
+        let Some((target, Place::Sent)) = self.place(key) else {
             return;
         };
         if !connects {
-            return self.end_attempt(call, AttemptOutcome::NotRun);
+            return self.end_attempt(key, AttemptOutcome::NotRun);
         }
-        let deadline = self.calls[call].attempt.as_ref().unwrap().deadline;
-        match self.gates[target].arrive(deadline, self.now) {
-            GateAdmission::Run(_) => self.run(call),
-            GateAdmission::Wait(ticket) => self.set_place(call, Place::Queued(ticket)),
-            GateAdmission::Refuse(_) => self.end_attempt(call, AttemptOutcome::NotRun),
+        let deadline = self.calls[key.call].plan.deadline();
+        let arrival = GateArrival {
+            priority: self.calls[key.call].priority,
+            useful_until: deadline,
+            deadline,
+        };
+        let (admission, evicted) = self.gates[target].arrive(arrival, self.now);
+        match admission {
+            GateAdmission::Run(_) => self.run(key),
+            GateAdmission::Wait(ticket) => self.set_place(key, Place::Queued(ticket)),
+            GateAdmission::Refuse(_) => self.end_attempt(key, AttemptOutcome::NotRun),
         }
+        self.wake(target, evicted.into_iter().collect());
     }
 
-    fn run(&mut self, call: usize) {
-        self.calls[call].runs += 1;
-        self.set_place(call, Place::Running);
+    fn run(&mut self, key: AttemptKey) {
+        self.calls[key.call].runs += 1;
+        self.calls[key.call].arrivals += 1;
+        self.set_place(key, Place::Running);
     }
 
     fn wake(&mut self, target: usize, wakes: Vec<GateWake>) {
@@ -316,73 +374,71 @@
                 GateWake::Run(ticket) => (ticket, true),
                 GateWake::Refuse(ticket, _) => (ticket, false),
             };
-            let waiting = (0..self.calls.len()).find(|call| {
-                self.place(*call)
+            let waiting = self.keys().find(|key| {
+                self.place(*key)
                     .is_some_and(|(at, place)| at == target && place == Place::Queued(ticket))
             });
-            let Some(call) = waiting else {
-                panic!("a call that is not waiting was woken")
-            };
-            if runs {
-                self.run(call);
-            } else {
-                self.end_attempt(call, AttemptOutcome::NotRun);
+            match (waiting, runs) {
+                (Some(key), true) => self.run(key),
+                (Some(key), false) => self.end_attempt(key, AttemptOutcome::NotRun),
+                // A call that ended while several were woken gives its slot back.
+                (None, true) => {
+                    let wakes = self.gates[target].finish(None, self.now);
+                    self.wake(target, wakes);
+                }
+                (None, false) => {}
             }
         }
     }
 
-    fn end_run(&mut self, call: usize, shed: bool) {
-        let Some((target, Place::Running)) = self.place(call) else {
+    fn end_run(&mut self, key: AttemptKey, end: RunEnd) {
+        let Some((target, Place::Running)) = self.place(key) else {
             return;
         };
-        self.set_place(
-            call,
-            Place::Ended {
-                belongs_to: call,
-                shed,
-            },
-        );
-        let wakes = self.gates[target].finish(self.now);
+        if end == RunEnd::Rejected {
+            self.calls[key.call].runs -= 1;
+        }
+        let belongs_to = key.call;
+        self.set_place(key, Place::Ended { belongs_to, end });
+        let wakes = self.gates[target].finish(Some(20.0), self.now);
         self.wake(target, wakes);
     }
 
-    fn answer(&mut self, call: usize, cut: bool) {
-        let Some((_, Place::Ended { belongs_to, shed })) = self.place(call) else {
+    fn answer(&mut self, key: AttemptKey, cut: bool) {
+        let Some((_, Place::Ended { belongs_to, end })) = self.place(key) else {
             return;
         };
-        assert_eq!(belongs_to, call, "an answer reached another call");
-        let outcome = match (cut, shed) {
+        assert_eq!(belongs_to, key.call, "an answer reached another call");
+        let outcome = match (cut, end) {
             (true, _) => AttemptOutcome::Broken,
-            (false, true) => AttemptOutcome::Shed,
-            (false, false) => AttemptOutcome::Answered,
+            (false, RunEnd::Failed) => AttemptOutcome::Failed,
+            (false, RunEnd::Rejected) => AttemptOutcome::Rejected,
+            (false, RunEnd::Answered) => AttemptOutcome::Answered,
         };
-        self.end_attempt(call, outcome);
+        self.end_attempt(key, outcome);
     }
 
     /// Frees what an attempt holds at its gate: the gate sees its connection go.
-    fn release(&mut self, call: usize) {
-        let Some((target, place)) = self.place(call) else {
+    fn release(&mut self, key: AttemptKey) {
+        let Some((target, place)) = self.place(key) else {
             return;
         };
+        self.set_place(key, Place::Lost);
         let wakes = match place {
             Place::Queued(ticket) => {
-                assert!(
-                    self.gates[target].abandon(ticket),
-                    "a waiting call was not in the queue"
-                );
+                self.gates[target].abandon(ticket);
                 Vec::new()
             }
-            Place::Running => self.gates[target].finish(self.now),
+            Place::Running => self.gates[target].finish(None, self.now),
             _ => Vec::new(),
         };
-        self.set_place(call, Place::Lost);
         self.wake(target, wakes);
     }
 
-    fn break_connection(&mut self, call: usize) {
-        if self.place(call).is_some() {
-            self.release(call);
-            self.end_attempt(call, AttemptOutcome::Broken);
+    fn break_connection(&mut self, key: AttemptKey) {
+        if self.place(key).is_some() {
+            self.release(key);
+            self.end_attempt(key, AttemptOutcome::Broken);
         }
     }
 
@@ -393,35 +449,35 @@
             self.wake(target, wakes);
         }
         for call in 0..self.calls.len() {
-            let stalled = self.calls[call]
-                .attempt
-                .as_ref()
-                .is_some_and(|attempt| attempt.deadline <= self.now);
-            if stalled {
-                self.release(call);
-                self.end_attempt(call, AttemptOutcome::Stalled);
+            if self.calls[call].told == Told::Nothing && self.calls[call].plan.hedge_at() <= self.now {
+                let step = self.calls[call].plan.hedge(&mut self.budget, self.now);
+                self.follow(call, step);
+            }
+        }
+        for key in self.keys() {
+            if self.place(key).is_some() && self.calls[key.call].plan.deadline() <= self.now {
+                self.release(key);
+                self.end_attempt(key, AttemptOutcome::Stalled);
             }
         }
     }
 
     fn kill(&mut self, target: usize) {
         self.gates[target] = open_gate(self.now);
-        for call in 0..self.calls.len() {
-            let Some((at, place)) = self.place(call) else {
+        for key in self.keys() {
+            let Some((at, place)) = self.place(key) else {
                 continue;
             };
             if at == target && place != Place::Sent {
-                self.set_place(call, Place::Lost);
-                self.end_attempt(call, AttemptOutcome::Broken);
+                self.set_place(key, Place::Lost);
+                self.end_attempt(key, AttemptOutcome::Broken);
             }
         }
     }
 
     fn go_away(&mut self, call: usize) {
-        if self.place(call).is_some() {
-            self.release(call);
-            self.calls[call].attempt = None;
-            self.calls[call].told = Told::Gone;
+        if self.calls.get(call).is_some_and(|call| call.told == Told::Nothing) {
+            self.end_call(call, Told::Gone);
         }
     }
 
@@ -440,7 +496,12 @@
             if call.told == Told::Answer {
                 assert!(call.runs >= 1, "call {number} was answered and did not run");
             }
-            let is_open = call.attempt.is_some();
+            assert!(
+                call.arrivals <= ATTEMPTS,
+                "call {number} reached {} targets",
+                call.arrivals
+            );
+            let is_open = call.attempts.iter().any(Option::is_some);
             assert_eq!(
                 is_open,
                 call.told == Told::Nothing,
@@ -469,11 +530,11 @@
     }
 
     fn running_at(&self, target: usize) -> u32 {
-        let running = |call: &usize| {
-            self.place(*call)
+        let running = |key: &AttemptKey| {
+            self.place(*key)
                 .is_some_and(|(at, place)| at == target && place == Place::Running)
         };
-        (0..self.calls.len()).filter(running).count() as u32
+        self.keys().filter(running).count() as u32
     }
 }
 
--- a/tests/spread_fuzz.rs
+++ b/tests/spread_fuzz.rs
@@ -10,7 +10,7 @@
     fuchsiashore::{
         clock::TimePoint,
         config::{
-            ConfigHead, ConfigTables, EditRequest, HeadDelta, HeadEdit, MovePolicy, PoolEntry, RepeatRule,
+            ConfigHead, ConfigTables, EditRequest, HeadDelta, HeadEdit, MovePolicy, PoolEntry, PoolShare, RepeatRule,
             RouteEntry, TableEdit, apply_edit,
         },
         spread::{ConfigReply, ConfigRequest, SpreadState},
@@ -323,9 +323,10 @@
             let route = RouteEntry {
                 path: format!("/{number}").into(),
                 methods: Vec::new(),
-                pool: format!("pool-{number}").into(),
+                pools: PoolShare::whole(format!("pool-{number}")),
                 repeat: RepeatRule::ByMethod,
                 timeout_ms: 1_000 + u64::from(entry),
+                ..RouteEntry::default()
             };
             tables.routes.insert(format!("route-{number}").into(), route);
         }
