--- a/src/call/version.rs
+++ b/src/call/version.rs
@@ -25,9 +25,10 @@
     };
     let (old, new) = (Arc::clone(&order.from), Arc::clone(&order.to));
     if draw < share {
+        // At the full share the old targets only finish what they have.
         return VersionChoice {
             version: new,
-            fallback: Some(old),
+            fallback: (share < 1.0).then_some(old),
         };
     }
     VersionChoice {
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -5,6 +5,7 @@
 mod joining;
 mod leaving;
 mod members;
+mod reloading;
 mod target;
 
 use {
@@ -50,11 +51,13 @@
     /// New work is refused at the gate; what runs is finished.
     Finishing {
         announced_until: TimePoint,
+        refuse_at: TimePoint,
         limit: TimePoint,
     },
-    /// Late calls of callers are refused.
+    /// New calls of callers are refused.
     Quiet {
         until: TimePoint,
+        limit: TimePoint,
     },
 }
 
@@ -241,6 +244,7 @@
             ControlEvent::Note(TrafficNote::TargetRefuses) => self.finish_target_probe(false, now),
             ControlEvent::Query(query) => self.answer_query(query),
             ControlEvent::Drain => self.start_drain(now),
+            ControlEvent::Reload => self.reload(now),
         }
     }
 
--- a/src/daemon/move_runner.rs
+++ b/src/daemon/move_runner.rs
@@ -24,6 +24,9 @@
 
 /// Time between two looks at a move that another daemon holds, in milliseconds.
 const LOOK_INTERVAL_MS: u64 = 1_000;
+/// Time after the start of the daemon in which it takes over no move, in milliseconds; it learns of most others in
+/// two rounds of probes.
+const LEARN_MS: u64 = 2_500;
 /// Time after which a look is evaluated without the gates that did not answer, in milliseconds.
 const LOOK_WAIT_MS: u64 = 800;
 /// Pause between two tries, in milliseconds.
@@ -143,10 +146,15 @@
             self.run_controller(pool, members, store, ring, now);
             return;
         }
+        // A daemon that has just started knows too few others to tell whether it is the one.
+        if now < self.shared.started_at.after_ms(LEARN_MS) {
+            return;
+        }
         let service = &open.service;
+        let order = &open.order;
         let gates = members
             .present()
-            .filter(|record| record.target.service == *service);
+            .filter(|record| record.target.service == *service && record.target.version != order.to);
         let is_best = best_ranked(pool, gates.map(|record| &*record.name), 1) == [&*members.own().name];
         if is_best && open.look.is_none() && now >= open.due_at {
             open.due_at = now.after_ms(LOOK_INTERVAL_MS);
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -247,16 +247,20 @@
 }
 
 async fn wait_for_signals(events: mpsc::Sender<ControlEvent>) {
-    let (Ok(mut terminate), Ok(mut interrupt)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
+    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+        signal(SignalKind::hangup()),
+    ) else {
+        log::error!("event=signals-not-heard");
         return;
     };
     loop {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        let _ = events.send(ControlEvent::Drain).await;
+        let event = tokio::select! {
+            _ = terminate.recv() => ControlEvent::Drain,
+            _ = interrupt.recv() => ControlEvent::Drain,
+            _ = hangup.recv() => ControlEvent::Reload,
+        };
+        let _ = events.send(event).await;
     }
 }
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -100,6 +100,8 @@
     Query(OperatorQuery),
     /// The daemon is to leave.
     Drain,
+    /// The settings may have changed.
+    Reload,
 }
 
 /// What an operator asks.
--- a/src/moves/clearance.rs
+++ b/src/moves/clearance.rs
@@ -97,8 +97,8 @@
             .as_ref()
             .filter(|held| held.move_id == clearance.move_id)
         {
-            let same_holder = held.holder == clearance.holder && held.epoch == clearance.epoch;
-            let outranked = clearance.epoch < held.epoch || (clearance.epoch == held.epoch && !same_holder);
+            let is_rival = clearance.epoch == held.epoch && held.holder != clearance.holder;
+            let outranked = clearance.epoch < held.epoch || (is_rival && now < self.lease_until);
             if outranked {
                 return false;
             }
--- a/src/moves/controller.rs
+++ b/src/moves/controller.rs
@@ -42,6 +42,13 @@
 const OBSERVE_MS: u64 = 3_000;
 /// Part of the planned time in which a step must have had its calls before the next one.
 const EVIDENCE_FIRST: f64 = 0.5;
+/// The same for a short move.
+const SHORT_OBSERVE_MS: u64 = 800;
+/// Longest wait for the last calls of the old version before the verdict, in milliseconds; its targets may be stopped
+/// at once after it.
+const DRAIN_MS: u64 = 1_600;
+/// Part of a short move for which the latencies of a target that was just heard of are left out.
+const SHORT_WARM_UP: f64 = 0.2;
 /// Time for which the latencies of a target that gets its first calls are left out, in milliseconds.
 const WARM_UP_MS: u64 = 5_000;
 /// Part of the new version's slots that the share may fill.
@@ -71,6 +78,11 @@
     Paused,
     /// The share is at its top and the verdict is awaited.
     Soaking,
+    /// Every call goes to the new version; the old one finishes what it has.
+    Draining {
+        /// When that began.
+        since: TimePoint,
+    },
     /// The verdict is decided and waits to be written.
     Decided,
 }
@@ -254,14 +266,15 @@
             return;
         }
         let has_calls = report.routes.values().any(|counts| counts.calls > 0);
-        let mut first_call_at = has_calls.then_some(now);
+        // In a short move there is no time to wait for the first call.
+        let mut first_call_at = (has_calls || self.schedule.is_short()).then_some(now);
         let earlier = self
             .reports
             .get(&report.gate)
             .filter(|known| known.report.instance == report.instance);
         if let Some(earlier) = earlier {
             first_call_at = earlier.first_call_at.or(first_call_at);
-            let is_cold = is_new && first_call_at.is_some_and(|first| now.ms_since(first) < WARM_UP_MS);
+            let is_cold = is_new && first_call_at.is_some_and(|first| now.ms_since(first) < self.warm_up_ms());
             for (route, counts) in &report.routes {
                 let before = earlier.report.routes.get(route).cloned().unwrap_or_default();
                 let mut counts = counts.since(&before);
@@ -287,6 +300,14 @@
         );
     }
 
+    fn warm_up_ms(&self) -> u64 {
+        if !self.schedule.is_short() {
+            return WARM_UP_MS;
+        }
+        let total_ms = self.order.finish_by.ms_since(self.order.opened_at);
+        ((total_ms as f64 * SHORT_WARM_UP) as u64).min(WARM_UP_MS)
+    }
+
     /// Takes note that the gates are polled now: the window is evaluated when they have had time to answer.
     pub fn note_poll(&mut self, now: TimePoint) {
         self.evaluate_at = now.after_ms(ANSWER_WAIT_MS);
@@ -312,12 +333,28 @@
         if finding.evidence >= limits.strong && self.is_confirmed(&finding, now) {
             return self.stop(&finding);
         }
-        if finding.evidence >= limits.weak && self.phase != MovePhase::Paused && self.clearance.share > 0.0 {
+        let may_pause = !matches!(self.phase, MovePhase::Paused | MovePhase::Draining { .. });
+        if finding.evidence >= limits.weak && may_pause && self.clearance.share > 0.0 {
             return self.pause(&finding, now);
         }
-        if now >= self.order.finish_by || (now >= self.schedule.verdict_at() && self.is_at_top()) {
+        if let MovePhase::Draining { since } = self.phase {
+            let is_over = now.ms_since(since) >= DRAIN_MS || now >= self.order.finish_by;
+            return if is_over || self.is_old_idle(since) {
+                self.finish(now)
+            } else {
+                Vec::new()
+            };
+        }
+        if now >= self.order.finish_by {
             return self.finish(now);
         }
+        if now >= self.schedule.verdict_at() && self.is_at_top() {
+            self.phase = MovePhase::Draining { since: now };
+            self.set_share(1.0, now);
+            return vec![MoveEffect::Cleared {
+                reason: "the old version finishes what it has".into(),
+            }];
+        }
         self.follow_schedule(&finding, now)
     }
 
@@ -376,8 +413,9 @@
     /// rate is known or there is no hope for more of its calls.
     fn is_confirmed(&self, finding: &Finding, now: TimePoint) -> bool {
         let paused_ms = now.ms_since(self.paused_at);
+        let is_draining = matches!(self.phase, MovePhase::Draining { .. });
         let has_lasted = self.phase == MovePhase::Paused && paused_ms >= CONFIRM_MS;
-        has_lasted && (finding.tells_apart || paused_ms >= CONTROL_WAIT_MS)
+        (is_draining || has_lasted) && (finding.tells_apart || paused_ms >= CONTROL_WAIT_MS)
     }
 
     fn strongest(&self) -> Finding {
@@ -485,7 +523,12 @@
             self.phase = MovePhase::Waiting;
             return self.wait_for_targets(now);
         }
-        if now.ms_since(self.began_at) < OBSERVE_MS {
+        let observe_ms = if self.schedule.is_short() {
+            SHORT_OBSERVE_MS
+        } else {
+            OBSERVE_MS
+        };
+        if now.ms_since(self.began_at) < observe_ms {
             return Vec::new();
         }
         self.phase = if share >= TOP_SHARE {
@@ -495,7 +538,7 @@
         };
         let wanted = due
             .min(cap)
-            .min(MoveSchedule::step_above(share).max(self.first_share()));
+            .min(self.schedule.step_above(share).max(self.first_share()));
         if wanted > share && self.may_rise(now) {
             self.set_share(wanted, now);
             return vec![MoveEffect::Cleared {
@@ -544,7 +587,7 @@
     fn warn_if_late(&mut self, due: f64, now: TimePoint) -> Vec<MoveEffect> {
         let behind =
             self.clearance.share < due && now.ms_since(self.raised_at) > 5 * self.schedule.catch_up_ms();
-        let too_short = self.order.finish_by.ms_since(self.order.opened_at) < super::schedule::MIN_MOVE_MS;
+        let too_short = self.schedule.is_short();
         if self.warned || !(behind || too_short) {
             return Vec::new();
         }
@@ -595,6 +638,15 @@
         self.clearance.share >= TOP_SHARE && self.phase != MovePhase::Paused
     }
 
+    /// Tells whether every gate of the old version has reported since then that nothing runs.
+    fn is_old_idle(&self, since: TimePoint) -> bool {
+        let mut old = self
+            .reports
+            .values()
+            .filter(|known| known.report.version != self.order.to);
+        old.all(|known| known.seen_at > since.after_ms(WINDOW_MS) && known.report.in_flight == 0)
+    }
+
     fn decide(&mut self, verdict: MoveVerdict, reason: &str) {
         self.phase = MovePhase::Decided;
         self.decided = Some((verdict, reason.into()));
--- a/src/moves/schedule.rs
+++ b/src/moves/schedule.rs
@@ -21,9 +21,23 @@
     (0.63, TOP_SHARE),
 ];
 
+/// The same for moves below [`MIN_MOVE_MS`]: one long trial at a share that does little harm, then a quick rise. The trial
+/// and the rise together stay near a tenth of the calls of the whole time, also if badness shows only in the rise.
+const SHORT_STEPS: [(f64, f64); 5] = [
+    (0.00, 0.04),
+    (0.15, 0.08),
+    (0.70, 0.30),
+    (0.76, 0.65),
+    (0.82, TOP_SHARE),
+];
+
+/// Part of a short move that is left for the last calls of the old version and for writing the verdict.
+const SHORT_SLACK: f64 = 0.14;
+
 /// When each share is due.
 #[derive(Debug, Clone, PartialEq)]
 pub struct MoveSchedule {
+    steps: &'static [(f64, f64)],
     start: TimePoint,
     /// When the verdict is due if nothing speaks against the version.
     verdict_at: TimePoint,
@@ -33,17 +47,25 @@
     /// Plans the time from `start` to `finish_by`, with slack for pauses and for writing the verdict.
     pub fn new(start: TimePoint, finish_by: TimePoint, policy: MovePolicy) -> Self {
         let total_ms = finish_by.ms_since(start);
+        let is_short = total_ms < MIN_MOVE_MS;
         let slack = match policy {
+            _ if is_short => SHORT_SLACK,
             MovePolicy::Prompt => 0.12,
             MovePolicy::Cautious => 0.06,
         };
         let used_ms = (total_ms as f64 * (1.0 - slack)) as u64;
         Self {
+            steps: if is_short { &SHORT_STEPS } else { &STEPS },
             start,
             verdict_at: start.after_ms(used_ms),
         }
     }
 
+    /// Tells whether the move is too short for every step.
+    pub fn is_short(&self) -> bool {
+        self.steps.len() == SHORT_STEPS.len()
+    }
+
     /// Returns when the verdict is due.
     pub fn verdict_at(&self) -> TimePoint {
         self.verdict_at
@@ -52,7 +74,7 @@
     /// Returns the share that is due at `now`.
     pub fn due_share(&self, now: TimePoint) -> f64 {
         let progress = self.progress(now);
-        let due = STEPS.iter().rev().find(|(from, _)| progress >= *from);
+        let due = self.steps.iter().rev().find(|(from, _)| progress >= *from);
         due.map_or(TRICKLE_SHARE, |(_, share)| *share)
     }
 
@@ -63,8 +85,8 @@
     }
 
     /// Returns the step above a share.
-    pub fn step_above(share: f64) -> f64 {
-        let above = STEPS.iter().find(|(_, step)| *step > share);
+    pub fn step_above(&self, share: f64) -> f64 {
+        let above = self.steps.iter().find(|(_, step)| *step > share);
         above.map_or(TOP_SHARE, |(_, step)| *step)
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,7 +6,12 @@
         config::{ParseFault, ParseFaults},
         ini::{IniSection, read_sections},
     },
-    std::{fs, io, net::SocketAddr, path::Path, sync::Arc},
+    std::{
+        fs, io,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        sync::Arc,
+    },
     thiserror::Error,
 };
 
@@ -31,6 +36,8 @@
 /// The daemon's own section.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DaemonSettings {
+    /// File that they were read from.
+    pub file: Option<PathBuf>,
     /// Name of the daemon, unique in the mesh.
     pub name: Arc<str>,
     /// Identity of the mesh; messages of another one are refused.
@@ -98,7 +105,11 @@
             path: shown.clone(),
             error,
         })?;
-        Ok(Self::parse(&shown, &text)?)
+        let settings = Self::parse(&shown, &text)?;
+        Ok(Self {
+            file: Some(path.to_owned()),
+            ..settings
+        })
     }
 
     /// Reads and checks settings from text.
@@ -145,6 +156,7 @@
     faults: &mut Vec<ParseFault>,
 ) -> DaemonSettings {
     DaemonSettings {
+        file: None,
         name: section.take_required("name", faults),
         mesh: section.take_required("mesh", faults),
         region: section.take_required("region", faults),
