--- a/src/call/book.rs
+++ b/src/call/book.rs
@@ -22,8 +22,15 @@
 /// Latency assumed of a target that was never called, and added for one in another data centre, in
 /// milliseconds.
 const BASE_LATENCY_MS: f64 = 1.0;
-/// Load above which calls spill to other data centres: bytes and time between them are dear.
-const SPILL_LOAD: f64 = 0.9;
+/// Time that a KiB between data centres is worth, in milliseconds: what a call carries there must be made up for by an
+/// earlier answer. Between what measurement showed for users to whom these bytes are dear and to whom they are cheap.
+const FAR_MS_PER_KIB: f64 = 30.0;
+/// Bytes of heads in both directions, between two daemons.
+const HEAD_BYTES: f64 = 1_000.0;
+/// Weight of a new answer's size in the moving average of its route.
+const SIZE_WEIGHT: f64 = 0.1;
+/// Most routes whose answers are measured.
+const MAX_ROUTES: usize = 4_000;
 /// Targets that are compared for one call; a few are as good as all, and cheaper.
 const COMPARED: usize = 5;
 /// Part of a run's time that a fully loaded target is expected to add before anything queues.
@@ -99,16 +106,19 @@
 #[derive(Debug, Default)]
 pub struct TargetBook {
     stats: HashMap<Arc<str>, TargetStats>,
+    /// Moving average of answer sizes by route, in bytes.
+    answer_bytes: HashMap<Arc<str>, f64>,
 }
 
 impl TargetBook {
-    /// Chooses a target: near ones first unless they are loaded, the best of a few random ones, and none that
-    /// was tried or ejected while another is left. Returns `None` only if `candidates` holds none that was not
-    /// tried.
+    /// Chooses the target with the earliest expected answer out of a few near and a few far ones, and none that was
+    /// tried or ejected while another is left. `far_ms` is what the call's bytes to another data centre are worth.
+    /// Returns `None` only if `candidates` holds none that was not tried.
     pub fn choose<'a>(
         &self,
         candidates: &'a [CandidateTarget],
         tried: &[Arc<str>],
+        far_ms: f64,
         rng: &mut impl Rng,
         now: TimePoint,
     ) -> Option<&'a CandidateTarget> {
@@ -118,12 +128,28 @@
             .collect();
         let sound = prefer(untried, |target| !self.is_ejected(&target.name, now));
         let trusted = prefer(sound, |target| !target.is_suspect);
-        let close = prefer(trusted, |target| {
-            target.is_near && self.load_of(target, now) < SPILL_LOAD
-        });
-        let compared = close.sample(rng, COMPARED);
-        let best = compared.min_by(|a, b| self.cost_of(a, now).total_cmp(&self.cost_of(b, now)));
-        best.copied()
+        let (near, far): (Vec<&CandidateTarget>, Vec<&CandidateTarget>) =
+            trusted.into_iter().partition(|target| target.is_near);
+        let compared = near.sample(rng, COMPARED).map(|target| (target, 0.0));
+        let compared = compared.chain(far.sample(rng, COMPARED).map(|target| (target, far_ms)));
+        let costs = compared.map(|(target, far_ms)| (*target, self.cost_of(target, now) + far_ms));
+        let best = costs.min_by(|a, b| a.1.total_cmp(&b.1));
+        best.map(|(target, _)| target)
+    }
+
+    /// Returns what the bytes of a call to another data centre are worth, in milliseconds.
+    pub fn far_ms(&self, route: &str, request_bytes: usize) -> f64 {
+        let answer_bytes = self.answer_bytes.get(route).copied().unwrap_or_default();
+        (request_bytes as f64 + answer_bytes + HEAD_BYTES) / 1_024.0 * FAR_MS_PER_KIB
+    }
+
+    /// Takes note of the size of an answer.
+    pub fn note_size(&mut self, route: &Arc<str>, bytes: usize) {
+        if let Some(mean) = self.answer_bytes.get_mut(route) {
+            *mean += (bytes as f64 - *mean) * SIZE_WEIGHT;
+        } else if self.answer_bytes.len() < MAX_ROUTES {
+            self.answer_bytes.insert(Arc::clone(route), bytes as f64);
+        }
     }
 
     /// Takes note of a request sent to a target.
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -31,7 +31,8 @@
         let is_watcher = is_among_best(&job, &settings.name, names, settings.watchers);
         // A daemon that knows nobody yet leaves the store to those that do, for as long as it may still join.
         let may_ask = self.join.has_synced || now >= self.join.limit || settings.peers.is_empty();
-        self.store.set_watcher(is_watcher && may_ask);
+        self.is_watcher = is_watcher && may_ask;
+        self.store.set_watcher(self.is_watcher);
         if now >= self.seeds_at {
             self.seeds_at = now.after_ms(SEEDS_INTERVAL_MS);
             if is_watcher {
--- a/src/daemon/control/members.rs
+++ b/src/daemon/control/members.rs
@@ -15,6 +15,12 @@
     std::net::SocketAddr,
 };
 
+/// Time that the own watch is given to bring a version that a peer has, in milliseconds: the pause in which changes are
+/// gathered, and two answers of the store.
+const WATCH_FIRST_MS: u64 = 900;
+/// Time that daemons of the own data centre are given to get it, in milliseconds.
+const NEAR_FIRST_MS: u64 = 500;
+
 impl ControlState {
     pub(super) fn carry_out(&mut self, effects: Vec<MemberEffect>, now: TimePoint) {
         for effect in effects {
@@ -25,7 +31,7 @@
                     self.record_member(&record, now);
                 }
                 MemberEffect::Sync { with } => self.start_sync(with, Vec::new(), now),
-                MemberEffect::Newer { from, version } => self.spread.note_newer(from, version),
+                MemberEffect::Newer { from, version } => self.note_newer(from, version, now),
                 MemberEffect::Floor { version } => self.spread.raise_floor(version),
                 MemberEffect::NameTaken { by } => {
                     let detail = format!("by={by}; give every daemon a name of its own");
@@ -35,6 +41,23 @@
         }
     }
 
+    /// Takes note of a peer with a newer configuration. It is pulled when the own watch had time to bring it, and from
+    /// another data centre when the daemons of the own one had time to get it: whole values are dear there.
+    fn note_newer(&mut self, peer: SocketAddr, version: u64, now: TimePoint) {
+        let own_centre = &self.shared.settings.data_centre;
+        let is_near = self
+            .members
+            .others()
+            .any(|record| record.control == peer && record.data_centre == *own_centre);
+        let is_watching = self.is_watcher && !self.store_was_down;
+        let wait_ms = match (is_watching, is_near) {
+            (true, _) => WATCH_FIRST_MS,
+            (false, true) => 0,
+            (false, false) => NEAR_FIRST_MS,
+        };
+        self.spread.note_newer(peer, version, now.after_ms(wait_ms));
+    }
+
     pub(super) fn send_datagram(&mut self, to: SocketAddr, message: ProbeMessage, now: TimePoint) {
         let stamp = self.ring.stamp(now);
         let Ok(bytes) = enclose(&self.shared.settings.mesh, stamp, message) else {
@@ -94,7 +117,7 @@
         let Some(reply) = reply else { return };
         self.join.has_synced = true;
         if reply.applied > self.spread.version() {
-            self.spread.note_newer(peer, reply.applied);
+            self.note_newer(peer, reply.applied, now);
         }
         let (newer, effects) = self.members.finish_sync(reply, now);
         self.carry_out(effects, now);
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -107,6 +107,7 @@
     /// Start and latest announcement of the target that stands beside this daemon.
     announced: Option<AnnouncedTarget>,
     store_was_down: bool,
+    is_watcher: bool,
     is_stale: bool,
     rng: SmallRng,
 }
@@ -168,6 +169,7 @@
             target_failures: 0,
             announced: None,
             store_was_down: false,
+            is_watcher: false,
             is_stale: true,
             rng,
             shared,
--- a/src/daemon/traffic/body.rs
+++ b/src/daemon/traffic/body.rs
@@ -75,6 +75,14 @@
         matches!(self, Self::Held(_))
     }
 
+    /// Returns the size of a body that is held, otherwise the size from which on none is held.
+    pub fn held_bytes(&self) -> usize {
+        match self {
+            Self::Held(bytes) => bytes.len(),
+            Self::Passing(_) | Self::Spent => HELD_BODY_BYTES,
+        }
+    }
+
     /// Makes the body of the next attempt; one that is passed on is spent by it.
     pub fn take(&mut self) -> OnwardBody {
         match self {
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -195,7 +195,7 @@
                         detail,
                     });
                 }
-                CallStep::Send => match self.choose(&call.pool, plan.tried()) {
+                CallStep::Send => match self.choose(call, request.body.held_bytes(), plan.tried()) {
                     Some(target) => {
                         if !plan.tried().is_empty() {
                             shared.metrics.retries.inc();
@@ -263,8 +263,9 @@
     }
 
     /// Chooses a version and a target of it that has not been tried.
-    fn choose(&self, pool: &CompiledPool, tried: &[Arc<str>]) -> Option<KnownTarget> {
+    fn choose(&self, call: &RoutedCall, body_bytes: usize, tried: &[Arc<str>]) -> Option<KnownTarget> {
         let shared = &self.shared;
+        let pool: &CompiledPool = &call.pool;
         let now = shared.now();
         let snapshot = shared.snapshot.load();
         let (draw, mut rng) = {
@@ -294,11 +295,12 @@
                 .targets_of(&pool.entry.service, version, moving_to)
                 .collect();
             let candidates: Vec<CandidateTarget> = targets.iter().map(|target| candidate(target)).collect();
-            let chosen = shared
-                .book
-                .lock()
-                .choose(&candidates, tried, &mut rng, now)
-                .map(|chosen| Arc::clone(&chosen.name));
+            let chosen = {
+                let book = shared.book.lock();
+                let far_ms = book.far_ms(&call.route.name, body_bytes);
+                let chosen = book.choose(&candidates, tried, far_ms, &mut rng, now);
+                chosen.map(|chosen| Arc::clone(&chosen.name))
+            };
             if let Some(target) = chosen.and_then(|name| targets.iter().find(|target| target.name == name)) {
                 return Some((*target).clone());
             }
@@ -309,6 +311,9 @@
     fn answer(&self, answer: AnswerInHand, call: &RoutedCall, active: ActiveCall, res: &mut Response) {
         let shared = &self.shared;
         let failed = answer.status.is_server_error();
+        if let AnswerBody::Held(bytes) = &answer.body {
+            shared.book.lock().note_size(&call.route.name, bytes.len());
+        }
         shared
             .metrics
             .count_answer(&call.route.name, &call.pool.name, &answer.version, failed);
--- a/src/spread/state.rs
+++ b/src/spread/state.rs
@@ -12,7 +12,7 @@
 };
 
 /// Time after which a pull without an answer is tried elsewhere, in milliseconds.
-const PULL_TIMEOUT_MS: u64 = 2_000;
+const PULL_TIMEOUT_MS: u64 = 1_000;
 /// Most peers remembered as having a newer version.
 const MAX_SOURCES: usize = 16;
 
@@ -68,6 +68,14 @@
     pub request: ConfigRequest,
 }
 
+/// A newer version that a peer has.
+#[derive(Debug, Clone, Copy)]
+struct PullOffer {
+    version: u64,
+    /// When it may be pulled.
+    since: TimePoint,
+}
+
 /// The configuration in force and where a newer one may be had.
 #[derive(Debug, Default)]
 pub struct SpreadState {
@@ -76,7 +84,7 @@
     joined: bool,
     /// The newest head offered before the daemon had joined.
     held: Option<ConfigHead>,
-    sources: IndexMap<SocketAddr, u64>,
+    sources: IndexMap<SocketAddr, PullOffer>,
     pull_until: Option<TimePoint>,
     whole: bool,
 }
@@ -175,7 +183,11 @@
                     Err(error) => {
                         // The peer is asked once more, for the whole value.
                         self.whole = true;
-                        self.sources.insert(from, delta.version);
+                        let offer = PullOffer {
+                            version: delta.version,
+                            since: TimePoint::default(),
+                        };
+                        self.sources.insert(from, offer);
                         Some(Err(error.into()))
                     }
                 }
@@ -189,10 +201,13 @@
         self.sources.shift_remove(&from);
     }
 
-    /// Takes note of a peer with a newer version.
-    pub fn note_newer(&mut self, from: SocketAddr, version: u64) {
-        if self.sources.len() < MAX_SOURCES || self.sources.contains_key(&from) {
-            self.sources.insert(from, version);
+    /// Takes note of a peer with a newer version, which may be pulled from it since `since`: a version that is about to
+    /// arrive by a cheaper way is not pulled at once.
+    pub fn note_newer(&mut self, from: SocketAddr, version: u64, since: TimePoint) {
+        let known = self.sources.get(&from).map(|known| known.since);
+        if known.is_some() || self.sources.len() < MAX_SOURCES {
+            let since = known.map_or(since, |known| known.min(since));
+            self.sources.insert(from, PullOffer { version, since });
         }
     }
 
@@ -202,8 +217,9 @@
             return None;
         }
         let version = self.version();
-        self.sources.retain(|_, offered| *offered > version);
-        let (from, _) = self.sources.iter().max_by_key(|(_, offered)| **offered)?;
+        self.sources.retain(|_, offer| offer.version > version);
+        let due = self.sources.iter().filter(|(_, offer)| offer.since <= now);
+        let (from, _) = due.max_by_key(|(_, offer)| offer.version)?;
         let from = *from;
         self.pull_until = Some(now.after_ms(PULL_TIMEOUT_MS));
         let digest = self.head.as_ref().map_or(0, |head| head.digest);
