--- a/src/moves/schedule.rs
+++ b/src/moves/schedule.rs
@@ -24,11 +24,11 @@
 /// The same for moves below [`MIN_MOVE_MS`]: one long trial at a share that does little harm, then a quick rise. The trial
 /// and the rise together stay near a tenth of the calls of the whole time, also if badness shows only in the rise.
 const SHORT_STEPS: [(f64, f64); 5] = [
-    (0.00, 0.04),
-    (0.15, 0.08),
-    (0.70, 0.30),
-    (0.76, 0.65),
-    (0.82, TOP_SHARE),
+    (0.00, 0.03),
+    (0.12, 0.07),
+    (0.68, 0.25),
+    (0.75, 0.50),
+    (0.81, TOP_SHARE),
 ];
 
 /// Part of a short move that is left for the last calls of the old version and for writing the verdict.
