Late calls last at the gate, far targets only within use, hedges to idle targets only, budgets by pool

Cause: under overload the queue served calls by their end of use, so that most came late; refused calls were offered to far targets that were as full; a target that shed was ejected, which left its data centre without one.

--- a/src/call/book.rs
+++ b/src/call/book.rs
@@ -24,9 +24,9 @@
 const BASE_LATENCY_MS: f64 = 1.0;
 /// Time that a KiB between data centres is worth, in milliseconds: what a call carries there must be made up for by an
 /// earlier answer. Between what measurement showed for users to whom these bytes are dear and to whom they are cheap.
-const FAR_MS_PER_KIB: f64 = 30.0;
+const FAR_MS_PER_KIB: f64 = 150.0;
 /// Bytes of heads in both directions, between two daemons.
-const HEAD_BYTES: f64 = 1_000.0;
+const HEAD_BYTES: f64 = 700.0;
 /// Weight of a new answer's size in the moving average of its route.
 const SIZE_WEIGHT: f64 = 0.1;
 /// Most routes whose answers are measured.
@@ -41,6 +41,8 @@
 const FAILURE_WEIGHT: f64 = 0.1;
 /// Time for which a target that refused a call as full counts as full, in milliseconds.
 const FULL_MS: u64 = 150;
+/// Load below which a target has room for a second attempt.
+const IDLE_LOAD: f64 = 0.6;
 /// Load assumed of a target that refused a call as full.
 const FULL_LOAD: f64 = 2.0;
 /// Time after which a target's own report of its load is forgotten, in milliseconds.
@@ -86,6 +88,17 @@
     }
 }
 
+/// What a call needs of a target.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TargetWish {
+    /// What the call's bytes to another data centre are worth, in milliseconds.
+    pub far_ms: f64,
+    /// Time within which an answer is of use, in milliseconds.
+    pub limit_ms: Option<f64>,
+    /// Whether only a target with room will do, as for a second attempt beside a slow one.
+    pub only_idle: bool,
+}
+
 /// What was observed of one target.
 #[derive(Debug, Clone, Default)]
 pub struct TargetStats {
@@ -112,13 +125,13 @@
 
 impl TargetBook {
     /// Chooses the target with the earliest expected answer out of a few near and a few far ones, and none that was
-    /// tried or ejected while another is left. `far_ms` is what the call's bytes to another data centre are worth.
-    /// Returns `None` only if `candidates` holds none that was not tried.
+    /// tried or ejected while another is left. Targets that can't answer within the limit of the wish are left out,
+    /// but for near ones, and for the first try where there is none: their gates know better.
     pub fn choose<'a>(
         &self,
         candidates: &'a [CandidateTarget],
         tried: &[Arc<str>],
-        far_ms: f64,
+        wish: TargetWish,
         rng: &mut impl Rng,
         now: TimePoint,
     ) -> Option<&'a CandidateTarget> {
@@ -130,9 +143,19 @@
         let trusted = prefer(sound, |target| !target.is_suspect);
         let (near, far): (Vec<&CandidateTarget>, Vec<&CandidateTarget>) =
             trusted.into_iter().partition(|target| target.is_near);
-        let compared = near.sample(rng, COMPARED).map(|target| (target, 0.0));
-        let compared = compared.chain(far.sample(rng, COMPARED).map(|target| (target, far_ms)));
-        let costs = compared.map(|(target, far_ms)| (*target, self.cost_of(target, now) + far_ms));
+        let is_open = !wish.only_idle;
+        let compared = near.sample(rng, COMPARED).map(|target| (target, 0.0, is_open));
+        let is_open = !wish.only_idle && (wish.limit_ms.is_none() || (near.is_empty() && tried.is_empty()));
+        let compared = compared.chain(
+            far.sample(rng, COMPARED)
+                .map(|target| (target, wish.far_ms, is_open)),
+        );
+        let costs = compared.filter_map(|(target, far_ms, is_open)| {
+            let cost_ms = self.cost_of(target, now);
+            let is_idle = !wish.only_idle || self.load_of(target, now) < IDLE_LOAD;
+            let is_soon = wish.limit_ms.is_none_or(|limit_ms| cost_ms <= limit_ms);
+            (is_open || (is_idle && is_soon)).then_some((*target, cost_ms + far_ms))
+        });
         let best = costs.min_by(|a, b| a.1.total_cmp(&b.1));
         best.map(|(target, _)| target)
     }
@@ -186,6 +209,12 @@
         self.stats.entry(Arc::clone(name)).or_default().full_until = now.after_ms(FULL_MS);
     }
 
+    /// Takes note that a target turned a request away: it is loaded or unwell, but answers.
+    pub fn note_shed(&mut self, name: &Arc<str>) {
+        let stats = self.stats.entry(Arc::clone(name)).or_default();
+        stats.failure_share += (1.0 - stats.failure_share) * FAILURE_WEIGHT;
+    }
+
     /// Takes note of a failed, broken or stalled attempt, or of a gate that is closed. Returns true if the target
     /// is now ejected.
     pub fn fail(&mut self, name: &Arc<str>, now: TimePoint) -> bool {
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -7,8 +7,8 @@
 mod version;
 
 pub use {
-    book::{CandidateTarget, LoadReport, TargetBook, TargetStats},
-    budget::{DEFAULT_SAVED_RETRIES, RetryBudget},
+    book::{CandidateTarget, LoadReport, TargetBook, TargetStats, TargetWish},
+    budget::{BudgetBook, DEFAULT_EXTRA_RETRIES, RetryBudget},
     outcome::{AttemptOutcome, CallOutcome, RefusalReason},
     plan::{CallPlan, CallRules, CallStep},
     version::{VersionChoice, choose_version},
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -210,6 +210,13 @@
             .metrics
             .members
             .set(self.members.present().count() as i64);
+        {
+            let mut budget = self.shared.budget.lock();
+            budget.set_daemons(settings.extra_retries, self.members.present().count());
+            if let Some(table) = &self.table {
+                budget.retain(|pool| table.pools.contains_key(pool));
+            }
+        }
         let known: HashSet<Arc<str>> = snapshot
             .targets
             .values()
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -13,7 +13,7 @@
         traffic::{InboundHandler, OutboundHandler, PeerClients},
     },
     crate::{
-        call::RetryBudget,
+        call::BudgetBook,
         clock::ProcessClock,
         gate::GateState,
         http::{bind, serve},
@@ -164,7 +164,7 @@
         address: target.address,
         slots: target.slots,
     };
-    let budget = RetryBudget::new(settings.saved_retries);
+    let budget = BudgetBook::new(settings.extra_retries, 1);
     let clock = ProcessClock::start();
     SharedState {
         settings: Arc::new(settings),
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -5,7 +5,7 @@
         evidence_book::EvidenceBook, metrics::DaemonMetrics, snapshot::TrafficSnapshot, traffic::CallDialect,
     },
     crate::{
-        call::{RetryBudget, TargetBook},
+        call::{BudgetBook, TargetBook},
         clock::{ProcessClock, TimePoint},
         gate::{GateRefusal, GateState, GateWake, TicketId},
         moves::{Clearance, GateLease},
@@ -163,8 +163,8 @@
     pub gate: Mutex<GateDesk>,
     /// Observations of targets.
     pub book: Mutex<TargetBook>,
-    /// Retry budget.
-    pub budget: Mutex<RetryBudget>,
+    /// Retry budgets.
+    pub budget: Mutex<BudgetBook>,
     /// Outcomes at the own gate.
     pub evidence: Mutex<EvidenceBook>,
     /// Open moves.
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -213,6 +213,7 @@
                 }
             }
             Some(GateRefusal::Stopped) => {}
+            Some(GateRefusal::Shed) => book.note_shed(&self.target.name),
             _ => drop(book.fail(&self.target.name, now)),
         }
         let outcome = if refusal == Some(GateRefusal::Shed) {
@@ -240,7 +241,7 @@
             }
             // What a gate refused has been noted with its reason.
             AttemptEnd::Failure {
-                outcome: AttemptOutcome::NotRun,
+                outcome: AttemptOutcome::NotRun | AttemptOutcome::Rejected,
                 reason,
             } if &**reason != "no connection" => false,
             _ => book.fail(&self.target.name, now),
--- a/src/daemon/traffic/hop.rs
+++ b/src/daemon/traffic/hop.rs
@@ -1,7 +1,7 @@
 //! What one daemon tells another about a call: the headers between a proxy and a gate.
 
 use {
-    super::relay::{header_value, number_header, text_header},
+    super::relay::{header_value, text_header},
     crate::clock::TimePoint,
     salvo::http::HeaderMap,
     std::sync::Arc,
@@ -17,20 +17,8 @@
     pub const OUTCOME: &str = "fuchsiashore-outcome";
     /// On refusals: a word for the reason.
     pub const REASON: &str = "fuchsiashore-reason";
-    /// Route of a call, between daemons.
-    pub const ROUTE: &str = "fuchsiashore-route";
-    /// Pool of a call, between daemons.
-    pub const POOL: &str = "fuchsiashore-pool";
-    /// Identity of the target that is meant, between daemons.
-    pub const TARGET: &str = "fuchsiashore-target";
-    /// Service beside which the call began, between daemons.
-    pub const CALLER: &str = "fuchsiashore-caller";
-    /// Whether a call may be repeated, between daemons.
-    pub const REPEATABLE: &str = "fuchsiashore-repeatable";
-    /// Rank of the route, between daemons.
-    pub const PRIORITY: &str = "fuchsiashore-priority";
-    /// Time in which an answer is still of use, in milliseconds, between daemons.
-    pub const USEFUL_MS: &str = "fuchsiashore-useful-ms";
+    /// A call as a proxy hands it to a gate: [`super::HopCall`], its fields parted by blanks.
+    pub const HOP: &str = "fuchsiashore-hop";
     /// Calls that run and wait at a gate and its typical run time, on its answers.
     pub const LOAD: &str = "fuchsiashore-load";
     /// Clearance of the pool's open move, on a gate's answers.
@@ -65,31 +53,35 @@
 impl HopCall {
     /// Writes the call into the headers of a request; times travel as time left.
     pub fn write(&self, headers: &mut HeaderMap, now: TimePoint) {
-        let left_ms = self.deadline.ms_since(now).max(1);
-        headers.insert(header::CALL, header_value(&self.id));
-        headers.insert(header::ROUTE, header_value(&self.route));
-        headers.insert(header::POOL, header_value(&self.pool));
-        headers.insert(header::TARGET, header_value(&self.target));
-        headers.insert(header::CALLER, header_value(&self.caller));
-        headers.insert(header::REPEATABLE, u16::from(self.repeatable).into());
-        headers.insert(header::PRIORITY, u16::from(self.priority).into());
-        headers.insert(header::USEFUL_MS, self.useful_until.ms_since(now).into());
-        headers.insert(header::TIMEOUT_MS, left_ms.into());
+        let text = format!(
+            "{} {} {} {} {} {} {} {} {}",
+            self.id,
+            self.route,
+            self.pool,
+            self.target,
+            self.caller,
+            u8::from(self.repeatable),
+            self.priority,
+            self.useful_until.ms_since(now),
+            self.deadline.ms_since(now).max(1),
+        );
+        headers.insert(header::HOP, header_value(&text));
     }
 
     /// Reads the call from the headers of a request. Returns `None` if it does not come from a daemon.
     pub fn read(headers: &HeaderMap, now: TimePoint) -> Option<Self> {
-        let text = |name| text_header(headers, name).map(Arc::from);
+        let mut words = text_header(headers, header::HOP)?.split(' ');
+        let mut next = || words.next().filter(|word| !word.is_empty());
         Some(Self {
-            id: text(header::CALL)?,
-            route: text(header::ROUTE)?,
-            pool: text(header::POOL)?,
-            target: text(header::TARGET)?,
-            caller: text(header::CALLER)?,
-            repeatable: number_header(headers, header::REPEATABLE)? != 0,
-            priority: number_header(headers, header::PRIORITY)?.try_into().ok()?,
-            useful_until: now.after_ms(number_header(headers, header::USEFUL_MS)?),
-            deadline: now.after_ms(number_header(headers, header::TIMEOUT_MS)?),
+            id: next()?.into(),
+            route: next()?.into(),
+            pool: next()?.into(),
+            target: next()?.into(),
+            caller: next()?.into(),
+            repeatable: next()? == "1",
+            priority: next()?.parse().ok()?,
+            useful_until: now.after_ms(next()?.parse().ok()?),
+            deadline: now.after_ms(next()?.parse().ok()?),
         })
     }
 }
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -12,7 +12,7 @@
     crate::{
         call::{
             AttemptOutcome, CallOutcome, CallPlan, CallRules, CallStep, CandidateTarget, RefusalReason,
-            choose_version,
+            TargetWish, choose_version,
         },
         clock::TimePoint,
         config::{CompiledPool, CompiledRoute, RouteMatch},
@@ -178,9 +178,10 @@
             attempts: call.route.attempts,
             deadline: call.deadline,
         });
-        let mut step = plan.begin(&mut shared.budget.lock(), shared.now());
+        let mut step = plan.begin(shared.budget.lock().of(&call.pool.name), shared.now());
         let mut open = FuturesUnordered::new();
         let mut in_hand = None;
+        let mut is_hedge = false;
         let mut detail: Arc<str> = "".into();
         loop {
             step = match step {
@@ -195,7 +196,12 @@
                         detail,
                     });
                 }
-                CallStep::Send => match self.choose(call, request.body.held_bytes(), plan.tried()) {
+                CallStep::Send => match self.choose(
+                    call,
+                    request.body.held_bytes(),
+                    plan.tried(),
+                    std::mem::take(&mut is_hedge),
+                ) {
                     Some(target) => {
                         if !plan.tried().is_empty() {
                             shared.metrics.retries.inc();
@@ -228,10 +234,11 @@
                                     detail = reason;
                                 }
                             }
-                            plan.after_attempt(outcome, &mut shared.budget.lock(), shared.now())
+                            plan.after_attempt(outcome, shared.budget.lock().of(&call.pool.name), shared.now())
                         }
                         () = sleep_until(hedge_at), if can_hedge => {
-                            plan.hedge(&mut shared.budget.lock(), shared.now())
+                            is_hedge = true;
+                            plan.hedge(shared.budget.lock().of(&call.pool.name), shared.now())
                         }
                         else => plan.refuse(RefusalReason::Refused),
                     }
@@ -263,7 +270,13 @@
     }
 
     /// Chooses a version and a target of it that has not been tried.
-    fn choose(&self, call: &RoutedCall, body_bytes: usize, tried: &[Arc<str>]) -> Option<KnownTarget> {
+    fn choose(
+        &self,
+        call: &RoutedCall,
+        body_bytes: usize,
+        tried: &[Arc<str>],
+        only_idle: bool,
+    ) -> Option<KnownTarget> {
         let shared = &self.shared;
         let pool: &CompiledPool = &call.pool;
         let now = shared.now();
@@ -297,8 +310,17 @@
             let candidates: Vec<CandidateTarget> = targets.iter().map(|target| candidate(target)).collect();
             let chosen = {
                 let book = shared.book.lock();
-                let far_ms = book.far_ms(&call.route.name, body_bytes);
-                let chosen = book.choose(&candidates, tried, far_ms, &mut rng, now);
+                let until = if now < call.useful_until {
+                    call.useful_until
+                } else {
+                    call.deadline
+                };
+                let wish = TargetWish {
+                    far_ms: book.far_ms(&call.route.name, body_bytes),
+                    limit_ms: Some(until.ms_since(now) as f64),
+                    only_idle,
+                };
+                let chosen = book.choose(&candidates, tried, wish, &mut rng, now);
                 chosen.map(|chosen| Arc::clone(&chosen.name))
             };
             if let Some(target) = chosen.and_then(|name| targets.iter().find(|target| target.name == name)) {
@@ -363,11 +385,7 @@
 
     fn new_call_id(&self) -> Arc<str> {
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
-        format!(
-            "{}-{:x}-{}-{number}",
-            self.shared.settings.name, self.shared.started_at.0, self.worker
-        )
-        .into()
+        format!("{:x}-{}-{number:x}", self.shared.started_at.0 as u16, self.worker).into()
     }
 }
 
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -4,6 +4,8 @@
 
 /// Time over which a cold target is given its slots, in milliseconds.
 pub const SLOW_START_MS: u64 = 3_000;
+/// Part of the typical time of a run in which about half of them end, as run times have a long tail.
+const QUICK_RUN_PART: f64 = 0.7;
 /// Weight of a new run in the moving average of run times.
 const RUN_WEIGHT: f64 = 0.05;
 
@@ -273,13 +275,23 @@
             !is_late
         });
         while self.in_flight < self.open_slots(now) {
-            let Some(call) = self.queue.pop() else { break };
+            let Some(call) = self.take_next(now) else { break };
             self.in_flight += 1;
             wakes.push(GateWake::Run(call.ticket));
         }
         wakes
     }
 
+    /// Takes the call out of the queue that runs next: the most urgent one that can still be answered while that is of
+    /// use. Late ones run when no other waits, as they would make others late.
+    fn take_next(&mut self, now: TimePoint) -> Option<WaitingCall> {
+        let answered_at = now.after_ms((self.run_ms * QUICK_RUN_PART) as u64);
+        let in_time = |call: &WaitingCall| answered_at <= call.arrival.useful_until;
+        let at = self.queue.iter().rposition(in_time);
+        let at = at.or_else(|| self.queue.len().checked_sub(1))?;
+        Some(self.queue.remove(at))
+    }
+
     fn refusal(&self, deadline: TimePoint, now: TimePoint) -> Option<GateRefusal> {
         if deadline <= now {
             return Some(GateRefusal::Expired);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        call::DEFAULT_SAVED_RETRIES,
+        call::DEFAULT_EXTRA_RETRIES,
         config::{ParseFault, ParseFaults},
         ini::{IniSection, read_sections},
     },
@@ -70,8 +70,8 @@
     pub store_calls_per_s: u32,
     /// Daemons in each data centre that watch the store.
     pub watchers: usize,
-    /// Retries that the daemon can save up.
-    pub saved_retries: u32,
+    /// Retries beyond their share of the calls that all daemons together may send to a pool in a short time.
+    pub extra_retries: u32,
     /// Least time between the announcement of leaving and the exit, in milliseconds.
     pub leave_ms: u64,
     /// Time that a drain may take before the process exits all the same, in milliseconds.
@@ -173,11 +173,11 @@
         max_body_bytes: take_number(section, "max_body_bytes", (1, 1 << 40), 64 << 20, faults),
         store_calls_per_s: take_number(section, "store_calls_per_s", (1, 1_000), 2, faults) as u32,
         watchers: take_number(section, "watchers", (1, 1_000), 2, faults) as usize,
-        saved_retries: take_number(
+        extra_retries: take_number(
             section,
-            "saved_retries",
-            (0, 10_000),
-            u64::from(DEFAULT_SAVED_RETRIES),
+            "extra_retries",
+            (0, 1_000_000),
+            u64::from(DEFAULT_EXTRA_RETRIES),
             faults,
         ) as u32,
         leave_ms: take_number(section, "leave_ms", (0, 3_600_000), 1_000, faults),
--- a/tests/request_fuzz.rs
+++ b/tests/request_fuzz.rs
@@ -10,7 +10,7 @@
     common::fuzz_config,
     fuchsiashore::{
         call::{
-            AttemptOutcome, CallOutcome, CallPlan, CallRules, CallStep, CandidateTarget, RetryBudget, TargetBook,
+            AttemptOutcome, CallOutcome, CallPlan, CallRules, CallStep, CandidateTarget, RetryBudget, TargetBook, TargetWish,
             choose_version,
         },
         clock::TimePoint,
@@ -276,7 +276,7 @@
     fn send(&mut self, call: usize) {
         let candidates: Vec<CandidateTarget> = (0..TARGETS).map(candidate).collect();
         let tried = self.calls[call].plan.tried().to_vec();
-        let Some(chosen) = self.book.choose(&candidates, &tried, 30.0, &mut self.rng, self.now) else {
+        let Some(chosen) = self.book.choose(&candidates, &tried, TargetWish::default(), &mut self.rng, self.now) else {
             let step = self.calls[call].plan.lack_target(self.calls[call].in_hand);
             return self.follow(call, step);
         };
@@ -593,7 +593,7 @@
     }
     assert!(candidates.iter().all(|target| book.is_ejected(&target.name, now)));
     assert!(
-        book.choose(&candidates, &[], 30.0, &mut rng, now).is_some(),
+        book.choose(&candidates, &[], TargetWish::default(), &mut rng, now).is_some(),
         "nobody was chosen while targets live"
     );
 }
@@ -608,7 +608,7 @@
         book.fail(&candidates[0].name, now);
     }
     for _ in 0..200 {
-        let chosen = book.choose(&candidates, &[], 30.0, &mut rng, now).unwrap();
+        let chosen = book.choose(&candidates, &[], TargetWish::default(), &mut rng, now).unwrap();
         assert_ne!(chosen.name, candidates[0].name);
     }
 }
