--- a/src/call/book.rs
+++ b/src/call/book.rs
@@ -40,13 +40,13 @@
 /// Weight of a new outcome in the moving share of failures.
 const FAILURE_WEIGHT: f64 = 0.1;
 /// Time for which a target that refused a call as full counts as full, in milliseconds.
-const FULL_MS: u64 = 150;
+const FULL_MS: u64 = 300;
 /// Load below which a target has room for a second attempt.
 const IDLE_LOAD: f64 = 0.6;
 /// Load assumed of a target that refused a call as full.
 const FULL_LOAD: f64 = 2.0;
 /// Time after which a target's own report of its load is forgotten, in milliseconds.
-const REPORT_LIFE_MS: u64 = 1_000;
+const REPORT_LIFE_MS: u64 = 2_500;
 
 /// A target that could serve a call.
 #[derive(Debug, Clone, PartialEq)]
--- a/src/call/plan.rs
+++ b/src/call/plan.rs
@@ -10,7 +10,7 @@
 };
 
 /// Most gates that one call is offered to.
-pub const MAX_OFFERS: usize = 5;
+pub const MAX_OFFERS: usize = 4;
 /// Part of the time left after which a second attempt starts beside one that has not answered.
 const HEDGE_PART: u64 = 2;
 /// Shortest time that an attempt is given before a second one starts beside it, in milliseconds.
