--- a/src/clock.rs
+++ b/src/clock.rs
@@ -27,6 +27,12 @@
         Self(self.0.saturating_add(ms))
     }
 
+    /// Returns the point `ms` milliseconds earlier.
+    #[must_use]
+    pub const fn before_ms(self, ms: u64) -> Self {
+        Self(self.0.saturating_sub(ms))
+    }
+
     /// Returns the milliseconds from `earlier` to this point, 0 if it lies in the future.
     pub const fn ms_since(self, earlier: Self) -> u64 {
         self.0.saturating_sub(earlier.0)
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -18,5 +18,8 @@
         Tombstone, TrafficLimits,
     },
     parse::{ParseFault, ParseFaults, parse_tables, render_tables},
-    tables::{ANY_VERSION, ConfigTables, MovePolicy, PoolEntry, PoolShare, RepeatRule, RouteEntry, TableFault, TableKind},
+    tables::{
+        ANY_VERSION, ConfigTables, MovePolicy, PoolEntry, PoolShare, RepeatRule, RouteEntry, TableFault,
+        TableKind,
+    },
 };
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -2,8 +2,8 @@
 
 use {
     super::tables::{
-        ConfigTables, DEFAULT_ATTEMPTS, DEFAULT_TIMEOUT_MS, MAX_WEIGHT, MovePolicy, PoolEntry, PoolShare, RepeatRule,
-        RouteEntry, TableFault,
+        ConfigTables, DEFAULT_ATTEMPTS, DEFAULT_TIMEOUT_MS, MAX_WEIGHT, MovePolicy, PoolEntry, PoolShare,
+        RepeatRule, RouteEntry, TableFault,
     },
     crate::{
         clock::TimePoint,
--- a/src/config/tables.rs
+++ b/src/config/tables.rs
@@ -316,7 +316,9 @@
             let methods = route.methods.iter().map(|method| &**method);
             let any = route.methods.is_empty().then_some(ANY_METHOD);
             for method in methods.chain(any) {
-                if let Some(first) = taken.insert((route.host.as_deref().unwrap_or(""), &route.path, method), name) {
+                if let Some(first) =
+                    taken.insert((route.host.as_deref().unwrap_or(""), &route.path, method), name)
+                {
                     faults.push(TableFault::SameRequests {
                         first: Arc::clone(first),
                         second: Arc::clone(name),
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -51,9 +51,8 @@
         self.versions_at = now.after_ms(VERSIONS_INTERVAL_MS);
         let Some(table) = &self.table else { return };
         let service = &self.shared.settings.target.service;
-        let unrecorded = |pool: &&Arc<CompiledPool>| {
-            pool.entry.service == *service && &*pool.entry.version == ANY_VERSION
-        };
+        let unrecorded =
+            |pool: &&Arc<CompiledPool>| pool.entry.service == *service && &*pool.entry.version == ANY_VERSION;
         for pool in table.pools.values().filter(unrecorded) {
             let moving_to = pool.order.as_ref().map_or("", |order| &order.to);
             let gates = self.members.present().filter(|record| {
@@ -98,7 +97,11 @@
         }
     }
 
-    pub(super) fn finish_read(&mut self, result: Result<Option<Box<ConfigHead>>, StoreError>, now: TimePoint) {
+    pub(super) fn finish_read(
+        &mut self,
+        result: Result<Option<Box<ConfigHead>>, StoreError>,
+        now: TimePoint,
+    ) {
         match result {
             Ok(head) => {
                 if std::mem::take(&mut self.store_was_down) {
--- a/src/daemon/control/reloading.rs
+++ b/src/daemon/control/reloading.rs
@@ -20,7 +20,10 @@
                 return;
             }
         };
-        let new_peers = settings.peers.iter().filter(|peer| !self.join.contacts.contains(peer));
+        let new_peers = settings
+            .peers
+            .iter()
+            .filter(|peer| !self.join.contacts.contains(peer));
         let new_peers: Vec<_> = new_peers.copied().collect();
         let needs_restart = DaemonSettings {
             peers: present.peers.clone(),
--- a/src/daemon/control/target.rs
+++ b/src/daemon/control/target.rs
@@ -27,7 +27,8 @@
     pub(super) fn tick_target(&mut self, now: TimePoint) {
         if self.shared.settings.announcements.is_some()
             || now < self.target_probe_at
-            || self.drain != DrainPhase::Serving {
+            || self.drain != DrainPhase::Serving
+        {
             return;
         }
         self.target_probe_at = now.after_ms(TARGET_PROBE_MS);
@@ -133,7 +134,10 @@
         } else {
             record.status = TargetStatus::Leaving;
         }
-        let detail = format!("target={} version={} {}", record.id, record.version, record.status);
+        let detail = format!(
+            "target={} version={} {}",
+            record.id, record.version, record.status
+        );
         let effects = self.members.set_target(record);
         self.is_stale = true;
         self.carry_out(effects, now);
--- a/src/daemon/edges.rs
+++ b/src/daemon/edges.rs
@@ -107,7 +107,8 @@
 
     /// Hands over the accepted configuration as read from the store, or why it could not be read.
     pub async fn head_read(&self, result: Result<Option<ConfigHead>, StoreError>) {
-        self.send(ControlEvent::HeadRead(result.map(|head| head.map(Box::new)))).await;
+        self.send(ControlEvent::HeadRead(result.map(|head| head.map(Box::new))))
+            .await;
     }
 
     /// Hands over addresses to join at.
--- a/src/daemon/move_runner.rs
+++ b/src/daemon/move_runner.rs
@@ -3,8 +3,8 @@
 
 use {
     super::{
-        envelope::{ControlReply, ControlRequest},
         edges::{MoveClosing, StoreEdge},
+        envelope::{ControlReply, ControlRequest},
         shared::SharedState,
         tasks::{ControlClient, ControlEvent},
     },
--- a/src/daemon/own_store.rs
+++ b/src/daemon/own_store.rs
@@ -62,11 +62,7 @@
 
     fn keep_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.context.count_store_call("seeds");
-        write_seeds(
-            &self.store,
-            Arc::clone(&self.context.settings.data_centre),
-            seeds,
-        );
+        write_seeds(&self.store, Arc::clone(&self.context.settings.data_centre), seeds);
     }
 
     fn save_progress(&mut self, pool: &Arc<str>, _order: &MoveOrder, clearance: &Clearance) {
@@ -83,11 +79,7 @@
     }
 
     fn read_progress(&mut self, pool: &Arc<str>, move_id: u64) {
-        let (store, inbox, pool) = (
-            self.store.clone(),
-            self.context.inbox.clone(),
-            Arc::clone(pool),
-        );
+        let (store, inbox, pool) = (self.store.clone(), self.context.inbox.clone(), Arc::clone(pool));
         self.context.count_store_call("progress");
         tokio::spawn(async move {
             let value = store.read(&format!("{MOVES_PREFIX}/{pool}")).await.ok().flatten();
@@ -146,18 +138,19 @@
             0 => store.read(HEAD_KEY).await,
             index => store.watch(HEAD_KEY, index, WATCH_WAIT).await,
         };
-        let pause = match &answer {
-            Ok(value) => {
-                failures = 0;
-                index = value.as_ref().map_or(0, |value| value.index);
-                // A missing key can't be watched by index; it is read again after a pause.
-                if index == 0 { jittered(FIRST_PAUSE_MS * 2) } else { call_gap }
-            }
-            Err(_) => {
-                let pause_ms = (FIRST_PAUSE_MS << failures.min(8)).min(MAX_PAUSE_MS);
-                failures += 1;
-                jittered(pause_ms)
+        let pause = if let Ok(value) = &answer {
+            failures = 0;
+            index = value.as_ref().map_or(0, |value| value.index);
+            // A missing key can't be watched by index; it is read again after a pause.
+            if index == 0 {
+                jittered(FIRST_PAUSE_MS * 2)
+            } else {
+                call_gap
             }
+        } else {
+            let pause_ms = (FIRST_PAUSE_MS << failures.min(8)).min(MAX_PAUSE_MS);
+            failures += 1;
+            jittered(pause_ms)
         };
         let head = answer.and_then(|value| {
             let head = value.map(|value| ConfigHead::open(&value.data)).transpose();
--- a/src/daemon/snapshot.rs
+++ b/src/daemon/snapshot.rs
@@ -72,7 +72,8 @@
     ) -> impl Iterator<Item = &'a KnownTarget> {
         let all = self.targets.get(service).map_or(&[][..], Vec::as_slice);
         all.iter().filter(move |target| {
-            *target.version == *version || (*target.version != *moving_to && is_version(version, &target.version))
+            *target.version == *version
+                || (*target.version != *moving_to && is_version(version, &target.version))
         })
     }
 }
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        body::{AnswerBody, AnswerFault, RequestBody},
+        body::{AnswerBody, AnswerFault, OnwardBody, RequestBody},
         hop::{HopCall, header},
         peer_client::{PeerClients, SendFault},
         relay::text_header,
@@ -40,7 +40,7 @@
 
 impl OnwardRequest {
     /// Makes the request to the next hop at `peer`.
-    pub fn to_peer(&mut self, peer: SocketAddr) -> Option<Request<super::body::OnwardBody>> {
+    pub fn make_for(&mut self, peer: SocketAddr) -> Option<Request<OnwardBody>> {
         let uri = Uri::builder()
             .scheme("http")
             .authority(peer.to_string())
@@ -137,7 +137,7 @@
 
 impl CallAttempt {
     /// Sends the request and waits for the answer until the deadline.
-    pub async fn run(self, request: Option<Request<super::body::OnwardBody>>) -> (Self, AttemptEnd) {
+    pub async fn run(self, request: Option<Request<OnwardBody>>) -> (Self, AttemptEnd) {
         let end = match request {
             Some(request) => self.exchange(request).await,
             None => AttemptEnd::failure(AttemptOutcome::NotRun, "the path has no form for the next hop"),
@@ -145,7 +145,7 @@
         (self, end)
     }
 
-    async fn exchange(&self, mut request: Request<super::body::OnwardBody>) -> AttemptEnd {
+    async fn exchange(&self, mut request: Request<OnwardBody>) -> AttemptEnd {
         let shared = &self.shared;
         let started = Instant::now();
         let deadline = self.hop.deadline;
@@ -247,10 +247,7 @@
             _ => book.fail(&self.target.name, now),
         };
         drop(book);
-        if matches!(
-            end.outcome(),
-            AttemptOutcome::Broken | AttemptOutcome::Stalled
-        ) {
+        if matches!(end.outcome(), AttemptOutcome::Broken | AttemptOutcome::Stalled) {
             self.clients.leave_connections(self.target.gate);
         }
         if is_ejected {
--- a/src/daemon/traffic/body.rs
+++ b/src/daemon/traffic/body.rs
@@ -57,9 +57,8 @@
             discard(body).await;
             return Err(BodyFault::TooLarge);
         }
-        let chunks: ByteStream = Box::pin(
-            body.try_filter_map(|frame| async move { Ok(frame.into_data().ok()) }),
-        );
+        let chunks: ByteStream =
+            Box::pin(body.try_filter_map(|frame| async move { Ok(frame.into_data().ok()) }));
         if length.is_some_and(|length| length > HELD_BODY_BYTES as u64) {
             return Ok(Self::Passing(limited(chunks, limit)));
         }
@@ -177,9 +176,8 @@
         body: Incoming,
         time_left: Duration,
     ) -> Result<Self, AnswerFault> {
-        let is_bodiless = *method == Method::HEAD
-            || status == StatusCode::NO_CONTENT
-            || status == StatusCode::NOT_MODIFIED;
+        let is_bodiless =
+            *method == Method::HEAD || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
         if is_bodiless {
             return Ok(Self::None);
         }
--- a/src/daemon/traffic/dialect.rs
+++ b/src/daemon/traffic/dialect.rs
@@ -108,5 +108,8 @@
 
 /// Returns when a call ends: the caller's own limit or the route's, whichever comes first.
 pub fn deadline_of(call: &CallerCall, route_ms: u64, now: TimePoint) -> TimePoint {
-    now.after_ms(call.timeout_ms.map_or(route_ms, |caller_ms| caller_ms.min(route_ms)))
+    now.after_ms(
+        call.timeout_ms
+            .map_or(route_ms, |caller_ms| caller_ms.min(route_ms)),
+    )
 }
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -56,9 +56,7 @@
 impl Drop for HeldSlot {
     fn drop(&mut self) {
         let now = self.shared.now();
-        let ran_ms = self
-            .is_whole
-            .then(|| self.started.elapsed().as_secs_f64() * 1e3);
+        let ran_ms = self.is_whole.then(|| self.started.elapsed().as_secs_f64() * 1e3);
         let mut gate = self.shared.gate.lock();
         let wakes = gate.state.finish(ran_ms, now);
         gate.wake(wakes, now);
@@ -186,7 +184,7 @@
             told,
             shared: Arc::clone(shared),
         };
-        let verdict = timeout(hop.deadline.left_from(now), wait.wait()).await;
+        let verdict = timeout(arrival.wait_until().left_from(now), wait.wait()).await;
         drop(place);
         let slot = verdict.unwrap_or(Err(GateRefusal::Expired))?;
         self.check(hop, shared.now())?;
@@ -244,7 +242,7 @@
             deadline: hop.deadline,
             end: RecordedEnd::NotRun,
         };
-        let request = onward.to_peer(identity.address).ok_or(GateEnd::BadRequest)?;
+        let request = onward.make_for(identity.address).ok_or(GateEnd::BadRequest)?;
         record.end = RecordedEnd::Open;
         let is_warm = onward.body.is_held() && hop.repeatable;
         let send = self.clients.send(identity.address, is_warm, request);
@@ -266,14 +264,13 @@
             }
         };
         let OnwardRequest { method, headers, .. } = onward;
-        self.pass(&method, &headers, res, hop, answer, &mut record, slot)
+        self.pass((&method, &headers), res, hop, answer, &mut record, slot)
             .await
     }
 
     async fn pass(
         &self,
-        method: &Method,
-        request: &HeaderMap,
+        (method, request): (&Method, &HeaderMap),
         res: &mut Response,
         hop: &HopCall,
         answer: Answer<Incoming>,
@@ -282,9 +279,7 @@
     ) -> Result<(), GateEnd> {
         let shared = &self.shared;
         let (head, body) = answer.into_parts();
-        let verdict = shared
-            .dialect
-            .judge_answer(request, head.status, &head.headers);
+        let verdict = shared.dialect.judge_answer(request, head.status, &head.headers);
         match verdict {
             AnswerVerdict::Ran => {}
             AnswerVerdict::NotRun => {
@@ -295,14 +290,20 @@
                 record.end = RecordedEnd::Failed;
                 let address = shared.target.load().address;
                 self.clients.leave_connections(address);
-                return Err(GateEnd::Unknown("the target sent an answer that is not to this request"));
+                return Err(GateEnd::Unknown(
+                    "the target sent an answer that is not to this request",
+                ));
             }
         }
         let time_left = hop.deadline.left_from(shared.now());
         match AnswerBody::read(method, head.status, body, time_left).await {
             Ok(body) => {
                 let failed = head.status.is_server_error();
-                record.end = if failed { RecordedEnd::Failed } else { RecordedEnd::Answered };
+                record.end = if failed {
+                    RecordedEnd::Failed
+                } else {
+                    RecordedEnd::Answered
+                };
                 slot.is_whole = !failed;
                 let headers = end_to_end(&head.headers);
                 let is_passing = matches!(body, AnswerBody::Passing(_));
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -207,7 +207,7 @@
                             shared.metrics.retries.inc();
                         }
                         plan.note_attempt(Arc::clone(&target.name), shared.now());
-                        let onward = request.to_peer(target.gate);
+                        let onward = request.make_for(target.gate);
                         open.push(self.attempt(call, target).run(onward));
                         CallStep::Wait
                     }
@@ -377,7 +377,13 @@
             _ => RETRY_MS,
         };
         let status = status_of(*outcome, *reason);
-        answer_text(res, status, *outcome, reason.word(), &format!("{} {detail}", reason.remedy()));
+        answer_text(
+            res,
+            status,
+            *outcome,
+            reason.word(),
+            &format!("{} {detail}", reason.remedy()),
+        );
         self.shared
             .dialect
             .mark_refusal(request, *outcome, *reason, retry_ms, res.headers_mut());
@@ -419,7 +425,9 @@
 /// Returns the size of a request head, as the limits of the configuration count it.
 fn head_bytes(req: &Request) -> u64 {
     let fields = req.headers().iter();
-    let bytes: usize = fields.map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    let bytes: usize = fields
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
     bytes as u64
 }
 
--- a/src/daemon/traffic/peer_client.rs
+++ b/src/daemon/traffic/peer_client.rs
@@ -111,7 +111,9 @@
 }
 
 fn fault_of(error: &Error) -> SendFault {
-    let cause = error.source().and_then(|source| source.downcast_ref::<hyper::Error>());
+    let cause = error
+        .source()
+        .and_then(|source| source.downcast_ref::<hyper::Error>());
     if error.is_connect() || cause.is_some_and(hyper::Error::is_canceled) {
         SendFault::NotSent
     } else {
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -6,6 +6,8 @@
 pub const SLOW_START_MS: u64 = 3_000;
 /// Part of the typical time of a run in which about half of them end, as run times have a long tail.
 const QUICK_RUN_PART: f64 = 0.7;
+/// Time that a proxy needs to hear of a refusal, in milliseconds: two hops and a timer.
+const TELL_MS: u64 = 60;
 /// Weight of a new run in the moving average of run times.
 const RUN_WEIGHT: f64 = 0.05;
 
@@ -108,6 +110,16 @@
     arrival: GateArrival,
 }
 
+impl GateArrival {
+    /// Returns when the call is refused if it still waits: while it can be told in time that it has not run, and
+    /// halfway between the end of its use and its deadline, as it would hardly be served after that.
+    pub fn wait_until(&self) -> TimePoint {
+        let rest_ms = self.deadline.ms_since(self.useful_until);
+        let halfway = self.useful_until.after_ms(rest_ms / 2);
+        halfway.min(self.deadline.before_ms(TELL_MS))
+    }
+}
+
 impl WaitingCall {
     /// Orders calls by urgency: rank first, then the earlier end of use, then arrival.
     fn rank(&self) -> (u8, TimePoint, TicketId) {
@@ -216,7 +228,7 @@
 
     /// Decides on an arriving call. A less urgent call may have to make room: it is refused.
     pub fn arrive(&mut self, arrival: GateArrival, now: TimePoint) -> (GateAdmission, Option<GateWake>) {
-        if let Some(refusal) = self.refusal(arrival.deadline, now) {
+        if let Some(refusal) = self.refusal(arrival.wait_until(), now) {
             return (GateAdmission::Refuse(refusal), None);
         }
         self.next_ticket += 1;
@@ -268,7 +280,7 @@
     pub fn tick(&mut self, now: TimePoint) -> Vec<GateWake> {
         let mut wakes = Vec::new();
         self.queue.retain(|call| {
-            let is_late = call.arrival.deadline <= now;
+            let is_late = call.arrival.wait_until() <= now;
             if is_late {
                 wakes.push(GateWake::Refuse(call.ticket, GateRefusal::Expired));
             }
@@ -292,8 +304,8 @@
         Some(self.queue.remove(at))
     }
 
-    fn refusal(&self, deadline: TimePoint, now: TimePoint) -> Option<GateRefusal> {
-        if deadline <= now {
+    fn refusal(&self, wait_until: TimePoint, now: TimePoint) -> Option<GateRefusal> {
+        if wait_until <= now {
             return Some(GateRefusal::Expired);
         }
         match self.mode {
--- a/src/moves/controller.rs
+++ b/src/moves/controller.rs
@@ -47,6 +47,8 @@
 /// Longest wait for the last calls of the old version before the verdict, in milliseconds; its targets may be stopped
 /// at once after it.
 const DRAIN_MS: u64 = 1_600;
+/// Time in which proxies learn of the full share, in milliseconds: most answers of the pool bring it within a window.
+const SETTLE_MS: u64 = 250;
 /// Part of a short move for which the latencies of a target that was just heard of are left out.
 const SHORT_WARM_UP: f64 = 0.2;
 /// Time for which the latencies of a target that gets its first calls are left out, in milliseconds.
@@ -274,7 +276,8 @@
             .filter(|known| known.report.instance == report.instance);
         if let Some(earlier) = earlier {
             first_call_at = earlier.first_call_at.or(first_call_at);
-            let is_cold = is_new && first_call_at.is_some_and(|first| now.ms_since(first) < self.warm_up_ms());
+            let is_cold =
+                is_new && first_call_at.is_some_and(|first| now.ms_since(first) < self.warm_up_ms());
             for (route, counts) in &report.routes {
                 let before = earlier.report.routes.get(route).cloned().unwrap_or_default();
                 let mut counts = counts.since(&before);
@@ -644,7 +647,7 @@
             .reports
             .values()
             .filter(|known| known.report.version != self.order.to);
-        old.all(|known| known.seen_at > since.after_ms(WINDOW_MS) && known.report.in_flight == 0)
+        old.all(|known| known.seen_at > since.after_ms(SETTLE_MS) && known.report.in_flight == 0)
     }
 
     fn decide(&mut self, verdict: MoveVerdict, reason: &str) {
--- a/src/moves/schedule.rs
+++ b/src/moves/schedule.rs
@@ -32,7 +32,7 @@
 ];
 
 /// Part of a short move that is left for the last calls of the old version and for writing the verdict.
-const SHORT_SLACK: f64 = 0.14;
+const SHORT_SLACK: f64 = 0.20;
 
 /// When each share is due.
 #[derive(Debug, Clone, PartialEq)]
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -186,11 +186,7 @@
     }
 }
 
-fn read_target(
-    section: &mut IniSection,
-    is_announced: bool,
-    faults: &mut Vec<ParseFault>,
-) -> TargetSettings {
+fn read_target(section: &mut IniSection, is_announced: bool, faults: &mut Vec<ParseFault>) -> TargetSettings {
     let version = if is_announced {
         section.take("version").unwrap_or_default().into()
     } else {
