--- a/src/call/book.rs
+++ b/src/call/book.rs
@@ -115,6 +115,15 @@
     full_until: TimePoint,
 }
 
+impl TargetStats {
+    /// Returns the typical time of a run, in milliseconds: as its gate reports it, or else as seen from here.
+    fn run_ms(&self) -> Option<f64> {
+        [self.report.run_ms, self.latency_ms]
+            .into_iter()
+            .find(|run_ms| *run_ms > 0.0)
+    }
+}
+
 /// Observations by daemon name.
 #[derive(Debug, Default)]
 pub struct TargetBook {
@@ -150,8 +159,9 @@
             far.sample(rng, COMPARED)
                 .map(|target| (target, wish.far_ms, is_open)),
         );
+        let usual_ms = self.usual_run_ms(candidates);
         let costs = compared.filter_map(|(target, far_ms, is_open)| {
-            let cost_ms = self.cost_of(target, now);
+            let cost_ms = self.cost_of(target, usual_ms, now);
             let is_idle = !wish.only_idle || self.load_of(target, now) < IDLE_LOAD;
             let is_soon = wish.limit_ms.is_none_or(|limit_ms| cost_ms <= limit_ms);
             (is_open || (is_idle && is_soon)).then_some((*target, cost_ms + far_ms))
@@ -265,14 +275,24 @@
         f64::from(stats.in_flight.max(reported)) / f64::from(target.slots.max(1))
     }
 
+    /// Returns the mean time of a run over the targets whose time is known, in milliseconds: a target that was not heard
+    /// of yet is taken to be like the others, not to be free of cost.
+    fn usual_run_ms(&self, candidates: &[CandidateTarget]) -> f64 {
+        let known = candidates
+            .iter()
+            .filter_map(|target| self.stats.get(&target.name));
+        let known: Vec<f64> = known.filter_map(TargetStats::run_ms).collect();
+        if known.is_empty() {
+            return BASE_LATENCY_MS;
+        }
+        known.iter().sum::<f64>() / known.len() as f64
+    }
+
     /// Returns the expected time to an answer, in milliseconds.
-    fn cost_of(&self, target: &CandidateTarget, now: TimePoint) -> f64 {
+    fn cost_of(&self, target: &CandidateTarget, usual_ms: f64, now: TimePoint) -> f64 {
         let unknown = TargetStats::default();
         let stats = self.stats.get(&target.name).unwrap_or(&unknown);
-        let run_ms = match (stats.report.run_ms, stats.latency_ms) {
-            (reported, _) if reported > 0.0 => reported,
-            (_, observed) => observed,
-        };
+        let run_ms = stats.run_ms().unwrap_or(usual_ms);
         let distance_ms = if target.is_near { 0.0 } else { BASE_LATENCY_MS };
         let load = self.load_of(target, now);
         let runs = 1.0 + load.min(1.0) * LOADED_PART + (load - 1.0).max(0.0);
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -8,6 +8,8 @@
 const QUICK_RUN_PART: f64 = 0.7;
 /// Time that a proxy needs to hear of a refusal, in milliseconds: two hops and a timer.
 const TELL_MS: u64 = 60;
+/// Time assumed for a run before one has ended, in milliseconds: a common service's, so that a new target is not flooded.
+const UNKNOWN_RUN_MS: f64 = 200.0;
 /// Weight of a new run in the moving average of run times.
 const RUN_WEIGHT: f64 = 0.05;
 
@@ -194,10 +196,14 @@
         }
     }
 
-    /// Opens the gate for another target, also after a drain. Calls that run keep their slots.
+    /// Opens all slots of another target, also after a drain: its announcement says that it takes work. Calls that run
+    /// keep their slots.
     pub fn reopen(&mut self, slots: u32, now: TimePoint) {
         self.slots = slots;
-        self.mode = GateMode::Serving { since: now };
+        self.run_ms = 0.0;
+        self.mode = GateMode::Serving {
+            since: now.before_ms(SLOW_START_MS),
+        };
     }
 
     /// Returns the typical time of a run, in milliseconds; 0 before the first run.
@@ -265,8 +271,13 @@
     /// Tells whether a call with `ahead` others before it can't be answered in time, at the usual pace of runs.
     fn is_hopeless(&self, arrival: &GateArrival, ahead: usize, now: TimePoint) -> bool {
         let slots = f64::from(self.open_slots(now).max(1));
-        let wait_ms = (ahead as f64 + 1.0) / slots * self.run_ms;
-        now.after_ms((wait_ms + self.run_ms) as u64) > arrival.useful_until
+        let run_ms = if self.run_ms > 0.0 {
+            self.run_ms
+        } else {
+            UNKNOWN_RUN_MS
+        };
+        let wait_ms = (ahead as f64 + 1.0) / slots * run_ms;
+        now.after_ms((wait_ms + run_ms) as u64) > arrival.useful_until
     }
 
     /// Forgets a waiting call whose caller went away. Tells whether it was still waiting.
--- a/src/moves/controller.rs
+++ b/src/moves/controller.rs
@@ -542,7 +542,9 @@
         let wanted = due
             .min(cap)
             .min(self.schedule.step_above(share).max(self.first_share()));
-        if wanted > share && self.may_rise(now) {
+        // In the quick rise of a short move a step is taken only while nothing speaks against the version.
+        let is_calm = !self.schedule.is_short() || finding.evidence < self.limits().weak * RESUME_PART;
+        if wanted > share && is_calm && self.may_rise(now) {
             self.set_share(wanted, now);
             return vec![MoveEffect::Cleared {
                 reason: format!("raised to {:.0} % on schedule", wanted * 100.0),
