A leaving controller hands its move over; the quick rise of a short move is bounded in time

Ruled out: late detection; the evidence of a version that fails under load needs the load that only the rise brings.

--- a/src/daemon/control/leaving.rs
+++ b/src/daemon/control/leaving.rs
@@ -37,6 +37,7 @@
             gate.wake(wakes, now);
         }
         self.set_target_status(TargetStatus::Leaving, now);
+        self.moves.release(&self.members, &mut self.ring, now);
     }
 
     /// Returns true when the daemon may exit.
--- a/src/daemon/move_runner.rs
+++ b/src/daemon/move_runner.rs
@@ -11,7 +11,7 @@
     crate::{
         clock::TimePoint,
         config::{CompiledPool, CompiledTable, MoveOrder},
-        member::{MemberState, best_ranked},
+        member::{MemberState, TargetStatus, best_ranked},
         moves::{
             Clearance, ControllerStart, GateReport, MoveController, MoveEffect, PollReply, PollRequest,
             WINDOW_MS,
@@ -69,6 +69,7 @@
     shared: Arc<SharedState>,
     client: ControlClient,
     moves: IndexMap<Arc<str>, OpenMove>,
+    is_leaving: bool,
 }
 
 impl MoveRunner {
@@ -78,6 +79,7 @@
             shared,
             client,
             moves: IndexMap::new(),
+            is_leaving: false,
         }
     }
 
@@ -124,6 +126,9 @@
         ring: &mut EventRing,
         now: TimePoint,
     ) {
+        if self.is_leaving {
+            return;
+        }
         let pools: Vec<Arc<str>> = self.moves.keys().cloned().collect();
         for pool in pools {
             self.tick_move(&pool, members, store, ring, now);
@@ -152,9 +157,11 @@
         }
         let service = &open.service;
         let order = &open.order;
-        let gates = members
-            .present()
-            .filter(|record| record.target.service == *service && record.target.version != order.to);
+        let gates = members.present().filter(|record| {
+            record.target.service == *service
+                && record.target.version != order.to
+                && record.target.status == TargetStatus::Serving
+        });
         let is_best = best_ranked(pool, gates.map(|record| &*record.name), 1) == [&*members.own().name];
         if is_best && open.look.is_none() && now >= open.due_at {
             open.due_at = now.after_ms(LOOK_INTERVAL_MS);
@@ -379,6 +386,21 @@
         }
     }
 
+    /// Hands the moves held here over, as the daemon leaves: the gates are told that the clearances are free.
+    pub fn release(&mut self, members: &MemberState, ring: &mut EventRing, now: TimePoint) {
+        self.is_leaving = true;
+        let pools: Vec<Arc<str>> = self.moves.keys().cloned().collect();
+        for pool in pools {
+            let controller = self.moves.get_mut(&pool).and_then(|open| open.controller.take());
+            if let Some(controller) = controller {
+                let clearance = controller.clearance().released();
+                self.poll_gates(&pool, Some(&clearance), members, ring, now);
+                let move_id = clearance.move_id;
+                ring.record_move(EventKind::MoveReleased, &pool, move_id, "the daemon leaves", now);
+            }
+        }
+    }
+
     /// Returns the order of an open move.
     pub fn order(&self, pool: &str) -> Option<&MoveOrder> {
         self.moves.get(pool).map(|open| &open.order)
--- a/src/moves/clearance.rs
+++ b/src/moves/clearance.rs
@@ -41,6 +41,21 @@
         rank(self) > rank(other)
     }
 
+    /// Gives the clearance up, so that another controller may take the move over at once.
+    #[must_use]
+    pub fn released(&self) -> Self {
+        Self {
+            holder: Arc::from(""),
+            seq: self.seq + 1,
+            ..self.clone()
+        }
+    }
+
+    /// Tells whether its controller has given it up.
+    pub fn is_released(&self) -> bool {
+        self.holder.is_empty()
+    }
+
     /// Returns the share that may be used now.
     pub fn usable_share(&self) -> f64 {
         if self.stopped {
@@ -97,7 +112,8 @@
             .as_ref()
             .filter(|held| held.move_id == clearance.move_id)
         {
-            let is_rival = clearance.epoch == held.epoch && held.holder != clearance.holder;
+            let is_rival =
+                clearance.epoch == held.epoch && held.holder != clearance.holder && !clearance.is_released();
             let outranked = clearance.epoch < held.epoch || (is_rival && now < self.lease_until);
             if outranked {
                 return false;
@@ -112,8 +128,12 @@
         {
             return false;
         }
+        self.lease_until = if clearance.is_released() {
+            now
+        } else {
+            now.after_ms(LEASE_MS)
+        };
         self.held = Some(clearance);
-        self.lease_until = now.after_ms(LEASE_MS);
         true
     }
 
--- a/src/moves/controller.rs
+++ b/src/moves/controller.rs
@@ -49,6 +49,11 @@
 const DRAIN_MS: u64 = 1_600;
 /// Time in which proxies learn of the full share, in milliseconds: most answers of the pool bring it within a window.
 const SETTLE_MS: u64 = 250;
+/// Share of a short move above which the time is bounded, so that a version that is neither calm nor clearly bad gets
+/// little.
+const SHORT_SAFE_SHARE: f64 = 0.08;
+/// Part of a short move that its share may stay above that before it reaches the top.
+const SHORT_RISE_PART: f64 = 0.2;
 /// Part of a short move for which the latencies of a target that was just heard of are left out.
 const SHORT_WARM_UP: f64 = 0.2;
 /// Time for which the latencies of a target that gets its first calls are left out, in milliseconds.
@@ -142,6 +147,8 @@
     /// Calls of the new version in the last windows, newest last.
     new_calls: VecDeque<u64>,
     raised_at: TimePoint,
+    /// When the share last went above what is safe for long.
+    rise_at: Option<TimePoint>,
     evaluate_at: TimePoint,
     decided: Option<(MoveVerdict, Arc<str>)>,
     warned: bool,
@@ -177,12 +184,17 @@
             step_calls: 0,
             new_calls: VecDeque::new(),
             raised_at: now,
+            rise_at: None,
             evaluate_at: now.after_ms(ANSWER_WAIT_MS),
             decided: None,
             warned: false,
         };
         let held_share = held.map_or(0.0, Clearance::usable_share);
-        if held_share > 0.0 {
+        if held.is_some_and(Clearance::is_released) {
+            // The predecessor handed the move over: the gates' windows tell what it knew.
+            controller.clearance.share = held_share.min(TAKEOVER_SHARE);
+            controller.phase = MovePhase::Rising;
+        } else if held_share > 0.0 {
             controller.start_again(held_share, now);
         }
         if controller.clearance.stopped {
@@ -340,6 +352,9 @@
         if finding.evidence >= limits.weak && may_pause && self.clearance.share > 0.0 {
             return self.pause(&finding, now);
         }
+        if self.is_stuck(now) {
+            return self.pause(&finding, now);
+        }
         if let MovePhase::Draining { since } = self.phase {
             let is_over = now.ms_since(since) >= DRAIN_MS || now >= self.order.finish_by;
             return if is_over || self.is_old_idle(since) {
@@ -361,6 +376,15 @@
         self.follow_schedule(&finding, now)
     }
 
+    /// Tells whether the quick rise of a short move has come to a halt.
+    fn is_stuck(&self, now: TimePoint) -> bool {
+        let total_ms = self.order.finish_by.ms_since(self.order.opened_at) as f64;
+        let since = self
+            .rise_at
+            .filter(|_| self.schedule.is_short() && self.phase == MovePhase::Rising);
+        since.is_some_and(|since| now.ms_since(since) as f64 > total_ms * SHORT_RISE_PART)
+    }
+
     /// Goes on after nobody watched the version: the evidence is looked at before it gets calls again, and then it
     /// gets few.
     fn start_again(&mut self, share: f64, now: TimePoint) {
@@ -495,7 +519,12 @@
         if !has_faded {
             return self.trickle(now);
         }
-        let share = self.paused_share.min(self.share_cap(now));
+        let safe = if self.schedule.is_short() {
+            SHORT_SAFE_SHARE
+        } else {
+            1.0
+        };
+        let share = self.paused_share.min(self.share_cap(now)).min(safe);
         self.phase = MovePhase::Rising;
         self.set_share(share, now);
         vec![MoveEffect::Cleared {
@@ -658,6 +687,7 @@
     }
 
     fn set_share(&mut self, share: f64, now: TimePoint) {
+        self.rise_at = (share > SHORT_SAFE_SHARE).then(|| self.rise_at.unwrap_or(now));
         self.clearance.share = share;
         self.clearance.seq += 1;
         self.raised_at = now;
