--- a/src/moves/controller.rs
+++ b/src/moves/controller.rs
@@ -7,7 +7,7 @@
         message::{GateReport, PollReply},
         route_tests::{Finding, RouteTests},
         schedule::{MoveSchedule, TOP_SHARE, TRICKLE_SHARE},
-        sequential::{OPEN_WINDOWS, RateTest, TestThresholds},
+        sequential::{RateTest, TestThresholds},
     },
     crate::{
         clock::TimePoint,
@@ -159,6 +159,7 @@
     pub fn new(order: MoveOrder, holder: Arc<str>, held: Option<&Clearance>, now: TimePoint) -> Self {
         let schedule = MoveSchedule::new(order.opened_at, order.finish_by, order.policy);
         let thresholds = thresholds_of(order.policy);
+        let schedule_memory = schedule.memory();
         let clearance = Clearance {
             move_id: order.id,
             epoch: held.map_or(1, |held| held.epoch + 1),
@@ -175,7 +176,7 @@
             reports: IndexMap::new(),
             window: EvidenceWindow::default(),
             tests: IndexMap::new(),
-            overall: RateTest::default(),
+            overall: RateTest::new(schedule_memory),
             phase: MovePhase::Waiting,
             paused_at: now,
             paused_share: 0.0,
@@ -301,7 +302,11 @@
         } else if !is_new {
             for (route, counts) in &report.routes {
                 self.overall.add_history(counts.calls, counts.failed);
-                let tests = self.tests.entry(Arc::clone(route)).or_default();
+                let memory = self.schedule.memory();
+                let tests = self
+                    .tests
+                    .entry(Arc::clone(route))
+                    .or_insert_with(|| RouteTests::new(memory));
                 tests.add_history(counts);
             }
         }
@@ -402,10 +407,23 @@
             overall.1.add(new);
         }
         let new_calls = overall.1.calls;
+        log::info!(
+            target: "moves",
+            "event=move-window move={} epoch={} share={:.2} old={}/{} new={}/{} evidence={:.1} peak={:.3}",
+            self.order.id,
+            self.clearance.epoch,
+            self.clearance.share,
+            overall.0.failed,
+            overall.0.calls,
+            overall.1.failed,
+            overall.1.calls,
+            self.overall.evidence(),
+            self.overall.peak()
+        );
         self.pool_calls += overall.0.calls + new_calls;
         self.step_calls += new_calls;
         self.new_calls.push_back(new_calls);
-        if self.new_calls.len() > OPEN_WINDOWS {
+        if self.new_calls.len() > self.schedule.memory().open_windows {
             self.new_calls.pop_front();
         }
         self.overall.add_window(
@@ -415,10 +433,11 @@
         );
         // A rise over all routes is known before it is known for a route with few calls.
         let granted = self.overall.peak();
+        let memory = self.schedule.memory();
         for (route, (old, new)) in routes {
             self.tests
                 .entry(route)
-                .or_default()
+                .or_insert_with(|| RouteTests::new(memory))
                 .add_window(&old, &new, granted);
         }
     }
--- a/src/moves/mod.rs
+++ b/src/moves/mod.rs
@@ -14,5 +14,5 @@
     evidence::{EvidenceWindow, LatencyCounts, RouteEvidence},
     message::{EvidenceSlice, GateReport, PollReply, PollRequest},
     schedule::{MIN_MOVE_MS, MoveSchedule, TOP_SHARE, TRICKLE_SHARE},
-    sequential::{RateTest, TestThresholds},
+    sequential::{RateTest, TestMemory, TestThresholds},
 };
--- a/src/moves/route_tests.rs
+++ b/src/moves/route_tests.rs
@@ -2,7 +2,7 @@
 
 use super::{
     evidence::{LatencyCounts, RouteEvidence},
-    sequential::RateTest,
+    sequential::{RateTest, TestMemory},
 };
 
 /// The old version's latency quantile that the slow-call test starts from.
@@ -43,6 +43,15 @@
 }
 
 impl RouteTests {
+    /// Makes tests that know nothing yet.
+    pub fn new(memory: TestMemory) -> Self {
+        Self {
+            failures: RateTest::new(memory),
+            slowness: RateTest::new(memory),
+            ..Self::default()
+        }
+    }
+
     /// Takes in what the old version did before the move.
     pub fn add_history(&mut self, old: &RouteEvidence) {
         self.failures.add_history(old.calls, old.failed);
--- a/src/moves/schedule.rs
+++ b/src/moves/schedule.rs
@@ -1,6 +1,9 @@
 //! The schedule of a move, planned backwards from its deadline.
 
-use crate::{clock::TimePoint, config::MovePolicy};
+use {
+    super::sequential::TestMemory,
+    crate::{clock::TimePoint, config::MovePolicy},
+};
 
 /// Share given to the new version at first and during a pause.
 pub const TRICKLE_SHARE: f64 = 0.01;
@@ -66,6 +69,15 @@
         self.steps.len() == SHORT_STEPS.len()
     }
 
+    /// Returns how long trouble of the old version excuses the new one.
+    pub fn memory(&self) -> TestMemory {
+        if self.is_short() {
+            TestMemory::SHORT
+        } else {
+            TestMemory::LONG
+        }
+    }
+
     /// Returns when the verdict is due.
     pub fn verdict_at(&self) -> TimePoint {
         self.verdict_at
--- a/src/moves/sequential.rs
+++ b/src/moves/sequential.rs
@@ -14,9 +14,6 @@
 const LONG_DECAY: f64 = 0.995;
 /// Part of the recent counts kept from one window to the next.
 const RECENT_DECAY: f64 = 0.75;
-/// Part of the highest recent rate kept from one window to the next, as trouble that hits both versions comes and
-/// goes.
-const PEAK_DECAY: f64 = 0.97;
 /// Most calls that the history before the move counts for.
 const HISTORY_CALLS: f64 = 4_000.0;
 /// Rate assumed of an old version that never shows a bad event.
@@ -29,8 +26,28 @@
 const PROVEN_BAD: f64 = 3.0;
 /// Weighted recent calls of the old version from which its recent rate counts as known.
 const KNOWN_CALLS: f64 = 25.0;
-/// Windows whose null rate may still be raised.
-pub const OPEN_WINDOWS: usize = 24;
+/// How long trouble that hit the old version excuses the new one.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TestMemory {
+    /// Part of the highest recent rate kept from one window to the next, as trouble that hits both versions comes and
+    /// goes.
+    pub peak_decay: f64,
+    /// Windows whose null rate may still be raised.
+    pub open_windows: usize,
+}
+
+impl TestMemory {
+    /// For moves that have time to wait until trouble is over.
+    pub const LONG: Self = Self {
+        peak_decay: 0.97,
+        open_windows: 24,
+    };
+    /// For moves of some seconds: trouble of their first part must not hide badness in their last.
+    pub const SHORT: Self = Self {
+        peak_decay: 0.75,
+        open_windows: 6,
+    };
+}
 
 /// Evidence, in natural logarithms of the likelihood ratio, at which a controller acts.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -84,8 +101,9 @@
 type AlternativeSums = [f64; ALTERNATIVES.len()];
 
 /// The test of one kind of bad event on one route.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct RateTest {
+    memory: TestMemory,
     long: DecayedRate,
     recent: DecayedRate,
     /// Highest recent rate that was proven to be above the long-term one of late.
@@ -95,7 +113,25 @@
     closed: AlternativeSums,
 }
 
+impl Default for RateTest {
+    fn default() -> Self {
+        Self::new(TestMemory::LONG)
+    }
+}
+
 impl RateTest {
+    /// Makes a test that knows nothing yet.
+    pub fn new(memory: TestMemory) -> Self {
+        Self {
+            memory,
+            long: DecayedRate::default(),
+            recent: DecayedRate::default(),
+            peak: 0.0,
+            open: VecDeque::new(),
+            closed: AlternativeSums::default(),
+        }
+    }
+
     /// Takes in what the old version did before the move; it counts for a bounded number of calls.
     pub fn add_history(&mut self, calls: u64, bad: u64) {
         let weight = (HISTORY_CALLS / calls.max(1) as f64).min(1.0);
@@ -113,7 +149,7 @@
     pub fn add_window(&mut self, old: (u64, u64), new: (u64, u64), granted: f64) {
         self.long.add(old.0, old.1, LONG_DECAY);
         self.recent.add(old.0, old.1, RECENT_DECAY);
-        self.peak *= PEAK_DECAY;
+        self.peak *= self.memory.peak_decay;
         let long = self.long.upper();
         if self.knows_recent_rate() && self.recent.bad >= PROVEN_BAD && self.recent.lower() > long {
             self.peak = self.peak.max(self.recent.upper());
@@ -127,7 +163,7 @@
             bad: new.1 as f64,
             null,
         });
-        if self.open.len() > OPEN_WINDOWS
+        if self.open.len() > self.memory.open_windows
             && let Some(window) = self.open.pop_front()
         {
             add_steps(&mut self.closed, window);
--- /dev/null
+++ b/tests/short_moves.rs
@@ -0,0 +1,171 @@
+//! Moves of some seconds: what the controller does with badness that shows late, and with a handover.
+
+use {
+    fuchsiashore::{
+        clock::TimePoint,
+        config::{MoveOrder, MovePolicy, MoveVerdict},
+        moves::{Clearance, GateLease, GateReport, MoveController, MoveEffect, RouteEvidence, WINDOW_MS},
+    },
+    indexmap::IndexMap,
+    std::sync::Arc,
+};
+
+const START: TimePoint = TimePoint(1_000_000);
+const MOVE_MS: u64 = 15_000;
+/// Calls of the pool in a window.
+const CALLS: f64 = 110.0;
+/// Latency of every call, in milliseconds.
+const LATENCY_MS: f64 = 200.0;
+
+fn order() -> MoveOrder {
+    MoveOrder {
+        id: 7,
+        from: "v1".into(),
+        to: "v2".into(),
+        opened_at: START,
+        finish_by: START.after_ms(MOVE_MS),
+        policy: MovePolicy::Cautious,
+    }
+}
+
+/// One gate of each version, with what it has counted.
+struct Pool {
+    controller: MoveController,
+    old: RouteEvidence,
+    new: RouteEvidence,
+    verdict: Option<MoveVerdict>,
+}
+
+impl Pool {
+    fn new(held: Option<&Clearance>, now: TimePoint) -> Self {
+        Self {
+            controller: MoveController::new(order(), "c".into(), held, now),
+            old: RouteEvidence::default(),
+            new: RouteEvidence::default(),
+            verdict: None,
+        }
+    }
+
+    /// Plays one window in which a part of the calls of each version fails.
+    fn play(&mut self, old_failing: f64, new_failing: f64, now: TimePoint) {
+        let share = self.controller.clearance().usable_share();
+        add_calls(&mut self.old, CALLS * (1.0 - share), old_failing);
+        add_calls(&mut self.new, CALLS * share, new_failing);
+        self.controller.note_poll(now);
+        self.controller.add_report(report("old", "v1", &self.old), now);
+        self.controller.add_report(report("new", "v2", &self.new), now);
+        for effect in self.controller.tick(now.after_ms(WINDOW_MS / 2)) {
+            if let MoveEffect::Decide { verdict, .. } = effect {
+                self.verdict = Some(verdict);
+            }
+        }
+    }
+}
+
+fn add_calls(evidence: &mut RouteEvidence, calls: f64, failing: f64) {
+    let calls = calls.round() as u64;
+    let failed = (calls as f64 * failing).round() as u64;
+    for number in 0..calls {
+        evidence.add_call(number < failed, LATENCY_MS);
+    }
+}
+
+fn report(gate: &str, version: &str, evidence: &RouteEvidence) -> GateReport {
+    let routes: IndexMap<Arc<str>, RouteEvidence> = [("r".into(), evidence.clone())].into();
+    GateReport {
+        gate: gate.into(),
+        instance: 1,
+        version: version.into(),
+        is_serving: true,
+        slots: 96,
+        in_flight: 0,
+        routes,
+    }
+}
+
+fn windows() -> impl Iterator<Item = (u64, TimePoint)> {
+    (0..MOVE_MS / WINDOW_MS + 4).map(|window| (window * WINDOW_MS, START.after_ms(window * WINDOW_MS)))
+}
+
+#[test]
+fn good_version_is_done_in_time() {
+    let mut pool = Pool::new(None, START);
+    for (_, now) in windows() {
+        if pool.verdict.is_none() {
+            pool.play(0.01, 0.01, now);
+        }
+    }
+    assert_eq!(pool.verdict, Some(MoveVerdict::Done));
+}
+
+#[test]
+fn trouble_of_the_first_seconds_does_not_hide_badness_under_load() {
+    let mut pool = Pool::new(None, START);
+    for (at_ms, now) in windows() {
+        let old_failing = if at_ms < 4_000 { 0.5 } else { 0.01 };
+        // The version fails once it carries a quarter of the calls.
+        let is_loaded = pool.controller.clearance().usable_share() >= 0.2;
+        let new_failing = if is_loaded { 0.35 } else { 0.01 };
+        if pool.verdict.is_none() {
+            pool.play(old_failing, new_failing, now);
+        }
+    }
+    assert_eq!(pool.verdict, Some(MoveVerdict::TakenBack));
+    let calls = CALLS * (MOVE_MS / WINDOW_MS) as f64;
+    assert!(
+        (pool.new.calls as f64) < calls * 0.1 + 50.0,
+        "the bad version got {} of {calls} calls",
+        pool.new.calls
+    );
+}
+
+#[test]
+fn rise_that_comes_to_a_halt_ends_at_a_safe_share() {
+    let mut pool = Pool::new(None, START);
+    let mut risen_ms = 0;
+    for (_, now) in windows() {
+        let share = pool.controller.clearance().usable_share();
+        risen_ms += if share > 0.1 { WINDOW_MS } else { 0 };
+        // Neither calm nor clearly bad above the share of the trial.
+        let new_failing = if share > 0.1 { 0.08 } else { 0.02 };
+        if pool.verdict.is_none() {
+            pool.play(0.02, new_failing, now);
+        }
+    }
+    assert_ne!(pool.verdict, Some(MoveVerdict::Done));
+    assert!(risen_ms <= 3_500, "{risen_ms} ms above the share of the trial");
+}
+
+#[test]
+fn released_clearance_is_taken_over_at_once_and_lapsed_one_by_a_rival() {
+    let mut lease = GateLease::default();
+    let held = Clearance {
+        move_id: 7,
+        epoch: 1,
+        seq: 3,
+        share: 0.07,
+        stopped: false,
+        holder: "a".into(),
+    };
+    assert!(lease.renew(held.clone(), START));
+    let rival = Clearance {
+        holder: "b".into(),
+        ..held.clone()
+    };
+    assert!(
+        !lease.renew(rival.clone(), START),
+        "a rival took over a held clearance"
+    );
+    assert!(lease.renew(held.released(), START));
+    assert_eq!(lease.left_ms(START), 0);
+    assert!(
+        !lease.admits(7, START),
+        "the version gets calls while nobody watches it"
+    );
+    let successor = MoveController::new(order(), "b".into(), lease.held(7), START);
+    assert!((successor.clearance().share - 0.07).abs() < 1e-9);
+    // The same epoch by another holder counts again once the lease has lapsed.
+    let mut lease = GateLease::default();
+    assert!(lease.renew(held, START));
+    assert!(lease.renew(rival, START.after_ms(60_000)));
+}
