--- a/src/moves/controller.rs
+++ b/src/moves/controller.rs
@@ -52,6 +52,9 @@
 /// Share of a short move above which the time is bounded, so that a version that is neither calm nor clearly bad gets
 /// little.
 const SHORT_SAFE_SHARE: f64 = 0.08;
+/// Time that each step of the quick rise lasts at least, in milliseconds: two windows, as one that began in the step
+/// before says little.
+const SHORT_REST_MS: u64 = 2 * WINDOW_MS;
 /// Part of a short move that its share may stay above that before it reaches the top.
 const SHORT_RISE_PART: f64 = 0.2;
 /// Part of a short move for which the latencies of a target that was just heard of are left out.
@@ -612,7 +615,12 @@
         if self.clearance.share == 0.0 {
             return true;
         }
-        let has_rested = now.ms_since(self.raised_at) >= self.schedule.catch_up_ms();
+        let rest_ms = if self.schedule.is_short() && self.clearance.share > SHORT_SAFE_SHARE {
+            SHORT_REST_MS
+        } else {
+            self.schedule.catch_up_ms()
+        };
+        let has_rested = now.ms_since(self.raised_at) >= rest_ms;
         let has_calls = self.step_calls >= CALLS_PER_STEP || self.schedule.progress(now) >= EVIDENCE_FIRST;
         has_rested && has_calls
     }
--- a/src/moves/schedule.rs
+++ b/src/moves/schedule.rs
@@ -28,10 +28,10 @@
 /// and the rise together stay near a tenth of the calls of the whole time, also if badness shows only in the rise.
 const SHORT_STEPS: [(f64, f64); 5] = [
     (0.00, 0.03),
-    (0.12, 0.07),
-    (0.68, 0.25),
-    (0.75, 0.50),
-    (0.81, TOP_SHARE),
+    (0.12, 0.06),
+    (0.64, 0.25),
+    (0.74, 0.50),
+    (0.84, TOP_SHARE),
 ];
 
 /// Part of a short move that is left for the last calls of the old version and for writing the verdict.
--- a/src/moves/sequential.rs
+++ b/src/moves/sequential.rs
@@ -10,8 +10,6 @@
 
 /// Alternative rates: the null rate plus this part of the rest.
 const ALTERNATIVES: [f64; 5] = [0.02, 0.06, 0.18, 0.45, 0.9];
-/// Part of the long-term counts kept from one window to the next.
-const LONG_DECAY: f64 = 0.995;
 /// Part of the recent counts kept from one window to the next.
 const RECENT_DECAY: f64 = 0.75;
 /// Most calls that the history before the move counts for.
@@ -26,9 +24,12 @@
 const PROVEN_BAD: f64 = 3.0;
 /// Weighted recent calls of the old version from which its recent rate counts as known.
 const KNOWN_CALLS: f64 = 25.0;
+
 /// How long trouble that hit the old version excuses the new one.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TestMemory {
+    /// Part of the long-term counts kept from one window to the next.
+    pub long_decay: f64,
     /// Part of the highest recent rate kept from one window to the next, as trouble that hits both versions comes and
     /// goes.
     pub peak_decay: f64,
@@ -39,11 +40,13 @@
 impl TestMemory {
     /// For moves that have time to wait until trouble is over.
     pub const LONG: Self = Self {
+        long_decay: 0.995,
         peak_decay: 0.97,
         open_windows: 24,
     };
     /// For moves of some seconds: trouble of their first part must not hide badness in their last.
     pub const SHORT: Self = Self {
+        long_decay: 0.88,
         peak_decay: 0.75,
         open_windows: 6,
     };
@@ -147,7 +150,7 @@
     /// Takes in one window: calls and bad events of the old and the new version, and a rate that is granted to the
     /// new version in any case.
     pub fn add_window(&mut self, old: (u64, u64), new: (u64, u64), granted: f64) {
-        self.long.add(old.0, old.1, LONG_DECAY);
+        self.long.add(old.0, old.1, self.memory.long_decay);
         self.recent.add(old.0, old.1, RECENT_DECAY);
         self.peak *= self.memory.peak_decay;
         let long = self.long.upper();
