--- a/src/moves/controller.rs
+++ b/src/moves/controller.rs
@@ -150,7 +150,7 @@
     /// Calls of the new version in the last windows, newest last.
     new_calls: VecDeque<u64>,
     raised_at: TimePoint,
-    /// When the share last went above what is safe for long.
+    /// When the share first went above what is safe for long.
     rise_at: Option<TimePoint>,
     evaluate_at: TimePoint,
     decided: Option<(MoveVerdict, Arc<str>)>,
@@ -386,10 +386,15 @@
 
     /// Tells whether the quick rise of a short move has come to a halt.
     fn is_stuck(&self, now: TimePoint) -> bool {
+        let is_high = self.clearance.share > SHORT_SAFE_SHARE && self.phase == MovePhase::Rising;
+        is_high && self.is_rise_over(now)
+    }
+
+    /// Tells whether a short move has had its time for the quick rise. It gets no second one: two of them would give a
+    /// version that is bad under load more than its share.
+    fn is_rise_over(&self, now: TimePoint) -> bool {
         let total_ms = self.order.finish_by.ms_since(self.order.opened_at) as f64;
-        let since = self
-            .rise_at
-            .filter(|_| self.schedule.is_short() && self.phase == MovePhase::Rising);
+        let since = self.rise_at.filter(|_| self.schedule.is_short());
         since.is_some_and(|since| now.ms_since(since) as f64 > total_ms * SHORT_RISE_PART)
     }
 
@@ -570,7 +575,12 @@
         if self.phase == MovePhase::Paused {
             return self.resume(finding, now);
         }
-        let cap = self.share_cap(now);
+        let safe = if self.is_rise_over(now) && self.clearance.share < TOP_SHARE {
+            SHORT_SAFE_SHARE
+        } else {
+            1.0
+        };
+        let cap = self.share_cap(now).min(safe);
         let due = self.schedule.due_share(now).max(self.first_share());
         let share = self.clearance.share;
         if cap <= 0.0 {
@@ -714,7 +724,9 @@
     }
 
     fn set_share(&mut self, share: f64, now: TimePoint) {
-        self.rise_at = (share > SHORT_SAFE_SHARE).then(|| self.rise_at.unwrap_or(now));
+        if share > SHORT_SAFE_SHARE {
+            self.rise_at.get_or_insert(now);
+        }
         self.clearance.share = share;
         self.clearance.seq += 1;
         self.raised_at = now;
