--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod diff;
 mod drain;
 mod error;
+mod explain;
 mod history;
 mod moves;
 mod options;
@@ -50,6 +51,7 @@
         "status" => status::run(options).await,
         "timeline" => timeline::run(options).await,
         "drain" => drain::run(options).await,
+        "explain" => explain::run(options),
         verb => Err(CmdError::usage(format!("verb `{verb}` is not known"))),
     }
 }
--- a/src/cmd/options.rs
+++ b/src/cmd/options.rs
@@ -82,6 +82,8 @@
     pub name: Option<String>,
     /// Filter: time.
     pub since: TimePoint,
+    /// Identity of the call to explain.
+    pub call: Option<String>,
     /// Pool whose move is to be cancelled.
     pub cancel: Option<String>,
 }
@@ -117,6 +119,7 @@
                 Long("move") => options.move_id = Some(number_of(&mut parser)?),
                 Long("name") => options.name = Some(text_of(&mut parser)?),
                 Long("since") => options.since = time_of(&mut parser)?,
+                Long("call") => options.call = Some(text_of(&mut parser)?),
                 Long("cancel") => options.cancel = Some(text_of(&mut parser)?),
                 other => return Err(usage(&other.unexpected())),
             }
--- a/src/cmd/usage.rs
+++ b/src/cmd/usage.rs
@@ -14,6 +14,7 @@
   status    show the daemons and what they have in force
   timeline  print the merged events of all daemons
   drain     make a daemon finish its work and exit
+  explain   print what the daemons' logs say of one call
 
 Options of all verbs:
   --settings FILE     INI file with [operator] store, daemon, author (or FUCHSIASHORE_SETTINGS)
@@ -41,6 +42,11 @@
             "fuchsiashore check routes.ini pools.ini",
             "",
         ),
+        "explain" => (
+            "explain --call ID LOGS\n\nPrints the lines of the daemons' logs that name a call or one of its attempts, in the order of time.",
+            "fuchsiashore explain --call 9c41d07be2a35f68 logs/*.log",
+            "",
+        ),
         "diff" => (
             "diff FILES\n\nShows what `apply` would change.",
             "fuchsiashore diff --store 10.0.0.5:8500 routes.ini pools.ini",
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -41,6 +41,18 @@
     pub kind: &'static str,
 }
 
+/// Labels of latencies.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PoolLabels {
+    /// Pool name.
+    pub pool: Arc<str>,
+}
+
+/// Returns an empty histogram from 5 ms to 10 s.
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.005, 2.0, 12))
+}
+
 /// Labels of calls to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreLabels {
@@ -79,6 +91,8 @@
     pub members: Gauge,
     /// Retries sent.
     pub retries: Counter,
+    /// Time of answered calls by pool, in seconds.
+    latency: Family<PoolLabels, Histogram, fn() -> Histogram>,
 }
 
 impl Default for DaemonMetrics {
@@ -96,6 +110,7 @@
             version: Gauge::default(),
             members: Gauge::default(),
             retries: Counter::default(),
+            latency: Family::new_with_constructor(latency_histogram),
         };
         registry.register(
             "calls",
@@ -130,6 +145,11 @@
         );
         registry.register("members", "Daemons present", metrics.members.clone());
         registry.register("retries", "Retries sent", metrics.retries.clone());
+        registry.register(
+            "call_seconds",
+            "Time of answered calls by pool",
+            metrics.latency.clone(),
+        );
         *metrics.registry.lock() = registry;
         metrics
     }
@@ -151,6 +171,14 @@
         self.count(&route.into(), &pool.into(), &Arc::from(""), outcome);
     }
 
+    /// Counts the time of an answered call. The labels are bounded by the pools of the configuration.
+    pub fn observe_call(&self, pool: &Arc<str>, took_ms: u64) {
+        let labels = PoolLabels {
+            pool: Arc::clone(pool),
+        };
+        self.latency.get_or_create(&labels).observe(took_ms as f64 / 1e3);
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, kind: &'static str) {
         self.store_calls.get_or_create(&StoreLabels { kind }).inc();
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -127,6 +127,8 @@
         ControlState::new(Arc::clone(&shared), events, datagrams, edges, now)
             .run(queue)
             .await;
+        log::info!("event=stopped");
+        log::logger().flush();
         Ok(())
     })
 }
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -435,8 +435,8 @@
     };
     log::info!(
         target: "calls",
-        "event=gate-refused attempt={} route={} target={} outcome={outcome} reason={reason} detail={text:?}",
-        hop.id, hop.route, hop.target
+        "event=gate-refused attempt={} route={} target={} caller={} priority={} outcome={outcome} reason={reason} detail={text:?}",
+        hop.id, hop.route, hop.target, hop.caller, hop.priority
     );
     answer_text(res, status, outcome, reason, text);
     mark_end(res, outcome, reason);
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -74,6 +74,7 @@
     pool: Arc<CompiledPool>,
     caller: CallerCall,
     repeatable: bool,
+    arrived_at: TimePoint,
     useful_until: TimePoint,
     deadline: TimePoint,
 }
@@ -84,6 +85,8 @@
     headers: HeaderMap,
     body: AnswerBody,
     booked: BookedCall,
+    attempt: Arc<str>,
+    target: Arc<str>,
     version: Arc<str>,
 }
 
@@ -157,6 +160,7 @@
         let pool = Arc::clone(route.pool(self.rng.lock().random::<f64>()));
         Ok(RoutedCall {
             repeatable: route.is_repeatable(req.method().as_str()),
+            arrived_at: now,
             useful_until: now.after_ms(route.target_latency_ms).min(deadline),
             route,
             pool,
@@ -226,6 +230,8 @@
                                         headers,
                                         body,
                                         booked: attempt.booked,
+                                        attempt: attempt.hop.id,
+                                        target: attempt.target.name,
                                         version: attempt.target.version,
                                     });
                                 }
@@ -333,6 +339,12 @@
     fn answer(&self, answer: AnswerInHand, call: &RoutedCall, active: ActiveCall, res: &mut Response) {
         let shared = &self.shared;
         let failed = answer.status.is_server_error();
+        let now = shared.now();
+        let took_ms = now.ms_since(call.arrived_at);
+        shared.metrics.observe_call(&call.pool.name, took_ms);
+        if failed || now > call.useful_until {
+            log_slow_or_failed(call, &answer, took_ms);
+        }
         if let AnswerBody::Held(bytes) = &answer.body {
             shared.book.lock().note_size(&call.route.name, bytes.len());
         }
@@ -450,6 +462,22 @@
     }
 }
 
+/// Logs an answer that came late or is a failure of the target; sound ones are counted only.
+fn log_slow_or_failed(call: &RoutedCall, answer: &AnswerInHand, took_ms: u64) {
+    log::info!(
+        target: "calls",
+        "event=call-answered id={} attempt={} route={} pool={} target={} version={} status={} took_ms={took_ms} useful_ms={}",
+        call.caller.id.as_deref().unwrap_or(""),
+        answer.attempt,
+        call.route.name,
+        call.pool.name,
+        answer.target,
+        answer.version,
+        answer.status.as_u16(),
+        call.useful_until.ms_since(call.arrived_at)
+    );
+}
+
 fn log_attempt(
     call: &RoutedCall,
     target: &KnownTarget,
