--- a/src/call/plan.rs
+++ b/src/call/plan.rs
@@ -11,9 +11,8 @@
 
 /// Most gates that one call is offered to.
 pub const MAX_OFFERS: usize = 4;
-/// Part of the time in which an answer is of use, after which a second attempt starts beside one that has not answered:
-/// what is left is enough for most runs.
-const HEDGE_PART: f64 = 0.6;
+/// Part of the time left after which a second attempt starts beside one that has not answered.
+const HEDGE_PART: u64 = 2;
 /// Shortest time that an attempt is given before a second one starts beside it, in milliseconds.
 const MIN_HEDGE_MS: u64 = 50;
 
@@ -26,8 +25,6 @@
     pub resendable: bool,
     /// Most targets that it may reach.
     pub attempts: u32,
-    /// When an answer loses its value.
-    pub useful_until: TimePoint,
     /// When the call is given up.
     pub deadline: TimePoint,
 }
@@ -97,13 +94,8 @@
         self.open += 1;
         let may_hedge = self.rules.repeatable && self.rules.resendable && self.open == 1;
         self.hedge_at = if may_hedge {
-            let until = if now < self.rules.useful_until {
-                self.rules.useful_until
-            } else {
-                self.rules.deadline
-            };
-            let part_ms = until.ms_since(now) as f64 * HEDGE_PART;
-            now.after_ms((part_ms as u64).max(MIN_HEDGE_MS))
+            let part_ms = self.rules.deadline.ms_since(now) / HEDGE_PART;
+            now.after_ms(part_ms.max(MIN_HEDGE_MS))
         } else {
             TimePoint::NEVER
         };
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -180,7 +180,6 @@
             repeatable: call.repeatable,
             resendable: request.body.is_held(),
             attempts: call.route.attempts,
-            useful_until: call.useful_until,
             deadline: call.deadline,
         });
         let mut step = plan.begin(shared.budget.lock().of(&call.pool.name), shared.now());
--- a/tests/request_fuzz.rs
+++ b/tests/request_fuzz.rs
@@ -244,7 +244,6 @@
             repeatable,
             resendable: held,
             attempts: ATTEMPTS,
-            useful_until: self.now.after_ms(TIMEOUT_MS / 2),
             deadline: self.now.after_ms(TIMEOUT_MS),
         });
         let step = plan.begin(&mut self.budget, self.now);
