--- a/src/call/book.rs
+++ b/src/call/book.rs
@@ -24,7 +24,7 @@
 const BASE_LATENCY_MS: f64 = 1.0;
 /// Time that a KiB between data centres is worth, in milliseconds: what a call carries there must be made up for by an
 /// earlier answer. Between what measurement showed for users to whom these bytes are dear and to whom they are cheap.
-const FAR_MS_PER_KIB: f64 = 150.0;
+const FAR_MS_PER_KIB: f64 = 300.0;
 /// Bytes of heads in both directions, between two daemons.
 const HEAD_BYTES: f64 = 700.0;
 /// Weight of a new answer's size in the moving average of its route.
--- a/src/daemon/control/answers.rs
+++ b/src/daemon/control/answers.rs
@@ -32,6 +32,9 @@
                 self.spread.head().map(|head| &**head),
             )),
             ControlRequest::Poll(request) => {
+                if request.clearance.as_ref().is_some_and(Clearance::is_released) {
+                    self.moves.hurry(&request.pool, now);
+                }
                 let is_serving = self.members.own().target.status == TargetStatus::Serving;
                 ControlReply::Poll(Box::new(answer_poll(
                     &self.shared,
--- a/src/daemon/move_runner.rs
+++ b/src/daemon/move_runner.rs
@@ -401,6 +401,13 @@
         }
     }
 
+    /// Looks at once whether a move that was handed over is to be taken over here.
+    pub fn hurry(&mut self, pool: &str, now: TimePoint) {
+        if let Some(open) = self.moves.get_mut(pool) {
+            open.due_at = now;
+        }
+    }
+
     /// Returns the order of an open move.
     pub fn order(&self, pool: &str) -> Option<&MoveOrder> {
         self.moves.get(pool).map(|open| &open.order)
