--- /dev/null
+++ b/src/moves/controller/judge.rs
@@ -0,0 +1,117 @@
+//! Evaluation of windows: what speaks against the new version, and whether that can be acted on.
+
+use {
+    super::{CONTROL_WAIT_MS, MoveController, MovePhase, WINDOW_MS},
+    crate::{
+        clock::TimePoint,
+        moves::{
+            evidence::RouteEvidence,
+            route_tests::{Finding, RouteTests},
+            sequential::TestThresholds,
+        },
+    },
+};
+
+/// Time that strong evidence must last under a pause before it is acted on, in milliseconds.
+const CONFIRM_MS: u64 = 400;
+
+impl MoveController {
+    pub(super) fn close_window(&mut self) {
+        let mut overall = (RouteEvidence::default(), RouteEvidence::default());
+        let routes = std::mem::take(&mut self.window).routes;
+        for (old, new) in routes.values() {
+            overall.0.add(old);
+            overall.1.add(new);
+        }
+        let new_calls = overall.1.calls;
+        log::info!(
+            target: "moves",
+            "event=move-window move={} epoch={} share={:.2} old={}/{} new={}/{} evidence={:.1} peak={:.3}",
+            self.order.id,
+            self.clearance.epoch,
+            self.clearance.share,
+            overall.0.failed,
+            overall.0.calls,
+            overall.1.failed,
+            overall.1.calls,
+            self.overall.evidence(),
+            self.overall.peak()
+        );
+        self.pool_calls += overall.0.calls + new_calls;
+        self.step_calls += new_calls;
+        self.new_calls.push_back(new_calls);
+        if self.new_calls.len() > self.schedule.memory().open_windows {
+            self.new_calls.pop_front();
+        }
+        self.overall.add_window(
+            (overall.0.calls, overall.0.failed),
+            (new_calls, overall.1.failed),
+            0.0,
+        );
+        // A rise over all routes is known before it is known for a route with few calls.
+        let granted = self.overall.peak();
+        let memory = self.schedule.memory();
+        for (route, (old, new)) in routes {
+            self.tests
+                .entry(route)
+                .or_insert_with(|| RouteTests::new(memory))
+                .add_window(&old, &new, granted);
+        }
+    }
+
+    /// Returns the thresholds for the rate of calls that the evidence comes from: the more calls there are in a given
+    /// time, the more evidence chance brings.
+    pub(super) fn limits(&self) -> TestThresholds {
+        let windows = self.new_calls.iter().zip(self.new_calls.iter().skip(1));
+        let highest = windows.map(|(first, second)| first + second).max().unwrap_or(0);
+        let calls_per_s = highest as f64 * 1e3 / (2 * WINDOW_MS) as f64;
+        let more = calls_per_s.max(1.0).ln();
+        TestThresholds {
+            weak: self.thresholds.weak + more,
+            strong: self.thresholds.strong + more,
+        }
+    }
+
+    /// Tells whether strong evidence can be acted on: it has lasted under a pause, and the old version's recent
+    /// rate is known or there is no hope for more of its calls.
+    pub(super) fn is_confirmed(&self, finding: &Finding, now: TimePoint) -> bool {
+        let paused_ms = now.ms_since(self.paused_at);
+        let is_draining = matches!(self.phase, MovePhase::Draining { .. });
+        let has_lasted = self.phase == MovePhase::Paused && paused_ms >= CONFIRM_MS;
+        (is_draining || has_lasted) && (finding.tells_apart || paused_ms >= CONTROL_WAIT_MS)
+    }
+
+    pub(super) fn strongest(&self) -> Finding {
+        let by_route = self
+            .tests
+            .iter()
+            .flat_map(|(route, tests)| [tests.failure_finding(route), tests.slowness_finding(route)]);
+        let overall = Finding::new(&self.overall, self.overall_text());
+        let none = Finding {
+            evidence: 0.0,
+            text: String::new(),
+            tells_apart: false,
+        };
+        // Where a route says as much as all calls together, it is the route that is named.
+        by_route.chain([overall]).flatten().fold(none, |best, finding| {
+            if finding.evidence > best.evidence {
+                finding
+            } else {
+                best
+            }
+        })
+    }
+
+    pub(super) fn overall_text(&self) -> String {
+        let mut old = RouteEvidence::default();
+        let mut new = RouteEvidence::default();
+        for tests in self.tests.values() {
+            old.add(&tests.old_total);
+            new.add(&tests.new_total);
+        }
+        format!(
+            "all routes: {} of {} calls failed, {} of {} on the old version",
+            new.failed, new.calls, old.failed, old.calls
+        )
+    }
+}
--- /dev/null
+++ b/src/moves/controller/rise.rs
@@ -0,0 +1,210 @@
+//! The steps of a move's share: on schedule, held back, lowered or brought back after a pause.
+
+use {
+    super::{CONTROL_WAIT_MS, MoveController, MoveEffect, MovePhase, REPORT_LIFE_MS, RESUME_PART, WINDOW_MS},
+    crate::{
+        clock::TimePoint,
+        moves::{
+            route_tests::{Finding, RouteTests},
+            schedule::{TOP_SHARE, TRICKLE_SHARE},
+        },
+    },
+};
+
+/// Shortest pause, in milliseconds.
+const PAUSE_MS: u64 = 1_500;
+/// Calls that the first steps should give the new version within the time of a step.
+const CALLS_PER_STEP: u64 = 12;
+/// Calls a second that the new version should get at first, so that a bad one is known soon after it shows.
+const FIRST_CALLS_PER_S: f64 = 3.0;
+/// Highest share that a first step takes to get that many calls.
+const MAX_FIRST_SHARE: f64 = 0.04;
+/// Time for which the pool's calls are counted before the first share, in milliseconds.
+const OBSERVE_MS: u64 = 3_000;
+/// Part of the planned time in which a step must have had its calls before the next one.
+const EVIDENCE_FIRST: f64 = 0.5;
+/// The same for a short move.
+const SHORT_OBSERVE_MS: u64 = 800;
+/// Share of a short move above which the time is bounded, so that a version that is neither calm nor clearly bad gets
+/// little.
+pub(super) const SHORT_SAFE_SHARE: f64 = 0.08;
+/// Time that each step of the quick rise lasts at least, in milliseconds: two windows, as one that began in the step
+/// before says little.
+const SHORT_REST_MS: u64 = 2 * WINDOW_MS;
+/// Part of a short move that its share may stay above that before it reaches the top.
+const SHORT_RISE_PART: f64 = 0.2;
+/// Part of the new version's slots that the share may fill.
+const MAX_FILL: f64 = 0.8;
+
+impl MoveController {
+    /// Goes back to the share before a pause once the evidence has faded.
+    pub(super) fn resume(&mut self, finding: &Finding, now: TimePoint) -> Vec<MoveEffect> {
+        let paused_ms = now.ms_since(self.paused_at);
+        let has_faded = finding.evidence < self.thresholds.weak * RESUME_PART;
+        let is_known =
+            paused_ms >= CONTROL_WAIT_MS || self.tests.values().all(RouteTests::knows_recent_rates);
+        if paused_ms < PAUSE_MS || !is_known {
+            return Vec::new();
+        }
+        if !has_faded {
+            return self.trickle(now);
+        }
+        let safe = if self.schedule.is_short() {
+            SHORT_SAFE_SHARE
+        } else {
+            1.0
+        };
+        let share = self.paused_share.min(self.share_cap(now)).min(safe);
+        self.phase = MovePhase::Rising;
+        self.set_share(share, now);
+        vec![MoveEffect::Cleared {
+            reason: "resumed: the evidence was not confirmed".into(),
+        }]
+    }
+
+    /// Gives a version without calls a trickle, as evidence can't fade or be confirmed without any.
+    pub(super) fn trickle(&mut self, now: TimePoint) -> Vec<MoveEffect> {
+        let share = self.paused_share.min(self.first_share()).min(self.share_cap(now));
+        if self.clearance.share > 0.0 || share <= 0.0 {
+            return Vec::new();
+        }
+        self.set_share(share, now);
+        vec![MoveEffect::Cleared {
+            reason: "trickle: the evidence is neither confirmed nor faded".into(),
+        }]
+    }
+
+    pub(super) fn follow_schedule(&mut self, finding: &Finding, now: TimePoint) -> Vec<MoveEffect> {
+        if self.phase == MovePhase::Paused {
+            return self.resume(finding, now);
+        }
+        let safe = if self.is_rise_over(now) && self.clearance.share < TOP_SHARE {
+            SHORT_SAFE_SHARE
+        } else {
+            1.0
+        };
+        let cap = self.share_cap(now).min(safe);
+        let due = self.schedule.due_share(now).max(self.first_share());
+        let share = self.clearance.share;
+        if cap <= 0.0 {
+            self.phase = MovePhase::Waiting;
+            return self.wait_for_targets(now);
+        }
+        let observe_ms = if self.schedule.is_short() {
+            SHORT_OBSERVE_MS
+        } else {
+            OBSERVE_MS
+        };
+        if now.ms_since(self.began_at) < observe_ms {
+            return Vec::new();
+        }
+        self.phase = if share >= TOP_SHARE {
+            MovePhase::Soaking
+        } else {
+            MovePhase::Rising
+        };
+        let wanted = due
+            .min(cap)
+            .min(self.schedule.step_above(share).max(self.first_share()));
+        // In the quick rise of a short move a step is taken only while nothing speaks against the version.
+        let is_calm = !self.schedule.is_short() || finding.evidence < self.limits().weak * RESUME_PART;
+        if wanted > share && is_calm && self.may_rise(now) {
+            self.set_share(wanted, now);
+            return vec![MoveEffect::Cleared {
+                reason: format!("raised to {:.0} % on schedule", wanted * 100.0),
+            }];
+        }
+        if cap < share {
+            self.set_share(cap, now);
+            return vec![MoveEffect::Cleared {
+                reason: "lowered: fewer targets of the new version are ready".into(),
+            }];
+        }
+        self.warn_if_late(due, now)
+    }
+
+    /// Tells whether the present share has lasted long enough and, while there is time, got enough calls.
+    pub(super) fn may_rise(&self, now: TimePoint) -> bool {
+        if self.clearance.share == 0.0 {
+            return true;
+        }
+        let rest_ms = if self.schedule.is_short() && self.clearance.share > SHORT_SAFE_SHARE {
+            SHORT_REST_MS
+        } else {
+            self.schedule.catch_up_ms()
+        };
+        let has_rested = now.ms_since(self.raised_at) >= rest_ms;
+        let has_calls = self.step_calls >= CALLS_PER_STEP || self.schedule.progress(now) >= EVIDENCE_FIRST;
+        has_rested && has_calls
+    }
+
+    /// Returns the share that gives the new version enough calls to judge it by soon: a trickle of a busy pool,
+    /// more of a quiet one.
+    pub(super) fn first_share(&self) -> f64 {
+        let observed_s = self.evaluate_at.ms_since(self.began_at).max(1) as f64 / 1e3;
+        let calls_per_s = self.pool_calls as f64 / observed_s;
+        (FIRST_CALLS_PER_S / calls_per_s.max(1.0)).clamp(TRICKLE_SHARE, MAX_FIRST_SHARE)
+    }
+
+    pub(super) fn wait_for_targets(&mut self, now: TimePoint) -> Vec<MoveEffect> {
+        let mut effects = Vec::new();
+        if self.clearance.share > 0.0 {
+            self.set_share(0.0, now);
+            effects.push(MoveEffect::Cleared {
+                reason: "no target of the new version is ready".into(),
+            });
+        }
+        effects.extend(self.warn_if_late(self.schedule.due_share(now), now));
+        effects
+    }
+
+    pub(super) fn warn_if_late(&mut self, due: f64, now: TimePoint) -> Vec<MoveEffect> {
+        let behind =
+            self.clearance.share < due && now.ms_since(self.raised_at) > 5 * self.schedule.catch_up_ms();
+        let too_short = self.schedule.is_short();
+        if self.warned || !(behind || too_short) {
+            return Vec::new();
+        }
+        self.warned = true;
+        let reason = if too_short {
+            "the deadline leaves less than a minute, so there is little time for evidence".to_owned()
+        } else {
+            let (share, due) = (self.clearance.share * 100.0, due * 100.0);
+            format!(
+                "the share is {share:.0} % where {due:.0} % is due; the new version lacks ready targets or was paused"
+            )
+        };
+        vec![MoveEffect::AtRisk { reason }]
+    }
+
+    /// Tells whether the quick rise of a short move has come to a halt.
+    pub(super) fn is_stuck(&self, now: TimePoint) -> bool {
+        let is_high = self.clearance.share > SHORT_SAFE_SHARE && self.phase == MovePhase::Rising;
+        is_high && self.is_rise_over(now)
+    }
+
+    /// Tells whether a short move has had its time for the quick rise. It gets no second one: two of them would give a
+    /// version that is bad under load more than its share.
+    pub(super) fn is_rise_over(&self, now: TimePoint) -> bool {
+        let total_ms = self.order.finish_by.ms_since(self.order.opened_at) as f64;
+        let since = self.rise_at.filter(|_| self.schedule.is_short());
+        since.is_some_and(|since| now.ms_since(since) as f64 > total_ms * SHORT_RISE_PART)
+    }
+
+    /// Returns the share that the ready slots of the new version can carry.
+    pub(super) fn share_cap(&self, now: TimePoint) -> f64 {
+        let fresh = self
+            .reports
+            .values()
+            .filter(|known| now.ms_since(known.seen_at) < REPORT_LIFE_MS);
+        let mut new_slots = 0;
+        let mut in_flight = 0;
+        for known in fresh {
+            in_flight += known.report.in_flight;
+            if known.report.version == self.order.to && known.report.is_serving {
+                new_slots += known.report.slots;
+            }
+        }
+        (f64::from(new_slots) * MAX_FILL / f64::from(in_flight.max(1))).min(TOP_SHARE)
+    }
+}
