--- a/src/daemon/control/answers.rs
+++ b/src/daemon/control/answers.rs
@@ -66,7 +66,7 @@
         let board = self.shared.moves.lock();
         let moves = open.into_iter().map(|(pool, order)| {
             let controller = self.moves.controller(&pool);
-            let phase = controller.map(|controller| format!("{:?}", controller.phase()).to_lowercase());
+            let phase = controller.map(|controller| controller.phase().to_string());
             let known = board
                 .clearance(&pool)
                 .filter(|clearance| clearance.move_id == order.id);
--- a/src/moves/controller/judge.rs
+++ b/src/moves/controller/judge.rs
@@ -16,27 +16,32 @@
 const CONFIRM_MS: u64 = 400;
 
 impl MoveController {
-    pub(super) fn close_window(&mut self) {
-        let mut overall = (RouteEvidence::default(), RouteEvidence::default());
-        let routes = std::mem::take(&mut self.window).routes;
-        for (old, new) in routes.values() {
-            overall.0.add(old);
-            overall.1.add(new);
-        }
-        let new_calls = overall.1.calls;
+    /// Logs what a window brought and the evidence after it.
+    pub(super) fn log_window(&self, (old, new): &(RouteEvidence, RouteEvidence)) {
         log::info!(
             target: "moves",
             "event=move-window move={} epoch={} share={:.2} old={}/{} new={}/{} evidence={:.1} peak={:.3}",
             self.order.id,
             self.clearance.epoch,
             self.clearance.share,
-            overall.0.failed,
-            overall.0.calls,
-            overall.1.failed,
-            overall.1.calls,
+            old.failed,
+            old.calls,
+            new.failed,
+            new.calls,
             self.overall.evidence(),
             self.overall.peak()
         );
+    }
+
+    /// Ends the present window and returns what the old and the new version did in it.
+    pub(super) fn close_window(&mut self) -> (RouteEvidence, RouteEvidence) {
+        let mut overall = (RouteEvidence::default(), RouteEvidence::default());
+        let routes = std::mem::take(&mut self.window).routes;
+        for (old, new) in routes.values() {
+            overall.0.add(old);
+            overall.1.add(new);
+        }
+        let new_calls = overall.1.calls;
         self.pool_calls += overall.0.calls + new_calls;
         self.step_calls += new_calls;
         self.new_calls.push_back(new_calls);
@@ -57,6 +62,7 @@
                 .or_insert_with(|| RouteTests::new(memory))
                 .add_window(&old, &new, granted);
         }
+        overall
     }
 
     /// Returns the thresholds for the rate of calls that the evidence comes from: the more calls there are in a given
--- a/src/moves/controller/mod.rs
+++ b/src/moves/controller/mod.rs
@@ -18,7 +18,11 @@
         config::{MoveOrder, MovePolicy, MoveVerdict, is_version},
     },
     indexmap::IndexMap,
-    std::{collections::VecDeque, sync::Arc},
+    std::{
+        collections::VecDeque,
+        fmt::{Display, Formatter},
+        sync::Arc,
+    },
 };
 
 /// Time between two polls of the gates, and so the length of a window, in milliseconds.
@@ -75,6 +79,19 @@
     Decided,
 }
 
+impl Display for MovePhase {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Waiting => "waiting",
+            Self::Rising => "rising",
+            Self::Paused => "paused",
+            Self::Soaking => "soaking",
+            Self::Draining { .. } => "draining",
+            Self::Decided => "decided",
+        })
+    }
+}
+
 /// What the daemon has to do for a move.
 #[derive(Debug, Clone, PartialEq)]
 pub enum MoveEffect {
@@ -140,7 +157,6 @@
     pub fn new(order: MoveOrder, holder: Arc<str>, held: Option<&Clearance>, now: TimePoint) -> Self {
         let schedule = MoveSchedule::new(order.opened_at, order.finish_by, order.policy);
         let thresholds = thresholds_of(order.policy);
-        let schedule_memory = schedule.memory();
         let clearance = Clearance {
             move_id: order.id,
             epoch: held.map_or(1, |held| held.epoch + 1),
@@ -151,13 +167,13 @@
         };
         let mut controller = Self {
             order,
+            overall: RateTest::new(schedule.memory()),
             schedule,
             thresholds,
             clearance,
             reports: IndexMap::new(),
             window: EvidenceWindow::default(),
             tests: IndexMap::new(),
-            overall: RateTest::new(schedule_memory),
             phase: MovePhase::Waiting,
             paused_at: now,
             paused_share: 0.0,
@@ -328,7 +344,8 @@
         }
         // A controller that is not told of polls goes on all the same.
         self.evaluate_at = now.after_ms(WINDOW_MS);
-        self.close_window();
+        let window = self.close_window();
+        self.log_window(&window);
         let finding = self.strongest();
         let limits = self.limits();
         if finding.evidence >= limits.strong && self.is_confirmed(&finding, now) {
@@ -406,7 +423,7 @@
             self.clearance.stopped = true;
             self.clearance.seq += 1;
             let reason = format!(
-                "the deadline came at share {share:.0} % in phase {:?}, {calls} calls",
+                "the deadline came at share {share:.0} % while {}, {calls} calls",
                 self.phase
             );
             self.decide(MoveVerdict::TakenBack, &reason);
--- /dev/null
+++ b/tests/routes.rs
@@ -0,0 +1,113 @@
+//! Routes: which pool a request goes to, and the columns that operators edit.
+
+use {
+    fuchsiashore::config::{
+        CompiledTable, ConfigHead, ConfigTables, RouteMatch, Stamped, diff_tables, parse_tables,
+        render_tables,
+    },
+    std::sync::Arc,
+};
+
+const TABLES: &str = "\
+[route shop]
+host = shop.example
+path = /stock/
+pool = desk:90 trial:10
+priority = 2
+target_latency_ms = 600
+attempts = 2
+
+[route any]
+path = /stock
+pool = desk
+
+[route deep]
+host = shop.example
+path = /stock/deep/
+pool = trial
+
+[pool desk]
+service = desk
+version = v1
+
+[pool trial]
+service = trial
+version = v1
+";
+
+fn tables(text: &str) -> ConfigTables {
+    parse_tables(&[("tables.ini".into(), text.to_owned())]).unwrap()
+}
+
+fn compiled(tables: &ConfigTables) -> CompiledTable {
+    let head = ConfigHead {
+        version: 1,
+        routes: stamped(&tables.routes),
+        pools: stamped(&tables.pools),
+        ..ConfigHead::default()
+    };
+    CompiledTable::compile(&head).unwrap()
+}
+
+fn stamped<T: Clone>(rows: &indexmap::IndexMap<Arc<str>, T>) -> indexmap::IndexMap<Arc<str>, Stamped<T>> {
+    let rows = rows.iter().map(|(name, entry)| {
+        let entry = entry.clone();
+        (Arc::clone(name), Stamped { stamp: 1, entry })
+    });
+    rows.collect()
+}
+
+fn route_of(table: &CompiledTable, host: &str, path: &str) -> Option<String> {
+    match table.find(host, "GET", path) {
+        RouteMatch::Found(route) => Some(route.name.to_string()),
+        RouteMatch::WrongMethod | RouteMatch::None => None,
+    }
+}
+
+#[test]
+fn host_and_longest_prefix_select_the_route() {
+    let table = compiled(&tables(TABLES));
+    let cases = [
+        ("shop.example", "/stock/7", Some("shop")),
+        ("shop.example", "/stock/deep/7", Some("deep")),
+        ("shop.example", "/stock/deeper", Some("shop")),
+        // A prefix that ends with a slash does not match the path without it.
+        ("shop.example", "/stock", Some("any")),
+        ("other.example", "/stock/7", Some("any")),
+        ("other.example", "/stocks", None),
+        ("shop.example", "/", None),
+    ];
+    for (host, path, route) in cases {
+        assert_eq!(route_of(&table, host, path).as_deref(), route, "{host}{path}");
+    }
+}
+
+#[test]
+fn weights_hold_over_uniform_draws() {
+    let table = compiled(&tables(TABLES));
+    let RouteMatch::Found(route) = table.find("shop.example", "GET", "/stock/7") else {
+        panic!("no route");
+    };
+    let to_trial = (0..1_000).filter(|draw| &*route.pool(f64::from(*draw) / 1e3).name == "trial");
+    assert_eq!(to_trial.count(), 100);
+}
+
+#[test]
+fn new_columns_survive_a_round_trip_show_in_differences_and_are_checked() {
+    let before = tables(TABLES);
+    assert_eq!(tables(&render_tables(&before)), before);
+    let after = tables(
+        &TABLES
+            .replace("priority = 2", "priority = 3")
+            .replace("desk:90", "desk:80"),
+    );
+    insta::assert_snapshot!(
+        "difference_of_weights_and_priority",
+        diff_tables(&before, &after).to_string()
+    );
+    let faulty = TABLES
+        .replace("priority = 2", "priority = 11")
+        .replace("trial:10", "gone:10");
+    let faults = parse_tables(&[("tables.ini".into(), faulty)]).unwrap_err();
+    insta::assert_snapshot!("faults_of_priority_and_shares", faults.to_string());
+}
