Read once more: one client builder, one timeout limit, one drain and one route lookup; a version stop without a caller removed

Cause: the platform's store client repeated the options of plain_client; the limit of stated timeouts stood twice; the gate's drain, a target's load report and the tests of a route were written out in two places each; a failed connection was told apart from a refusal by the text of its reason; GateState::set_stopped had no caller, as gates check the version of each call.

--- a/src/call/book.rs
+++ b/src/call/book.rs
@@ -116,6 +116,11 @@
 }
 
 impl TargetStats {
+    fn note_load(&mut self, load: LoadReport, now: TimePoint) {
+        self.report = load;
+        self.reported_until = now.after_ms(REPORT_LIFE_MS);
+    }
+
     /// Returns the typical time of a run, in milliseconds: as its gate reports it, or else as seen from here.
     fn run_ms(&self) -> Option<f64> {
         [self.report.run_ms, self.latency_ms]
@@ -202,16 +207,14 @@
             stats.latency_ms * (1.0 - LATENCY_WEIGHT) + latency_ms * LATENCY_WEIGHT
         };
         if let Some(load) = load {
-            stats.report = load;
-            stats.reported_until = now.after_ms(REPORT_LIFE_MS);
+            stats.note_load(load, now);
         }
     }
 
     /// Takes note of a load that a gate reported with a refusal.
     pub fn note_load(&mut self, name: &Arc<str>, load: LoadReport, now: TimePoint) {
         let stats = self.stats.entry(Arc::clone(name)).or_default();
-        stats.report = load;
-        stats.reported_until = now.after_ms(REPORT_LIFE_MS);
+        stats.note_load(load, now);
     }
 
     /// Takes note that a gate refused a call as full.
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -19,7 +19,7 @@
     },
     parse::{ParseFault, ParseFaults, parse_tables, render_tables},
     tables::{
-        ANY_VERSION, ConfigTables, MovePolicy, PoolEntry, PoolShare, RepeatRule, RouteEntry, TableFault,
-        TableKind,
+        ANY_VERSION, ConfigTables, MAX_TIMEOUT_MS, MovePolicy, PoolEntry, PoolShare, RepeatRule, RouteEntry,
+        TableFault, TableKind,
     },
 };
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -209,13 +209,11 @@
         let settings = &self.shared.settings;
         let snapshot =
             TrafficSnapshot::new(self.table.clone(), self.members.present(), &settings.data_centre);
-        self.shared
-            .metrics
-            .members
-            .set(self.members.present().count() as i64);
+        let daemons = self.members.present().count();
+        self.shared.metrics.members.set(daemons as i64);
         {
             let mut budget = self.shared.budget.lock();
-            budget.set_daemons(settings.extra_retries, self.members.present().count());
+            budget.set_daemons(settings.extra_retries, daemons);
             if let Some(table) = &self.table {
                 budget.retain(|pool| table.pools.contains_key(pool));
             }
--- a/src/daemon/control/leaving.rs
+++ b/src/daemon/control/leaving.rs
@@ -31,11 +31,7 @@
             limit: now.after_ms(limit_ms.saturating_sub(EXIT_BEFORE_MS)),
         };
         self.shared.is_leaving.store(true, Ordering::Release);
-        {
-            let mut gate = self.shared.gate.lock();
-            let wakes = gate.state.drain();
-            gate.wake(wakes, now);
-        }
+        self.shared.gate.lock().drain(now);
         self.set_target_status(TargetStatus::Leaving, now);
         self.moves.release(&self.members, &mut self.ring, now);
     }
--- a/src/daemon/control/target.rs
+++ b/src/daemon/control/target.rs
@@ -149,11 +149,7 @@
         if self.members.own().target.status == TargetStatus::Leaving {
             return;
         }
-        {
-            let mut gate = self.shared.gate.lock();
-            let wakes = gate.state.drain();
-            gate.wake(wakes, now);
-        }
+        self.shared.gate.lock().drain(now);
         self.set_target_status(TargetStatus::Leaving, now);
         self.ring.record(EventKind::TargetLost, why, now);
     }
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -40,6 +40,12 @@
 }
 
 impl GateDesk {
+    /// Refuses new work and tells waiting calls so.
+    pub fn drain(&mut self, now: TimePoint) {
+        let wakes = self.state.drain();
+        self.wake(wakes, now);
+    }
+
     /// Tells waiting calls what became of them. A call that went away meanwhile gives its slot back.
     pub fn wake(&mut self, wakes: Vec<GateWake>, now: TimePoint) {
         let mut wakes = wakes;
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -157,7 +157,10 @@
                 self.judge(&method, answer, deadline).await
             }
             Ok(Ok(_)) => AttemptEnd::failure(AttemptOutcome::Broken, "answer of another call"),
-            Ok(Err(SendFault::NotSent)) => AttemptEnd::failure(AttemptOutcome::NotRun, "no connection"),
+            Ok(Err(SendFault::NotSent)) => {
+                self.note_failure();
+                AttemptEnd::failure(AttemptOutcome::NotRun, "no connection")
+            }
             Ok(Err(SendFault::Broken)) => AttemptEnd::failure(AttemptOutcome::Broken, "connection broke"),
             Err(_) => AttemptEnd::failure(AttemptOutcome::Stalled, "no answer in time"),
         };
@@ -224,32 +227,36 @@
         AttemptEnd::failure(outcome, reason)
     }
 
-    /// Writes what was observed of the target into the book.
+    /// Writes what was observed of the target into the book; a refusal was noted with its reason.
     fn note_end(&self, end: &AttemptEnd, started: Instant) {
         let shared = &self.shared;
-        let now = shared.now();
-        let mut book = shared.book.lock();
-        let is_ejected = match end {
+        match end {
             AttemptEnd::Answer {
                 outcome: AttemptOutcome::Answered,
                 headers,
                 ..
             } => {
                 let latency_ms = started.elapsed().as_secs_f64() * 1e3;
-                book.succeed(&self.target.name, latency_ms, load_of(headers), now);
-                false
+                let (load, now) = (load_of(headers), shared.now());
+                shared
+                    .book
+                    .lock()
+                    .succeed(&self.target.name, latency_ms, load, now);
             }
-            // What a gate refused has been noted with its reason.
             AttemptEnd::Failure {
                 outcome: AttemptOutcome::NotRun | AttemptOutcome::Rejected,
-                reason,
-            } if &**reason != "no connection" => false,
-            _ => book.fail(&self.target.name, now),
-        };
-        drop(book);
+                ..
+            } => {}
+            _ => self.note_failure(),
+        }
         if matches!(end.outcome(), AttemptOutcome::Broken | AttemptOutcome::Stalled) {
             self.clients.leave_connections(self.target.gate);
         }
+    }
+
+    fn note_failure(&self) {
+        let shared = &self.shared;
+        let is_ejected = shared.book.lock().fail(&self.target.name, shared.now());
         if is_ejected {
             shared.note(TrafficNote::Ejected {
                 target: Arc::clone(&self.target.name),
--- a/src/daemon/traffic/dialect.rs
+++ b/src/daemon/traffic/dialect.rs
@@ -8,14 +8,12 @@
     crate::{
         call::{CallOutcome, RefusalReason},
         clock::TimePoint,
+        config::MAX_TIMEOUT_MS,
     },
     salvo::http::{HeaderMap, StatusCode},
     std::{fmt::Debug, sync::Arc},
 };
 
-/// Longest deadline that a caller may state, in milliseconds.
-const MAX_TIMEOUT_MS: u64 = 600_000;
-
 /// What a caller states of its call.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CallerCall {
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -135,7 +135,6 @@
     slots: u32,
     queue_limit: usize,
     mode: GateMode,
-    stopped: bool,
     in_flight: u32,
     /// Ordered by urgency, the most urgent call last.
     queue: Vec<WaitingCall>,
@@ -151,7 +150,6 @@
             slots,
             queue_limit,
             mode: GateMode::Starting,
-            stopped: false,
             in_flight: 0,
             queue: Vec::new(),
             next_ticket: 0,
@@ -217,16 +215,6 @@
         self.refuse_waiting(GateRefusal::Leaving)
     }
 
-    /// Stops or frees the target's version; calls that run go on.
-    pub fn set_stopped(&mut self, stopped: bool) -> Vec<GateWake> {
-        self.stopped = stopped;
-        if stopped {
-            self.refuse_waiting(GateRefusal::Stopped)
-        } else {
-            Vec::new()
-        }
-    }
-
     /// Tells whether the gate is leaving and nothing runs any more.
     pub fn is_drained(&self) -> bool {
         self.mode == GateMode::Leaving && self.in_flight == 0
@@ -322,7 +310,6 @@
         match self.mode {
             GateMode::Starting => Some(GateRefusal::Starting),
             GateMode::Leaving => Some(GateRefusal::Leaving),
-            GateMode::Serving { .. } if self.stopped => Some(GateRefusal::Stopped),
             GateMode::Serving { .. } => None,
         }
     }
--- a/src/http.rs
+++ b/src/http.rs
@@ -78,6 +78,13 @@
 ///
 /// If the HTTP library can't build a client without TLS, which it always can.
 pub fn plain_client(idle_timeout: Duration) -> reqwest::Client {
+    plain_builder(idle_timeout)
+        .build()
+        .expect("a client without TLS can always be built")
+}
+
+/// Starts a client that does nothing by itself, for callers that add to it.
+pub fn plain_builder(idle_timeout: Duration) -> reqwest::ClientBuilder {
     reqwest::Client::builder()
         .retry(reqwest::retry::never())
         .redirect(reqwest::redirect::Policy::none())
@@ -87,8 +94,6 @@
         .tcp_nodelay(true)
         .connect_timeout(CONNECT_TIMEOUT)
         .pool_idle_timeout(idle_timeout)
-        .build()
-        .expect("a client without TLS can always be built")
 }
 
 /// Answers with a status and a body.
--- a/src/moves/controller/judge.rs
+++ b/src/moves/controller/judge.rs
@@ -10,6 +10,7 @@
             sequential::TestThresholds,
         },
     },
+    std::sync::Arc,
 };
 
 /// Time that strong evidence must last under a pause before it is acted on, in milliseconds.
@@ -55,16 +56,20 @@
         );
         // A rise over all routes is known before it is known for a route with few calls.
         let granted = self.overall.peak();
-        let memory = self.schedule.memory();
         for (route, (old, new)) in routes {
-            self.tests
-                .entry(route)
-                .or_insert_with(|| RouteTests::new(memory))
-                .add_window(&old, &new, granted);
+            self.tests_of(&route).add_window(&old, &new, granted);
         }
         overall
     }
 
+    /// Returns the tests of a route; new ones remember for as long as the schedule says.
+    pub(super) fn tests_of(&mut self, route: &Arc<str>) -> &mut RouteTests {
+        let memory = self.schedule.memory();
+        self.tests
+            .entry(Arc::clone(route))
+            .or_insert_with(|| RouteTests::new(memory))
+    }
+
     /// Returns the thresholds for the rate of calls that the evidence comes from: the more calls there are in a given
     /// time, the more evidence chance brings.
     pub(super) fn limits(&self) -> TestThresholds {
--- a/src/moves/controller/mod.rs
+++ b/src/moves/controller/mod.rs
@@ -299,12 +299,7 @@
         } else if !is_new {
             for (route, counts) in &report.routes {
                 self.overall.add_history(counts.calls, counts.failed);
-                let memory = self.schedule.memory();
-                let tests = self
-                    .tests
-                    .entry(Arc::clone(route))
-                    .or_insert_with(|| RouteTests::new(memory));
-                tests.add_history(counts);
+                self.tests_of(route).add_history(counts);
             }
         }
         self.reports.insert(
