Announcements are listened for before a daemon starts; tests take ports below those of outgoing connections

Played eight times alone, the path tests failed in 4 of 8 runs, each time with "Address already in use": in the daemon's ready or announcements address, or in the stand-in store's. The tests took ports from the range of source ports, so connections of other tests took them before their owner listened; with ports below that range 1 of 6 runs still failed, as a probe by listening is inherited for a moment by a daemon that another test starts. And the daemon hid it: the announcements were bound late, a failure was a log line, and the daemon went on deaf to its target. They are now bound with the other sockets, and the daemon ends with the address and the key. Ruled out: a slow start (the daemon's own error names the address). The lab's `ports` verb (quick start) takes the same function.

--- a/benches/hops.rs
+++ b/benches/hops.rs
@@ -7,9 +7,9 @@
 mod process;
 
 use {
-    fuchsiashore::lab::{CallerSettings, CutRelay, run_caller},
+    fuchsiashore::lab::{CallerSettings, CutRelay, free_ports, run_caller},
     hdrhistogram::Histogram,
-    mesh::{Mesh, free_ports},
+    mesh::Mesh,
     parking_lot::Mutex,
     process::{cpu_ms, memory_mb},
     std::{net::SocketAddr, sync::Arc},
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -10,7 +10,7 @@
 
 use {
     super::{
-        edges::{ControlInbox, DaemonEdges, EdgeContext, StoreEdge},
+        edges::{DaemonEdges, EdgeContext, StoreEdge},
         move_runner::MoveRunner,
         shared::{SharedState, TrafficNote},
         tasks::{ControlClient, ControlEvent},
@@ -131,15 +131,7 @@
             target.service, target.version, target.slots
         );
         ring.record(EventKind::Started, detail, now);
-        let context = EdgeContext {
-            settings: Arc::clone(settings),
-            inbox: ControlInbox::new(events.clone()),
-            shared: Arc::clone(&shared),
-        };
-        if let Some(serve) = edges.serve_announcements {
-            tokio::spawn(serve(context.clone()));
-        }
-        let store = (edges.open_store)(&context);
+        let store = (edges.open_store)(&EdgeContext::new(&shared, &events));
         Self {
             instance: now.0,
             members: MemberState::new(own_record(&shared, now), rng.random(), now),
--- a/src/daemon/edges.rs
+++ b/src/daemon/edges.rs
@@ -16,7 +16,8 @@
     futures_util::future::BoxFuture,
     std::{
         fmt::{Debug, Formatter},
-        net::SocketAddr,
+        io,
+        net::{SocketAddr, TcpListener},
         sync::Arc,
     },
     tokio::sync::{mpsc, oneshot},
@@ -101,7 +102,7 @@
 }
 
 impl ControlInbox {
-    pub(super) fn new(events: mpsc::Sender<ControlEvent>) -> Self {
+    fn new(events: mpsc::Sender<ControlEvent>) -> Self {
         Self { events }
     }
 
@@ -160,6 +161,14 @@
 }
 
 impl EdgeContext {
+    pub(super) fn new(shared: &Arc<SharedState>, events: &mpsc::Sender<ControlEvent>) -> Self {
+        Self {
+            settings: Arc::clone(&shared.settings),
+            inbox: ControlInbox::new(events.clone()),
+            shared: Arc::clone(shared),
+        }
+    }
+
     /// Returns the present time by the daemon's clock.
     pub fn now(&self) -> TimePoint {
         self.shared.now()
@@ -172,7 +181,8 @@
 }
 
 type StoreOpener = Box<dyn FnOnce(&EdgeContext) -> Box<dyn StoreEdge> + Send>;
-type AnnouncementServer = Box<dyn FnOnce(EdgeContext) -> BoxFuture<'static, ()> + Send>;
+type AnnouncementServer =
+    Box<dyn FnOnce(EdgeContext, TcpListener) -> BoxFuture<'static, io::Result<()>> + Send>;
 
 /// The edges that a daemon runs with.
 pub struct DaemonEdges {
@@ -180,7 +190,7 @@
     pub open_store: StoreOpener,
     /// Dialect of callers and targets.
     pub dialect: Arc<dyn CallDialect>,
-    /// Serves the target's announcements; without it the settings describe the target and a connection tells
+    /// Serves the target's announcements at their address; without it the settings describe the target and a connection tells
     /// whether it is ready.
     pub serve_announcements: Option<AnnouncementServer>,
 }
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         control::ControlState,
-        edges::DaemonEdges,
+        edges::{DaemonEdges, EdgeContext},
         envelope::accept,
         metrics::DaemonMetrics,
         operators::{ControlHandler, OperatorHandler},
@@ -72,15 +72,14 @@
 }
 
 /// Runs a daemon with its edges until it has drained.
-pub fn run(settings: DaemonSettings, edges: DaemonEdges) -> Result<(), RunError> {
+pub fn run(settings: DaemonSettings, mut edges: DaemonEdges) -> Result<(), RunError> {
     let calls = bind_for("calls", settings.calls)?;
     let gate = bind_for("gate", settings.gate)?;
     let control = bind_for("control", settings.control)?;
     let operators = bind_for("operators", settings.operators)?;
-    let ready = settings
-        .ready
-        .map(|address| bind_for("ready", address))
-        .transpose()?;
+    let bind_optional = |key, address: Option<SocketAddr>| address.map(|a| bind_for(key, a)).transpose();
+    let ready = bind_optional("ready", settings.ready)?;
+    let announcements = bind_optional("announcements", settings.announcements)?;
     let (notes, mut note_queue) = mpsc::channel(EVENT_QUEUE);
     let shared = Arc::new(make_shared(settings, &edges, notes));
     for worker in 0..shared.settings.traffic_threads {
@@ -111,6 +110,14 @@
                 },
             ));
         }
+        if let (Some(serve), Some(listener)) = (edges.serve_announcements.take(), announcements) {
+            let served = serve(EdgeContext::new(&shared, &events), listener);
+            tokio::spawn(async move {
+                if let Err(error) = served.await {
+                    log::error!("event=announcements-ended error={error:?}");
+                }
+            });
+        }
         tokio::spawn(receive_datagrams(
             Arc::clone(&shared),
             Arc::clone(&datagrams),
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -5,6 +5,7 @@
 mod caller;
 pub mod figures;
 mod kv;
+mod ports;
 mod relay;
 mod run;
 mod target;
@@ -12,6 +13,7 @@
 pub use {
     caller::{CallerReport, CallerSettings, run_caller},
     kv::{KvFaults, KvServer},
+    ports::free_ports,
     relay::CutRelay,
     run::{LabError, run},
     target::{TargetBehaviour, TargetServer},
--- a/src/lab/run.rs
+++ b/src/lab/run.rs
@@ -5,6 +5,7 @@
         caller::{CallerSettings, run_caller},
         figures,
         kv::KvServer,
+        ports::free_ports,
         target::{TargetBehaviour, TargetServer},
     },
     crate::http::{POOL_IDLE_TIMEOUT, bind, plain_client},
@@ -73,7 +74,7 @@
             );
             print!("{}", figures::render(&rows));
         }
-        "ports" => print_ports(option(&options, "count")?)?,
+        "ports" => print_ports(option(&options, "count")?),
         _ => print!("{USAGE}"),
     }
     Ok(())
@@ -183,13 +184,9 @@
     Ok((method.parse().map_err(|_| wrong())?, path.to_owned()))
 }
 
-/// Prints free ports; all are held until the last is known, so that they differ.
-fn print_ports(count: usize) -> Result<(), LabError> {
-    let mut held = Vec::new();
-    for _ in 0..count {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
-        println!("{}", listener.local_addr()?.port());
-        held.push(listener);
+/// Prints free ports.
+fn print_ports(count: usize) {
+    for address in free_ports(count) {
+        println!("{}", address.port());
     }
-    Ok(())
 }
--- a/tests/common/mesh.rs
+++ b/tests/common/mesh.rs
@@ -2,27 +2,22 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
-use std::{
-    collections::HashMap,
-    fs,
-    net::{SocketAddr, TcpListener, UdpSocket},
-    path::PathBuf,
-    process::{Child, Command, Output, Stdio},
-    sync::{
-        Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU16, Ordering},
+use {
+    fuchsiashore::lab::free_ports,
+    std::{
+        collections::HashMap,
+        fs,
+        net::SocketAddr,
+        path::PathBuf,
+        process::{Child, Command, Output, Stdio},
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
     },
-    time::{Duration, Instant},
 };
 
 /// Time that anything may take to happen; generous, as CI machines are slow.
 pub const PATIENCE: Duration = Duration::from_mins(1);
 
-/// Lowest port of the tests, ports that one process uses, and number of such blocks.
-const FIRST_PORT: u16 = 12_000;
-const BLOCK_PORTS: u16 = 1_000;
-const PORT_BLOCKS: u32 = 20;
-
 /// One target with its daemon.
 #[derive(Debug)]
 pub struct Pair {
@@ -265,24 +260,6 @@
     }
 }
 
-/// Returns addresses that are free. They lie below the range that the system takes source ports from, and no two calls
-/// return the same, so that tests that run at once don't take one another's.
-pub fn free_ports(count: usize) -> Vec<SocketAddr> {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let first = FIRST_PORT + (std::process::id() % PORT_BLOCKS) as u16 * BLOCK_PORTS;
-    let mut ports = Vec::new();
-    while ports.len() < count {
-        let address = SocketAddr::from((
-            [127, 0, 0, 1],
-            first + NEXT.fetch_add(1, Ordering::Relaxed) % BLOCK_PORTS,
-        ));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            ports.push(address);
-        }
-    }
-    ports
-}
-
 fn spawn(command: &mut Command) -> Child {
     command
         .stdout(Stdio::null())
--- a/tests/mesh_faults.rs
+++ b/tests/mesh_faults.rs
@@ -5,8 +5,8 @@
 mod mesh;
 
 use {
-    fuchsiashore::lab::{CallerReport, CallerSettings, CutRelay, run_caller},
-    mesh::{Mesh, free_ports, wait_until},
+    fuchsiashore::lab::{CallerReport, CallerSettings, CutRelay, free_ports, run_caller},
+    mesh::{Mesh, wait_until},
     parking_lot::Mutex,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
--- a/tests/mesh_requests.rs
+++ b/tests/mesh_requests.rs
@@ -4,6 +4,7 @@
 mod mesh;
 
 use {
+    fuchsiashore::lab::free_ports,
     mesh::Mesh,
     reqwest::{Client, Method, Response, StatusCode, header::HeaderMap},
     std::{
@@ -158,7 +159,7 @@
 async fn headers_pass_end_to_end_and_hop_headers_do_not() {
     let mut mesh = Mesh::start("headers", 1);
     // A target of our own that shows what arrived, with an answer header that stands twice.
-    let address = mesh::free_ports(1)[0];
+    let address = free_ports(1)[0];
     let listener = std::net::TcpListener::bind(address).unwrap();
     std::thread::spawn(move || {
         for stream in listener.incoming() {
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -4,6 +4,7 @@
 mod mesh;
 
 use {
+    fuchsiashore::lab::free_ports,
     mesh::Mesh,
     serde_json::Value,
     std::{fs, process::Command},
@@ -107,7 +108,7 @@
     );
     fs::write(&good, "[route a]\npath = /a\npool = none\n").unwrap();
     assert_eq!(code(&["check", good.to_str().unwrap()]), Some(3));
-    let nobody = mesh::free_ports(1)[0].to_string();
+    let nobody = free_ports(1)[0].to_string();
     let program = env!("CARGO_BIN_EXE_fuchsiashore");
     let away = Command::new(program)
         .args(["status", "--daemon", &nobody])
