--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -18,6 +18,7 @@
     crate::{
         clock::TimePoint,
         config::CompiledTable,
+        file_watch::FileWatch,
         member::{MemberRecord, MemberState, MemberStatus, TargetRecord, TargetStatus},
         moves::WINDOW_MS,
         spread::SpreadState,
@@ -100,6 +101,9 @@
     datagrams: Arc<UdpSocket>,
     sync_at: TimePoint,
     slice_at: TimePoint,
+    /// Settings file, and when it is looked at next.
+    settings_file: Option<FileWatch>,
+    settings_at: TimePoint,
     seeds_at: TimePoint,
     versions_at: TimePoint,
     target_probe_at: TimePoint,
@@ -154,6 +158,8 @@
             events,
             datagrams,
             slice_at: now,
+            settings_file: settings.file.as_deref().map(FileWatch::new),
+            settings_at: now,
             sync_at: now.after_ms(rng.random_range(0..SYNC_INTERVAL_MS)),
             seeds_at: now.after_ms(SEEDS_INTERVAL_MS / 4),
             versions_at: now.after_ms(VERSIONS_INTERVAL_MS),
@@ -253,6 +259,7 @@
             self.slice_at = now.after_ms(WINDOW_MS);
             self.shared.evidence.lock().end_slice();
         }
+        self.tick_settings(now);
         let effects = self.members.tick(now);
         self.carry_out(effects, now);
         self.tick_join(now);
--- a/src/daemon/control/reloading.rs
+++ b/src/daemon/control/reloading.rs
@@ -2,10 +2,25 @@
 
 use {
     super::ControlState,
-    crate::{clock::TimePoint, settings::DaemonSettings},
+    crate::{clock::TimePoint, file_watch::FileWatch, settings::DaemonSettings},
 };
 
+/// Time between two looks at the settings file, in milliseconds: a change without a signal may take as long as one of the
+/// configuration.
+const LOOK_INTERVAL_MS: u64 = 1_000;
+
 impl ControlState {
+    /// Reads the settings again when their file has changed without a signal.
+    pub(super) fn tick_settings(&mut self, now: TimePoint) {
+        if now < self.settings_at {
+            return;
+        }
+        self.settings_at = now.after_ms(LOOK_INTERVAL_MS);
+        if self.settings_file.as_mut().is_some_and(FileWatch::has_changed) {
+            self.reload(now);
+        }
+    }
+
     /// Reads the settings file again. New peers are joined; every other key needs a restart, which the log says.
     pub(super) fn reload(&mut self, now: TimePoint) {
         let present = &self.shared.settings;
--- a/src/daemon/edges.rs
+++ b/src/daemon/edges.rs
@@ -174,6 +174,11 @@
         self.shared.now()
     }
 
+    /// Counts values of a kind of source that were refused, as they can't be used.
+    pub fn count_refused_values(&self, kind: &'static str, count: u64) {
+        self.shared.metrics.count_refused_values(kind, count);
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, kind: &'static str) {
         self.shared.metrics.count_store_call(kind);
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -85,6 +85,8 @@
     pub closed_moves: Family<MoveLabels, Counter>,
     /// Configurations refused.
     pub refused_offers: Counter,
+    /// Values of the store and announcements that were refused, by kind.
+    refused_values: Family<StoreLabels, Counter>,
     /// Version in force.
     pub version: Gauge,
     /// Daemons present.
@@ -107,6 +109,7 @@
             store_calls: Family::default(),
             closed_moves: Family::default(),
             refused_offers: Counter::default(),
+            refused_values: Family::default(),
             version: Gauge::default(),
             members: Gauge::default(),
             retries: Counter::default(),
@@ -138,6 +141,11 @@
             "Configurations refused",
             metrics.refused_offers.clone(),
         );
+        registry.register(
+            "refused_values",
+            "Values of the store and announcements that can't be used",
+            metrics.refused_values.clone(),
+        );
         registry.register(
             "config_version",
             "Configuration version in force",
@@ -184,6 +192,13 @@
         self.store_calls.get_or_create(&StoreLabels { kind }).inc();
     }
 
+    /// Counts values of a kind of source that were refused.
+    pub fn count_refused_values(&self, kind: &'static str, count: u64) {
+        self.refused_values
+            .get_or_create(&StoreLabels { kind })
+            .inc_by(count);
+    }
+
     /// Counts bytes of control traffic.
     pub fn count_control(&self, direction: &'static str, kind: &'static str, bytes: usize) {
         self.control_bytes
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod codec;
 pub mod config;
 pub mod daemon;
+pub mod file_watch;
 pub mod gate;
 pub mod http;
 pub mod ini;
--- a/tests/settings_and_tables.rs
+++ b/tests/settings_and_tables.rs
@@ -4,6 +4,7 @@
     fuchsiashore::{
         cmd::OperatorSettings,
         config::{diff_tables, parse_tables, render_tables},
+        file_watch::FileWatch,
         settings::DaemonSettings,
     },
     std::{fs, path::Path, sync::Arc},
@@ -63,3 +64,22 @@
     new.routes.insert("shelf".into(), added);
     insta::assert_snapshot!(diff_tables(&old, &new).to_string());
 }
+
+#[test]
+fn changed_settings_file_is_noticed_once_and_an_absent_one_has_not_changed() {
+    let path = std::env::temp_dir().join(format!("fuchsiashore-watch-{}.ini", std::process::id()));
+    fs::write(&path, "[daemon]").unwrap();
+    let mut file = FileWatch::new(&path);
+    assert!(!file.has_changed());
+    fs::write(&path, "[daemon]\nname = x").unwrap();
+    assert!(file.has_changed());
+    assert!(!file.has_changed());
+    fs::remove_file(&path).unwrap();
+    assert!(
+        !file.has_changed(),
+        "a file that is being replaced has not changed"
+    );
+    fs::write(&path, "[daemon]\nname = y\n").unwrap();
+    assert!(file.has_changed());
+    fs::remove_file(&path).unwrap();
+}
