Process tests start their meshes at once again

The flake of eight meshes at once (2 of 7 or 8 tests failed in 2 of 6 runs) is explained by the cause found for the path tests: a port was probed by listening, and a process that another test started in that moment inherited the socket until it had been replaced by its program.

--- a/tests/common/mesh.rs
+++ b/tests/common/mesh.rs
@@ -10,7 +10,6 @@
         net::SocketAddr,
         path::PathBuf,
         process::{Child, Command, Output, Stdio},
-        sync::{Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
 };
@@ -39,16 +38,11 @@
     pub names_peers: bool,
     folder: PathBuf,
     kv: Child,
-    /// One mesh runs at a time: with eight that start at once some did not come up.
-    _turn: MutexGuard<'static, ()>,
 }
 
-static TURN: Mutex<()> = Mutex::new(());
-
 impl Mesh {
     /// Starts a store and `count` pairs of service `booking` at version `v1`.
     pub fn start(test: &str, count: usize) -> Self {
-        let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
         let folder = std::env::temp_dir().join(format!("fuchsiashore-{test}-{}", std::process::id()));
         fs::create_dir_all(&folder).unwrap();
         let store = free_ports(1)[0];
@@ -63,7 +57,6 @@
             names_peers: true,
             folder,
             kv,
-            _turn: turn,
         };
         for _ in 0..count {
             mesh.add_pair("v1", "good", None);
