A daemon that joins asks eight contacts at first, not all of the mesh

Cause: on the platform every daemon's address is a seed, and joining asked every contact for all members: 88 starts x 88 answers of 7.8 KB. Now 8 contacts at random, twice as many at each further try.

--- a/src/daemon/control/joining.rs
+++ b/src/daemon/control/joining.rs
@@ -3,10 +3,13 @@
 use {
     super::{ControlState, JOIN_LIMIT_MS},
     crate::clock::TimePoint,
-    rand::RngExt,
-    std::net::SocketAddr,
+    rand::{RngExt, seq::SliceRandom},
 };
 
+/// Contacts that are asked at the first try: where all daemons start at once, a handful knows of the rest soon.
+const JOIN_CONTACTS: usize = 8;
+/// Most times that this number is doubled: some hundred contacts are asked at once then.
+const MAX_DOUBLINGS: u32 = 5;
 /// Time between two tries to join, in milliseconds.
 const JOIN_INTERVAL_MS: u64 = 500;
 /// Time between two reads of the stored seeds while no peer answers, in milliseconds.
@@ -39,14 +42,13 @@
             }
             return;
         }
-        let contacts: Vec<SocketAddr> = self
-            .join
-            .contacts
-            .iter()
-            .copied()
-            .filter(|contact| *contact != own)
-            .collect();
-        for contact in &contacts {
+        let mut contacts = self.join.contacts.clone();
+        contacts.retain(|contact| *contact != own);
+        // One answer tells of all others; more are asked from try to try, as many of the contacts may be gone.
+        let count = JOIN_CONTACTS << self.join.tries.min(MAX_DOUBLINGS);
+        self.join.tries += 1;
+        let (asked, _) = contacts.partial_shuffle(&mut self.rng, count);
+        for contact in asked.iter() {
             self.join.pending += 1;
             self.start_sync(*contact, Vec::new(), now);
         }
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -69,6 +69,8 @@
     next_at: TimePoint,
     contacts: Vec<SocketAddr>,
     pending: usize,
+    /// Tries to reach contacts so far.
+    tries: u32,
     has_synced: bool,
     asked_keepers: bool,
     seeds_at: TimePoint,
@@ -148,6 +150,7 @@
                 next_at: now,
                 contacts: settings.peers.clone(),
                 pending: 0,
+                tries: 0,
                 has_synced: false,
                 asked_keepers: false,
                 seeds_at: now,
