Control messages between daemons are compressed

Ruled out: deltas on the platform (a larger change; the store hands out whole configurations). Messages of 1,400 bytes and more are compressed with lz4_flex; the size that a sender claims is checked first. A message with the marker was refused by daemons before, so a mesh is updated as a whole or keeps the old daemons apart until then.

--- a/src/codec.rs
+++ b/src/codec.rs
@@ -1,6 +1,7 @@
-//! The one codec between processes and for stored values: `MessagePack` with field names.
+//! The one codec between processes and for stored values: `MessagePack` with field names, compressed between daemons.
 
 use {
+    lz4_flex::block::{DecompressError, compress_prepend_size, decompress_size_prepended, uncompressed_size},
     serde::{Serialize, de::DeserializeOwned},
     thiserror::Error,
 };
@@ -8,6 +9,11 @@
 /// The largest control message or stored value that is read, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 
+/// First byte of a compressed message; `MessagePack` begins no value with it.
+const COMPRESSED: u8 = 0xc1;
+/// Size from which a message is compressed, in bytes: less fits into one packet anyway.
+const COMPRESS_FROM_BYTES: usize = 1_400;
+
 /// A message that could not be encoded or decoded.
 #[derive(Debug, Error)]
 pub enum CodecError {
@@ -17,6 +23,9 @@
     /// The value has no representation on the wire.
     #[error("message can't be encoded ({0}); report this as a fault")]
     Encode(#[from] rmp_serde::encode::Error),
+    /// The bytes are not a compressed message.
+    #[error("message can't be decompressed ({0}); check that both processes run compatible versions")]
+    Decompress(#[from] DecompressError),
     /// The message is larger than [`MAX_MESSAGE_BYTES`].
     #[error("message of {0} bytes is over the limit; send less at once")]
     TooLarge(usize),
@@ -32,8 +41,30 @@
     Ok(rmp_serde::to_vec(value)?)
 }
 
-/// Decodes a message of at most [`MAX_MESSAGE_BYTES`].
+/// Compresses an encoded message, unless it is small.
+pub fn compress(bytes: Vec<u8>) -> Vec<u8> {
+    if bytes.len() < COMPRESS_FROM_BYTES {
+        return bytes;
+    }
+    let mut compressed = vec![COMPRESSED];
+    compressed.extend(compress_prepend_size(&bytes));
+    compressed
+}
+
+/// Decodes a message of at most [`MAX_MESSAGE_BYTES`], compressed or not.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
+    let Some((&COMPRESSED, compressed)) = bytes.split_first() else {
+        return decode_plain(bytes);
+    };
+    // The size is what the sender says, so it is checked before room is made for it.
+    let (size, _) = uncompressed_size(compressed)?;
+    if size > MAX_MESSAGE_BYTES {
+        return Err(CodecError::TooLarge(size));
+    }
+    decode_plain(&decompress_size_prepended(compressed)?)
+}
+
+fn decode_plain<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
     if bytes.len() > MAX_MESSAGE_BYTES {
         return Err(CodecError::TooLarge(bytes.len()));
     }
--- a/src/daemon/envelope.rs
+++ b/src/daemon/envelope.rs
@@ -71,12 +71,13 @@
 
 /// Encodes a message for the mesh.
 pub fn enclose<T: Serialize>(mesh: &Arc<str>, stamp: HybridStamp, body: T) -> Result<Vec<u8>, CodecError> {
-    codec::encode_compact(&Envelope {
+    let bytes = codec::encode_compact(&Envelope {
         protocol: PROTOCOL_VERSION,
         mesh: Arc::clone(mesh),
         stamp,
         body,
-    })
+    })?;
+    Ok(codec::compress(bytes))
 }
 
 /// Decodes a message and checks where it comes from.
--- /dev/null
+++ b/tests/codec.rs
@@ -0,0 +1,50 @@
+//! The codec: compressed messages are smaller and read like others; hostile ones are refused before room is made.
+
+mod common;
+
+use {
+    common::fuzz_config,
+    fuchsiashore::codec::{self, CodecError, MAX_MESSAGE_BYTES},
+    proptest::prelude::*,
+};
+
+fn names() -> Vec<String> {
+    (0..400)
+        .map(|number| format!("daemon-{number}@10.0.0.1"))
+        .collect()
+}
+
+#[test]
+fn long_messages_are_compressed_and_short_ones_are_not() {
+    let long = codec::encode_compact(&names()).unwrap();
+    let compressed = codec::compress(long.clone());
+    assert!(
+        compressed.len() * 2 < long.len(),
+        "{} of {} bytes",
+        compressed.len(),
+        long.len()
+    );
+    assert_eq!(codec::decode::<Vec<String>>(&compressed).unwrap(), names());
+    let short = codec::encode_compact(&"short").unwrap();
+    assert_eq!(codec::compress(short.clone()), short);
+}
+
+#[test]
+fn message_that_claims_to_be_too_large_is_refused() {
+    let mut bytes = vec![0xc1];
+    bytes.extend((MAX_MESSAGE_BYTES as u32 + 1).to_le_bytes());
+    bytes.extend([0; 16]);
+    let error = codec::decode::<Vec<String>>(&bytes).unwrap_err();
+    assert!(matches!(error, CodecError::TooLarge(_)), "{error}");
+}
+
+proptest! {
+    #![proptest_config(fuzz_config(1_000))]
+
+    #[test]
+    fn compressed_bytes_of_any_kind_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let mut message = vec![0xc1];
+        message.extend(bytes);
+        let _ = codec::decode::<Vec<String>>(&message);
+    }
+}
