--- /dev/null
+++ b/src/moves/controller/ending.rs
@@ -0,0 +1,78 @@
+//! The end of a move: stopped, taken back at its deadline, or done.
+
+use {
+    super::{LITTLE_EVIDENCE, MoveController, MoveEffect, MovePhase, SETTLE_MS},
+    crate::{
+        clock::TimePoint,
+        config::MoveVerdict,
+        moves::{route_tests::Finding, schedule::TOP_SHARE},
+    },
+};
+
+impl MoveController {
+    pub(super) fn stop(&mut self, finding: &Finding) -> Vec<MoveEffect> {
+        self.clearance.stopped = true;
+        self.clearance.seq += 1;
+        let share = self.clearance.share * 100.0;
+        let reason = format!("{} at share {share:.0} %", finding.text);
+        self.decide(MoveVerdict::TakenBack, &reason);
+        vec![
+            MoveEffect::Cleared {
+                reason: format!("stopped: {reason}"),
+            },
+            MoveEffect::Decide {
+                verdict: MoveVerdict::TakenBack,
+                reason: reason.into(),
+            },
+        ]
+    }
+
+    pub(super) fn finish(&mut self, now: TimePoint) -> Vec<MoveEffect> {
+        let calls: u64 = self.tests.values().map(|tests| tests.new_total.calls).sum();
+        if !self.is_at_top() {
+            let share = self.clearance.share * 100.0;
+            self.clearance.stopped = true;
+            self.clearance.seq += 1;
+            let reason = format!(
+                "the deadline came at share {share:.0} % while {}, {calls} calls",
+                self.phase
+            );
+            self.decide(MoveVerdict::TakenBack, &reason);
+        } else if calls < LITTLE_EVIDENCE {
+            self.set_share(1.0, now);
+            self.decide(
+                MoveVerdict::Done,
+                &format!("nothing speaks against it, but little evidence: {calls} calls"),
+            );
+        } else {
+            self.set_share(1.0, now);
+            self.decide(
+                MoveVerdict::Done,
+                &format!("nothing speaks against it in {calls} calls"),
+            );
+        }
+        self.decided
+            .clone()
+            .map(|(verdict, reason)| MoveEffect::Decide { verdict, reason })
+            .into_iter()
+            .collect()
+    }
+
+    pub(super) fn is_at_top(&self) -> bool {
+        self.clearance.share >= TOP_SHARE && self.phase != MovePhase::Paused
+    }
+
+    /// Tells whether every gate of the old version has reported since then that nothing runs.
+    pub(super) fn is_old_idle(&self, since: TimePoint) -> bool {
+        let mut old = self
+            .reports
+            .values()
+            .filter(|known| known.report.version != self.order.to);
+        old.all(|known| known.seen_at > since.after_ms(SETTLE_MS) && known.report.in_flight == 0)
+    }
+
+    pub(super) fn decide(&mut self, verdict: MoveVerdict, reason: &str) {
+        self.phase = MovePhase::Decided;
+        self.decided = Some((verdict, reason.into()));
+    }
+}
--- a/src/moves/controller/judge.rs
+++ b/src/moves/controller/judge.rs
@@ -4,6 +4,7 @@
     super::{CONTROL_WAIT_MS, MoveController, MovePhase, WINDOW_MS},
     crate::{
         clock::TimePoint,
+        config::MovePolicy,
         moves::{
             evidence::RouteEvidence,
             route_tests::{Finding, RouteTests},
@@ -92,6 +93,20 @@
         (is_draining || has_lasted) && (finding.tells_apart || paused_ms >= CONTROL_WAIT_MS)
     }
 
+    /// Tells whether what speaks against the version is enough for a pause. In the quick rise of a short move there is no
+    /// time for the evidence that chance asks for elsewhere.
+    pub(super) fn is_doubtful(&self, finding: &Finding) -> bool {
+        let may_pause = !matches!(self.phase, MovePhase::Paused | MovePhase::Draining { .. });
+        if !may_pause || self.clearance.share <= 0.0 {
+            return false;
+        }
+        if self.is_in_quick_rise() {
+            finding.evidence >= self.thresholds.weak || self.overall.looks_worse()
+        } else {
+            finding.evidence >= self.limits().weak
+        }
+    }
+
     pub(super) fn strongest(&self) -> Finding {
         let by_route = self
             .tests
@@ -126,3 +141,17 @@
         )
     }
 }
+
+/// Returns the thresholds of a policy.
+pub(super) fn thresholds_of(policy: MovePolicy) -> TestThresholds {
+    match policy {
+        MovePolicy::Prompt => TestThresholds {
+            weak: 6.0,
+            strong: 9.2,
+        },
+        MovePolicy::Cautious => TestThresholds {
+            weak: 5.0,
+            strong: 7.5,
+        },
+    }
+}
--- a/src/moves/controller/mod.rs
+++ b/src/moves/controller/mod.rs
@@ -1,10 +1,11 @@
 //! The pure controller of one move.
 
+mod ending;
 mod judge;
 mod rise;
 
 use {
-    self::rise::SHORT_SAFE_SHARE,
+    self::{judge::thresholds_of, rise::SHORT_SAFE_SHARE},
     super::{
         clearance::{Clearance, LEASE_MS},
         evidence::{EvidenceWindow, LatencyCounts},
@@ -15,7 +16,7 @@
     },
     crate::{
         clock::TimePoint,
-        config::{MoveOrder, MovePolicy, MoveVerdict, is_version},
+        config::{MoveOrder, MoveVerdict, is_version},
     },
     indexmap::IndexMap,
     std::{
@@ -357,17 +358,7 @@
         if finding.evidence >= limits.strong && self.is_confirmed(&finding, now) {
             return self.stop(&finding);
         }
-        let may_pause = !matches!(self.phase, MovePhase::Paused | MovePhase::Draining { .. });
-        let weak = if self.is_in_quick_rise() {
-            self.thresholds.weak
-        } else {
-            limits.weak
-        };
-        let looks_worse = self.is_in_quick_rise() && self.overall.looks_worse();
-        if (finding.evidence >= weak || looks_worse) && may_pause && self.clearance.share > 0.0 {
-            return self.pause(&finding, now);
-        }
-        if self.is_stuck(now) {
+        if self.is_doubtful(&finding) || self.is_stuck(now) {
             return self.pause(&finding, now);
         }
         if let MovePhase::Draining { since } = self.phase {
@@ -401,23 +392,6 @@
         self.set_share(0.0, now);
     }
 
-    fn stop(&mut self, finding: &Finding) -> Vec<MoveEffect> {
-        self.clearance.stopped = true;
-        self.clearance.seq += 1;
-        let share = self.clearance.share * 100.0;
-        let reason = format!("{} at share {share:.0} %", finding.text);
-        self.decide(MoveVerdict::TakenBack, &reason);
-        vec![
-            MoveEffect::Cleared {
-                reason: format!("stopped: {reason}"),
-            },
-            MoveEffect::Decide {
-                verdict: MoveVerdict::TakenBack,
-                reason: reason.into(),
-            },
-        ]
-    }
-
     /// Holds the share at a trickle until the evidence is confirmed or fades.
     fn pause(&mut self, finding: &Finding, now: TimePoint) -> Vec<MoveEffect> {
         self.phase = MovePhase::Paused;
@@ -429,55 +403,6 @@
         }]
     }
 
-    fn finish(&mut self, now: TimePoint) -> Vec<MoveEffect> {
-        let calls: u64 = self.tests.values().map(|tests| tests.new_total.calls).sum();
-        if !self.is_at_top() {
-            let share = self.clearance.share * 100.0;
-            self.clearance.stopped = true;
-            self.clearance.seq += 1;
-            let reason = format!(
-                "the deadline came at share {share:.0} % while {}, {calls} calls",
-                self.phase
-            );
-            self.decide(MoveVerdict::TakenBack, &reason);
-        } else if calls < LITTLE_EVIDENCE {
-            self.set_share(1.0, now);
-            self.decide(
-                MoveVerdict::Done,
-                &format!("nothing speaks against it, but little evidence: {calls} calls"),
-            );
-        } else {
-            self.set_share(1.0, now);
-            self.decide(
-                MoveVerdict::Done,
-                &format!("nothing speaks against it in {calls} calls"),
-            );
-        }
-        self.decided
-            .clone()
-            .map(|(verdict, reason)| MoveEffect::Decide { verdict, reason })
-            .into_iter()
-            .collect()
-    }
-
-    fn is_at_top(&self) -> bool {
-        self.clearance.share >= TOP_SHARE && self.phase != MovePhase::Paused
-    }
-
-    /// Tells whether every gate of the old version has reported since then that nothing runs.
-    fn is_old_idle(&self, since: TimePoint) -> bool {
-        let mut old = self
-            .reports
-            .values()
-            .filter(|known| known.report.version != self.order.to);
-        old.all(|known| known.seen_at > since.after_ms(SETTLE_MS) && known.report.in_flight == 0)
-    }
-
-    fn decide(&mut self, verdict: MoveVerdict, reason: &str) {
-        self.phase = MovePhase::Decided;
-        self.decided = Some((verdict, reason.into()));
-    }
-
     fn set_share(&mut self, share: f64, now: TimePoint) {
         if share > SHORT_SAFE_SHARE {
             self.rise_at.get_or_insert(now);
@@ -488,16 +413,3 @@
         self.step_calls = 0;
     }
 }
-
-fn thresholds_of(policy: MovePolicy) -> TestThresholds {
-    match policy {
-        MovePolicy::Prompt => TestThresholds {
-            weak: 6.0,
-            strong: 9.2,
-        },
-        MovePolicy::Cautious => TestThresholds {
-            weak: 5.0,
-            strong: 7.5,
-        },
-    }
-}
