A target that left a daemon that has just started stays gone, though an announcement comes late

Ruled out: the changed joins (the daemon served its own target from its own knowledge). It is remembered now by id and start. The path test failed first (37 of 60 requests reached the target).

--- a/src/daemon/control/target.rs
+++ b/src/daemon/control/target.rs
@@ -67,6 +67,15 @@
         match message {
             TargetMessage::Announce(announcement) => self.hear_announcement(announcement, now),
             TargetMessage::Leave { id, born } => {
+                if self.announced.is_none() {
+                    // A daemon that has just started remembers it too: an announcement from before may come late.
+                    self.announced = born.map(|born| AnnouncedTarget {
+                        id: Arc::clone(&id),
+                        born,
+                        seq: 0,
+                        has_left: true,
+                    });
+                }
                 let is_present = self.announced.as_mut().is_none_or(|known| {
                     let is_meant = known.id == id && born.is_none_or(|born| born >= known.born);
                     known.has_left |= is_meant;
