--- a/src/daemon/control/joining.rs
+++ b/src/daemon/control/joining.rs
@@ -6,9 +6,10 @@
     rand::{RngExt, seq::SliceRandom},
 };
 
-/// Contacts that are asked at the first try: where all daemons start at once, a handful knows of the rest soon.
-const JOIN_CONTACTS: usize = 8;
-/// Most times that this number is doubled: some hundred contacts are asked at once then.
+/// Contacts that are asked at the first try: all of a mesh of the users' sites, so that each hears at once of a daemon that
+/// starts and tells it of targets that leave.
+const JOIN_CONTACTS: usize = 40;
+/// Most times that this number is doubled.
 const MAX_DOUBLINGS: u32 = 5;
 /// Time between two tries to join, in milliseconds.
 const JOIN_INTERVAL_MS: u64 = 500;
