Read once more: what the moves are run with is one value, one test of the quick rise, the exposure rule in a file of its own

Left as it is: SourceState::compose seals a head whose digest is checked again at the offer (the size check hangs on the first); the two back-offs, which differ in their jitter; headers read by both dialects, whose rules differ.

--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -11,7 +11,7 @@
 use {
     super::{
         edges::{DaemonEdges, EdgeContext, StoreEdge},
-        move_runner::MoveRunner,
+        move_runner::{MoveRunner, MoveSurroundings},
         shared::{SharedState, TrafficNote},
         tasks::{ControlClient, ControlEvent},
     },
@@ -270,8 +270,12 @@
         self.tick_versions(now);
         self.tick_sync(now);
         self.tick_target(now);
-        self.moves
-            .tick(&self.members, &mut *self.store, &mut self.ring, now);
+        self.moves.tick(MoveSurroundings {
+            members: &self.members,
+            store: &mut *self.store,
+            ring: &mut self.ring,
+            now,
+        });
         self.tick_pull(now);
         self.tick_drain(now)
     }
--- a/src/daemon/move_runner.rs
+++ b/src/daemon/move_runner.rs
@@ -67,6 +67,19 @@
     is_writing: bool,
 }
 
+/// What the moves are run with.
+#[derive(Debug)]
+pub struct MoveSurroundings<'a> {
+    /// Daemons of the mesh.
+    pub members: &'a MemberState,
+    /// Store that keeps progress and verdicts.
+    pub store: &'a mut dyn StoreEdge,
+    /// Time line.
+    pub ring: &'a mut EventRing,
+    /// The present time.
+    pub now: TimePoint,
+}
+
 /// All open moves of the own service.
 #[derive(Debug)]
 pub struct MoveRunner {
@@ -123,36 +136,24 @@
     }
 
     /// Does what is due.
-    pub fn tick(
-        &mut self,
-        members: &MemberState,
-        store: &mut dyn StoreEdge,
-        ring: &mut EventRing,
-        now: TimePoint,
-    ) {
+    pub fn tick(&mut self, mut around: MoveSurroundings<'_>) {
         if self.is_leaving {
             return;
         }
         let pools: Vec<Arc<str>> = self.moves.keys().cloned().collect();
         for pool in pools {
-            self.tick_move(&pool, members, store, ring, now);
+            self.tick_move(&pool, &mut around);
         }
     }
 
-    fn tick_move(
-        &mut self,
-        pool: &Arc<str>,
-        members: &MemberState,
-        store: &mut dyn StoreEdge,
-        ring: &mut EventRing,
-        now: TimePoint,
-    ) {
-        self.finish_look(pool, members, store, ring, now);
+    fn tick_move(&mut self, pool: &Arc<str>, around: &mut MoveSurroundings<'_>) {
+        let now = around.now;
+        self.finish_look(pool, around);
         let Some(open) = self.moves.get_mut(pool) else {
             return;
         };
         if open.controller.is_some() {
-            self.run_controller(pool, members, store, ring, now);
+            self.run_controller(pool, around);
             return;
         }
         // A daemon that has just started knows too few others to tell whether it is the one.
@@ -161,19 +162,22 @@
         }
         let service = &open.service;
         let order = &open.order;
-        let gates = members.present().filter(|record| {
+        let gates = around.members.present().filter(|record| {
             record.target.service == *service
                 && record.target.version != order.to
                 && record.target.status == TargetStatus::Serving
         });
         let ranked = best_ranked(pool, gates.map(|record| &*record.name), SUCCESSORS);
-        let Some(rank) = ranked.iter().position(|name| *name == &*members.own().name) else {
+        let Some(rank) = ranked
+            .iter()
+            .position(|name| *name == &*around.members.own().name)
+        else {
             return;
         };
         let lapsed_ms = self.shared.moves.lock().lapsed_ms(pool, order.id, now);
         if may_look(rank, lapsed_ms) && open.look.is_none() && now >= open.due_at {
             open.due_at = now.after_ms(LOOK_INTERVAL_MS);
-            let asked = self.poll_gates(pool, None, members, ring, now);
+            let asked = self.poll_gates(pool, None, around.members, around.ring, now);
             if let Some(open) = self.moves.get_mut(pool) {
                 let until = now.after_ms(LOOK_WAIT_MS);
                 open.look = Some(MoveLook {
@@ -186,14 +190,8 @@
         }
     }
 
-    fn finish_look(
-        &mut self,
-        pool: &Arc<str>,
-        members: &MemberState,
-        store: &mut dyn StoreEdge,
-        ring: &mut EventRing,
-        now: TimePoint,
-    ) {
+    fn finish_look(&mut self, pool: &Arc<str>, around: &mut MoveSurroundings<'_>) {
+        let now = around.now;
         let Some(open) = self.moves.get_mut(pool) else {
             return;
         };
@@ -205,7 +203,7 @@
             return;
         }
         let Some(look) = open.look.take() else { return };
-        let (start, held) = MoveController::look(&look.replies, &members.own().name);
+        let (start, held) = MoveController::look(&look.replies, &around.members.own().name);
         let is_cut_off = look.needs_most && look.replies.len() * 2 <= look.asked;
         if start == ControllerStart::Held || is_cut_off {
             return;
@@ -216,11 +214,11 @@
             (None, StoredProgress::Asked) => return,
             (None, StoredProgress::Unasked) => {
                 open.progress = StoredProgress::Asked;
-                store.read_progress(pool, open.order.id);
+                around.store.read_progress(pool, open.order.id);
                 return;
             }
         };
-        let holder = Arc::clone(&members.own().name);
+        let holder = Arc::clone(&around.members.own().name);
         let mut controller = MoveController::new(open.order.clone(), holder, held.as_ref(), now);
         let epoch = controller.clearance().epoch;
         let share = controller.clearance().share * 100.0;
@@ -228,20 +226,16 @@
             "epoch={epoch} share={share:.0}% from={} to={}",
             open.order.from, open.order.to
         );
-        ring.record_move(EventKind::MoveHeld, pool, open.order.id, detail, now);
+        around
+            .ring
+            .record_move(EventKind::MoveHeld, pool, open.order.id, detail, now);
         controller.add_past(&look.replies);
         open.controller = Some(controller);
         open.due_at = now;
     }
 
-    fn run_controller(
-        &mut self,
-        pool: &Arc<str>,
-        members: &MemberState,
-        store: &mut dyn StoreEdge,
-        ring: &mut EventRing,
-        now: TimePoint,
-    ) {
+    fn run_controller(&mut self, pool: &Arc<str>, around: &mut MoveSurroundings<'_>) {
+        let now = around.now;
         let Some(open) = self.moves.get_mut(pool) else {
             return;
         };
@@ -255,7 +249,7 @@
             match effect {
                 MoveEffect::Cleared { reason } => {
                     let share = controller.clearance().share * 100.0;
-                    ring.record_move(
+                    around.ring.record_move(
                         EventKind::MoveCleared,
                         pool,
                         move_id,
@@ -263,17 +257,23 @@
                         now,
                     );
                     poll_now = true;
-                    store.save_progress(pool, &open.order, controller.clearance());
+                    around
+                        .store
+                        .save_progress(pool, &open.order, controller.clearance());
                 }
                 MoveEffect::AtRisk { reason } => {
-                    ring.record_move(EventKind::MoveAtRisk, pool, move_id, reason, now);
+                    around
+                        .ring
+                        .record_move(EventKind::MoveAtRisk, pool, move_id, reason, now);
                 }
                 MoveEffect::Decide { verdict, reason } => {
                     if !open.is_writing && now >= open.verdict_at {
                         open.is_writing = true;
                         let detail = format!("verdict={verdict}: {reason}");
-                        ring.record_move(EventKind::MoveDecided, pool, move_id, detail, now);
-                        store.close_move(MoveClosing {
+                        around
+                            .ring
+                            .record_move(EventKind::MoveDecided, pool, move_id, detail, now);
+                        around.store.close_move(MoveClosing {
                             pool: Arc::clone(pool),
                             order: open.order.clone(),
                             verdict,
@@ -289,7 +289,7 @@
             controller.note_poll(now);
             open.due_at = now.after_ms(WINDOW_MS);
             let clearance = controller.clearance().clone();
-            self.poll_gates(pool, Some(&clearance), members, ring, now);
+            self.poll_gates(pool, Some(&clearance), around.members, around.ring, now);
         }
     }
 
--- a/src/lab/figures/mod.rs
+++ b/src/lab/figures/mod.rs
@@ -2,6 +2,7 @@
 //! evidence that gates would report for versions of known badness and counts what came of it.
 
 mod counts;
+mod exposure;
 mod rule;
 mod scenario;
 mod table;
--- a/src/lab/figures/trial.rs
+++ b/src/lab/figures/trial.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         counts::GateCounts,
+        exposure::ExposureAccount,
         rule::MoveRule,
         scenario::{MoveScenario, VersionFault},
     },
@@ -24,10 +25,6 @@
 const TAKEOVER_MS: u64 = 8_000;
 /// The same for a short move: a lease and a look at the gates.
 const SHORT_TAKEOVER_MS: u64 = 3_300;
-/// Calls of all that a bad version may get beside a tenth: the users' exposure rule.
-const EXPOSURE: (f64, u64) = (0.10, 50);
-/// Bad answers from which on the same rule gives a version 5 s more, in milliseconds.
-const ROLLBACK: (u64, u64) = (50, 5_000);
 /// Median latency of a good call, in milliseconds.
 const LATENCY_MS: f64 = 5.0;
 /// Spread of the logarithm of the latency.
@@ -87,10 +84,7 @@
     shown: Option<TimePoint>,
     likelihood: f64,
     recent: VecDeque<(TimePoint, bool)>,
-    new_calls: u64,
-    bad_answers: u64,
-    /// When the bad answers were as many as the users' rule counts.
-    spent_at: Option<TimePoint>,
+    exposure: ExposureAccount,
     ended: Option<MoveVerdict>,
     outcome: TrialOutcome,
 }
@@ -141,9 +135,7 @@
             shown: None,
             likelihood: 0.0,
             recent: VecDeque::new(),
-            new_calls: 0,
-            bad_answers: 0,
-            spent_at: None,
+            exposure: ExposureAccount::default(),
             ended: None,
             outcome: TrialOutcome::default(),
         };
@@ -162,7 +154,7 @@
         }
         self.start = start;
         self.outcome = TrialOutcome::default();
-        self.new_calls = 0;
+        self.exposure = ExposureAccount::default();
     }
 
     fn elapsed_ms(&self) -> u64 {
@@ -212,7 +204,7 @@
         let latency_ms = latency.sample(&mut self.rng);
         if is_new {
             self.recent.push_back((self.now, failed));
-            self.count_exposure(failed || factor > 1.0 && is_bad);
+            self.exposure.add_call(failed || factor > 1.0 && is_bad, self.now);
         }
         if is_bad {
             self.count_bad(failed, latency_ms, fail_share, noise, factor);
@@ -226,17 +218,6 @@
             .add_call(failed, latency_ms);
     }
 
-    /// Counts a call to the new version for the users' rule.
-    fn count_exposure(&mut self, is_bad_answer: bool) {
-        self.new_calls += 1;
-        self.bad_answers += u64::from(is_bad_answer);
-        if self.bad_answers >= ROLLBACK.0 {
-            self.spent_at.get_or_insert(self.now);
-        }
-        let is_late = self.spent_at.is_some_and(|at| self.now.ms_since(at) > ROLLBACK.1);
-        self.outcome.is_overexposed |= is_late;
-    }
-
     /// Counts a call to the bad version and what it says to one who knows both distributions.
     fn count_bad(&mut self, failed: bool, latency_ms: f64, fail_share: f64, noise: f64, factor: f64) {
         self.began.get_or_insert(self.now);
@@ -436,9 +417,7 @@
         self.outcome.done_in_time = self.ended == Some(MoveVerdict::Done) && in_time;
         self.outcome.taken_back = self.ended == Some(MoveVerdict::TakenBack);
         let calls = self.scenario.rate * self.scenario.move_ms as f64 / 1e3;
-        let allowed = calls * EXPOSURE.0 + EXPOSURE.1 as f64;
-        self.outcome.is_overexposed |= self.new_calls as f64 > allowed;
-        self.outcome.is_overexposed &= !self.scenario.is_good();
+        self.outcome.is_overexposed = !self.scenario.is_good() && self.exposure.is_over(calls);
         self.outcome
     }
 }
--- a/src/moves/controller/rise.rs
+++ b/src/moves/controller/rise.rs
@@ -137,7 +137,7 @@
         if self.clearance.share == 0.0 {
             return true;
         }
-        let rest_ms = if self.schedule.is_short() && self.clearance.share > SHORT_SAFE_SHARE {
+        let rest_ms = if self.is_in_quick_rise() {
             SHORT_REST_MS
         } else {
             self.schedule.catch_up_ms()
@@ -193,8 +193,7 @@
 
     /// Tells whether the quick rise of a short move has come to a halt.
     pub(super) fn is_stuck(&self, now: TimePoint) -> bool {
-        let is_high = self.clearance.share > SHORT_SAFE_SHARE && self.phase == MovePhase::Rising;
-        is_high && self.is_rise_over(now)
+        self.phase == MovePhase::Rising && self.is_in_quick_rise() && self.is_rise_over(now)
     }
 
     /// Tells whether a short move has had its time for the quick rise. It gets no second one: two of them would give a
--- a/tests/short_moves.rs
+++ b/tests/short_moves.rs
@@ -88,6 +88,18 @@
     }
 }
 
+/// A clearance that the gates hold.
+fn held(share: f64) -> Clearance {
+    Clearance {
+        move_id: 7,
+        epoch: 1,
+        seq: 3,
+        share,
+        stopped: false,
+        holder: "a".into(),
+    }
+}
+
 fn windows() -> impl Iterator<Item = (u64, TimePoint)> {
     (0..MOVE_MS / WINDOW_MS + 4).map(|window| (window * WINDOW_MS, START.after_ms(window * WINDOW_MS)))
 }
@@ -146,14 +158,7 @@
 #[test]
 fn released_clearance_is_taken_over_at_once_and_lapsed_one_by_a_rival() {
     let mut lease = GateLease::default();
-    let held = Clearance {
-        move_id: 7,
-        epoch: 1,
-        seq: 3,
-        share: 0.07,
-        stopped: false,
-        holder: "a".into(),
-    };
+    let held = held(0.07);
     assert!(lease.renew(held.clone(), START));
     let rival = Clearance {
         holder: "b".into(),
@@ -180,14 +185,7 @@
 #[test]
 fn next_in_rank_looks_once_nobody_watches_the_move() {
     let mut lease = GateLease::default();
-    let held = Clearance {
-        move_id: 7,
-        epoch: 1,
-        seq: 3,
-        share: 0.07,
-        stopped: false,
-        holder: "a".into(),
-    };
+    let held = held(0.07);
     assert_eq!(lease.lapsed_ms(7, START), None, "nothing is known of the move");
     assert!(lease.renew(held, START));
     assert_eq!(lease.lapsed_ms(7, START.after_ms(1_000)), None);
@@ -202,14 +200,7 @@
 
 #[test]
 fn handover_in_the_rise_goes_on_at_the_share_reached() {
-    let held = Clearance {
-        move_id: 7,
-        epoch: 1,
-        seq: 3,
-        share: 0.4,
-        stopped: false,
-        holder: "a".into(),
-    };
+    let held = held(0.4);
     let successor = MoveController::new(order(), "b".into(), Some(&held.released()), START.after_ms(9_000));
     assert!((successor.clearance().share - 0.4).abs() < 1e-9);
     // A controller that was lost left the version unwatched.
