The target of a daemon that stops takes work while callers leave; a near target that would be late gives way to a far one

Ruled out: refusals at the gates as the cause (they follow; the targets that were left had all slots taken).

--- a/src/call/book.rs
+++ b/src/call/book.rs
@@ -168,11 +168,12 @@
         let costs = compared.filter_map(|(target, far_ms, is_open)| {
             let cost_ms = self.cost_of(target, usual_ms, now);
             let is_idle = !wish.only_idle || self.load_of(target, now) < IDLE_LOAD;
-            let is_soon = wish.limit_ms.is_none_or(|limit_ms| cost_ms <= limit_ms);
-            (is_open || (is_idle && is_soon)).then_some((*target, cost_ms + far_ms))
+            let is_late = wish.limit_ms.is_some_and(|limit_ms| cost_ms > limit_ms);
+            (is_open || (is_idle && !is_late)).then_some((*target, is_late, cost_ms + far_ms))
         });
-        let best = costs.min_by(|a, b| a.1.total_cmp(&b.1));
-        best.map(|(target, _)| target)
+        // Bytes are worth some time, but not the call.
+        let best = costs.min_by(|a, b| a.1.cmp(&b.1).then(a.2.total_cmp(&b.2)));
+        best.map(|(target, ..)| target)
     }
 
     /// Returns what the bytes of a call to another data centre are worth, in milliseconds.
--- a/src/daemon/control/leaving.rs
+++ b/src/daemon/control/leaving.rs
@@ -14,32 +14,70 @@
 /// Time before the limit of a drain at which the process exits in any case, in milliseconds.
 const EXIT_BEFORE_MS: u64 = 150;
 
+/// Time that other daemons are given to hear that the gate takes no new work, in milliseconds: some rounds of notices.
+const GATE_NEWS_MS: u64 = 200;
+
 impl ControlState {
     pub(super) fn start_drain(&mut self, now: TimePoint) {
         if self.drain != DrainPhase::Serving {
             return;
         }
+        let settings = &self.shared.settings;
+        let (leave_ms, limit_ms) = (settings.leave_ms, settings.drain_limit_ms);
+        let refuse_at = now.after_ms(limit_ms.saturating_sub(REFUSE_BEFORE_MS));
+        let limit = now.after_ms(limit_ms.saturating_sub(EXIT_BEFORE_MS));
+        // A target that announces itself is not the daemon's to stop: it goes on while callers leave.
+        let lives_on = settings.announcements.is_some();
         self.ring.record(
             EventKind::Leaving,
-            "new work is refused, running calls are finished",
+            format!("callers go elsewhere, running calls are finished; target_lives_on={lives_on}"),
             now,
         );
-        let limit_ms = self.shared.settings.drain_limit_ms;
+        self.shared.is_leaving.store(true, Ordering::Release);
+        self.moves.release(&self.members, &mut self.ring, now);
+        if lives_on {
+            self.drain = DrainPhase::Announced {
+                close_at: now.after_ms(leave_ms).min(refuse_at),
+                refuse_at,
+                limit,
+            };
+            return;
+        }
+        self.close_gate(now);
         self.drain = DrainPhase::Finishing {
-            announced_until: now.after_ms(self.shared.settings.leave_ms),
-            refuse_at: now.after_ms(limit_ms.saturating_sub(REFUSE_BEFORE_MS)),
-            limit: now.after_ms(limit_ms.saturating_sub(EXIT_BEFORE_MS)),
+            announced_until: now.after_ms(leave_ms),
+            refuse_at,
+            limit,
         };
-        self.shared.is_leaving.store(true, Ordering::Release);
+    }
+
+    /// Refuses new work at the gate and tells the other daemons so.
+    fn close_gate(&mut self, now: TimePoint) {
         self.shared.gate.lock().drain(now);
-        self.set_target_status(TargetStatus::Leaving, now);
-        self.moves.release(&self.members, &mut self.ring, now);
+        if self.members.own().target.status != TargetStatus::Departed {
+            self.set_target_status(TargetStatus::Leaving, now);
+        }
     }
 
     /// Returns true when the daemon may exit.
     pub(super) fn tick_drain(&mut self, now: TimePoint) -> bool {
         match self.drain {
             DrainPhase::Serving => false,
+            DrainPhase::Announced {
+                close_at,
+                refuse_at,
+                limit,
+            } => {
+                if now >= close_at {
+                    self.close_gate(now);
+                    self.drain = DrainPhase::Finishing {
+                        announced_until: now.after_ms(GATE_NEWS_MS),
+                        refuse_at,
+                        limit,
+                    };
+                }
+                false
+            }
             DrainPhase::Finishing {
                 announced_until,
                 refuse_at,
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -49,6 +49,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum DrainPhase {
     Serving,
+    /// Callers are told to go elsewhere; the target, which lives on, still takes work.
+    Announced {
+        close_at: TimePoint,
+        refuse_at: TimePoint,
+        limit: TimePoint,
+    },
     /// New work is refused at the gate; what runs is finished.
     Finishing {
         announced_until: TimePoint,
--- a/src/daemon/control/target.rs
+++ b/src/daemon/control/target.rs
@@ -149,7 +149,7 @@
         record.slots = slots;
         record.status = match self.drain {
             _ if is_leaving => TargetStatus::Departed,
-            DrainPhase::Serving => TargetStatus::Serving,
+            DrainPhase::Serving | DrainPhase::Announced { .. } => TargetStatus::Serving,
             DrainPhase::Finishing { .. } | DrainPhase::Quiet { .. } => TargetStatus::Leaving,
         };
         if record.status == TargetStatus::Serving {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -72,7 +72,7 @@
     pub watchers: usize,
     /// Retries beyond their share of the calls that all daemons together may send to a pool in a short time.
     pub extra_retries: u32,
-    /// Least time between the announcement of leaving and the exit, in milliseconds.
+    /// Time that callers are given to leave a daemon that stops, in milliseconds.
     pub leave_ms: u64,
     /// Time that a drain may take before the process exits all the same, in milliseconds.
     pub drain_limit_ms: u64,
