Targets are judged against what they have in common: ejection, lateness and fullness

Now answers of failure eject only a target that fails 0.3 more often than the best one, the mark-up is relative, a refusal as full holds for its rank and less urgent ones, and two re-offers a call are earned (they reach no target). Tests in target_choice; those of full ranks and of targets that fail alike can't be asked of the code before.

--- a/src/call/book.rs
+++ b/src/call/book.rs
@@ -45,6 +45,9 @@
 const IDLE_LOAD: f64 = 0.6;
 /// Load assumed of a target that refused a call as full.
 const FULL_LOAD: f64 = 2.0;
+/// By how much a target's share of failed answers must exceed the best one's for an ejection: what calls of its own fail at
+/// is not its fault, and all targets of a service share that. Three times the deviation of the moving share.
+const EXCESS_FAILURES: f64 = 0.3;
 /// Time after which a target's own report of its load is forgotten, in milliseconds.
 const REPORT_LIFE_MS: u64 = 2_500;
 
@@ -97,6 +100,8 @@
     pub limit_ms: Option<f64>,
     /// Whether only a target with room will do, as for a second attempt beside a slow one.
     pub only_idle: bool,
+    /// Rank of the call's route; 0 is the most urgent.
+    pub priority: u8,
 }
 
 /// What was observed of one target.
@@ -110,9 +115,13 @@
     failure_share: f64,
     ejections: u32,
     ejected_until: TimePoint,
+    /// Whether it was ejected for failed answers, and not for failed connections.
+    has_failed_answers: bool,
     report: LoadReport,
     reported_until: TimePoint,
     full_until: TimePoint,
+    /// Most urgent rank that was refused as full.
+    full_rank: u8,
 }
 
 impl TargetStats {
@@ -153,7 +162,8 @@
             .iter()
             .filter(|target| !tried.contains(&target.name))
             .collect();
-        let sound = prefer(untried, |target| !self.is_ejected(&target.name, now));
+        let usual = self.usual_of(candidates);
+        let sound = prefer(untried, |target| !self.is_out(&target.name, usual, now));
         let trusted = prefer(sound, |target| !target.is_suspect);
         let (near, far): (Vec<&CandidateTarget>, Vec<&CandidateTarget>) =
             trusted.into_iter().partition(|target| target.is_near);
@@ -164,11 +174,12 @@
             far.sample(rng, COMPARED)
                 .map(|target| (target, wish.far_ms, is_open)),
         );
-        let usual_ms = self.usual_run_ms(candidates);
         let costs = compared.filter_map(|(target, far_ms, is_open)| {
-            let cost_ms = self.cost_of(target, usual_ms, now);
-            let is_idle = !wish.only_idle || self.load_of(target, now) < IDLE_LOAD;
-            let is_late = wish.limit_ms.is_some_and(|limit_ms| cost_ms > limit_ms);
+            let load = self.load_of(target, wish.priority, now);
+            let (time_ms, cost_ms) = self.cost_of(target, load, usual);
+            let is_idle = !wish.only_idle || load < IDLE_LOAD;
+            let is_late = self.is_full(target, wish.priority, now)
+                || wish.limit_ms.is_some_and(|limit_ms| time_ms > limit_ms);
             (is_open || (is_idle && !is_late)).then_some((*target, is_late, cost_ms + far_ms))
         });
         // Bytes are worth some time, but not the call.
@@ -218,9 +229,15 @@
         stats.note_load(load, now);
     }
 
-    /// Takes note that a gate refused a call as full.
-    pub fn note_full(&mut self, name: &Arc<str>, now: TimePoint) {
-        self.stats.entry(Arc::clone(name)).or_default().full_until = now.after_ms(FULL_MS);
+    /// Takes note that a gate refused a call of a rank as full.
+    pub fn note_full(&mut self, name: &Arc<str>, priority: u8, now: TimePoint) {
+        let stats = self.stats.entry(Arc::clone(name)).or_default();
+        stats.full_rank = if stats.full_until > now {
+            stats.full_rank.min(priority)
+        } else {
+            priority
+        };
+        stats.full_until = now.after_ms(FULL_MS);
     }
 
     /// Takes note that a target turned a request away: it is loaded or unwell, but answers.
@@ -229,9 +246,19 @@
         stats.failure_share += (1.0 - stats.failure_share) * FAILURE_WEIGHT;
     }
 
-    /// Takes note of a failed, broken or stalled attempt, or of a gate that is closed. Returns true if the target
-    /// is now ejected.
+    /// Takes note of a broken or stalled attempt, or of a gate that is closed. Returns true if the target is now
+    /// ejected.
     pub fn fail(&mut self, name: &Arc<str>, now: TimePoint) -> bool {
+        self.note_failure(name, false, now)
+    }
+
+    /// Takes note that a target answered that it failed. Returns true if it is now ejected, for as long as others fail
+    /// less.
+    pub fn fail_answer(&mut self, name: &Arc<str>, now: TimePoint) -> bool {
+        self.note_failure(name, true, now)
+    }
+
+    fn note_failure(&mut self, name: &Arc<str>, is_answer: bool, now: TimePoint) -> bool {
         let stats = self.stats.entry(Arc::clone(name)).or_default();
         stats.failures += 1;
         stats.failure_share += (1.0 - stats.failure_share) * FAILURE_WEIGHT;
@@ -240,6 +267,7 @@
         }
         let eject_ms = (EJECT_MS << stats.ejections.min(8)).min(MAX_EJECT_MS);
         stats.ejected_until = now.after_ms(eject_ms);
+        stats.has_failed_answers = is_answer;
         stats.ejections += 1;
         true
     }
@@ -264,47 +292,78 @@
             .is_some_and(|stats| stats.ejected_until > now)
     }
 
-    fn load_of(&self, target: &CandidateTarget, now: TimePoint) -> f64 {
+    /// Tells whether a target gets no calls while another is left.
+    fn is_out(&self, name: &str, usual: UsualTarget, now: TimePoint) -> bool {
+        let stats = self.stats.get(name).filter(|stats| stats.ejected_until > now);
+        stats.is_some_and(|stats| {
+            !stats.has_failed_answers || stats.failure_share > usual.failure_share + EXCESS_FAILURES
+        })
+    }
+
+    /// Tells whether a target refused a call of this rank or a more urgent one as full a moment ago.
+    fn is_full(&self, target: &CandidateTarget, priority: u8, now: TimePoint) -> bool {
+        let stats = self.stats.get(&target.name);
+        stats.is_some_and(|stats| stats.full_until > now && stats.full_rank <= priority)
+    }
+
+    fn load_of(&self, target: &CandidateTarget, priority: u8, now: TimePoint) -> f64 {
         let Some(stats) = self.stats.get(&target.name) else {
             return 0.0;
         };
-        if stats.full_until > now {
-            return FULL_LOAD;
-        }
         let reported = if stats.reported_until > now {
             stats.report.calls
         } else {
             0
         };
-        f64::from(stats.in_flight.max(reported)) / f64::from(target.slots.max(1))
+        let load = f64::from(stats.in_flight.max(reported)) / f64::from(target.slots.max(1));
+        if self.is_full(target, priority, now) {
+            load.max(FULL_LOAD)
+        } else {
+            load
+        }
     }
 
-    /// Returns the mean time of a run over the targets whose time is known, in milliseconds: a target that was not heard
-    /// of yet is taken to be like the others, not to be free of cost.
-    fn usual_run_ms(&self, candidates: &[CandidateTarget]) -> f64 {
-        let known = candidates
+    /// Returns what is usual of these targets.
+    fn usual_of(&self, candidates: &[CandidateTarget]) -> UsualTarget {
+        let known: Vec<&TargetStats> = candidates
             .iter()
-            .filter_map(|target| self.stats.get(&target.name));
-        let known: Vec<f64> = known.filter_map(TargetStats::run_ms).collect();
-        if known.is_empty() {
-            return BASE_LATENCY_MS;
+            .filter_map(|target| self.stats.get(&target.name))
+            .collect();
+        let run_times: Vec<f64> = known.iter().filter_map(|stats| stats.run_ms()).collect();
+        let shares = known.iter().map(|stats| stats.failure_share);
+        UsualTarget {
+            run_ms: if run_times.is_empty() {
+                BASE_LATENCY_MS
+            } else {
+                run_times.iter().sum::<f64>() / run_times.len() as f64
+            },
+            failure_share: shares.reduce(f64::min).unwrap_or_default(),
         }
-        known.iter().sum::<f64>() / known.len() as f64
     }
 
-    /// Returns the expected time to an answer, in milliseconds.
-    fn cost_of(&self, target: &CandidateTarget, usual_ms: f64, now: TimePoint) -> f64 {
+    /// Returns the expected time to an answer, and what it is worth to avoid the target, both in milliseconds.
+    fn cost_of(&self, target: &CandidateTarget, load: f64, usual: UsualTarget) -> (f64, f64) {
         let unknown = TargetStats::default();
         let stats = self.stats.get(&target.name).unwrap_or(&unknown);
-        let run_ms = stats.run_ms().unwrap_or(usual_ms);
+        let run_ms = stats.run_ms().unwrap_or(usual.run_ms);
         let distance_ms = if target.is_near { 0.0 } else { BASE_LATENCY_MS };
-        let load = self.load_of(target, now);
         let runs = 1.0 + load.min(1.0) * LOADED_PART + (load - 1.0).max(0.0);
-        let failing = 1.0 + FAILURE_COST * stats.failure_share;
-        run_ms.max(BASE_LATENCY_MS) * runs * failing + distance_ms
+        let time_ms = run_ms.max(BASE_LATENCY_MS) * runs + distance_ms;
+        let failing = (1.0 + FAILURE_COST * stats.failure_share) / (1.0 + FAILURE_COST * usual.failure_share);
+        (time_ms, time_ms * failing)
     }
 }
 
+/// What the known ones among some targets have in common.
+#[derive(Debug, Clone, Copy)]
+struct UsualTarget {
+    /// Mean time of a run, in milliseconds: a target that was not heard of yet is taken to be like the others, not to be
+    /// free of cost.
+    run_ms: f64,
+    /// Share of failures of the best one.
+    failure_share: f64,
+}
+
 /// Keeps those that fulfil a wish, or all if none does.
 fn prefer(targets: Vec<&CandidateTarget>, wish: impl Fn(&CandidateTarget) -> bool) -> Vec<&CandidateTarget> {
     let wished: Vec<&CandidateTarget> = targets.iter().copied().filter(|target| wish(target)).collect();
--- a/src/call/budget.rs
+++ b/src/call/budget.rs
@@ -14,7 +14,7 @@
 /// Cost of a retry of a request that reached a target, in thousandths.
 const RETRY_COST: u64 = 1_000;
 /// Cost of a retry of a request that no target got, in thousandths: it costs only a hop between daemons.
-const NOT_RUN_COST: u64 = 250;
+const NOT_RUN_COST: u64 = 50;
 
 /// Most retries without a target that can be saved up, in thousandths.
 const MAX_SAVED_HOPS: u64 = 15_000;
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -210,7 +210,7 @@
         let mut book = shared.book.lock();
         match refusal {
             Some(GateRefusal::Full | GateRefusal::Expired) => {
-                book.note_full(&self.target.name, now);
+                book.note_full(&self.target.name, self.hop.priority, now);
                 if let Some(load) = load_of(headers) {
                     book.note_load(&self.target.name, load, now);
                 }
@@ -247,7 +247,11 @@
                 outcome: AttemptOutcome::NotRun | AttemptOutcome::Rejected,
                 ..
             } => {}
-            _ => self.note_failure(),
+            AttemptEnd::Answer { .. } => {
+                let is_ejected = shared.book.lock().fail_answer(&self.target.name, shared.now());
+                self.tell_ejected(is_ejected);
+            }
+            AttemptEnd::Failure { .. } => self.note_failure(),
         }
         if matches!(end.outcome(), AttemptOutcome::Broken | AttemptOutcome::Stalled) {
             self.clients.leave_connections(self.target.gate);
@@ -257,8 +261,12 @@
     fn note_failure(&self) {
         let shared = &self.shared;
         let is_ejected = shared.book.lock().fail(&self.target.name, shared.now());
+        self.tell_ejected(is_ejected);
+    }
+
+    fn tell_ejected(&self, is_ejected: bool) {
         if is_ejected {
-            shared.note(TrafficNote::Ejected {
+            self.shared.note(TrafficNote::Ejected {
                 target: Arc::clone(&self.target.name),
             });
         }
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -325,6 +325,7 @@
                     far_ms: book.far_ms(&call.route.name, body_bytes),
                     limit_ms: Some(until.ms_since(now) as f64),
                     only_idle,
+                    priority: call.route.priority,
                 };
                 let chosen = book.choose(&candidates, tried, wish, &mut rng, now);
                 chosen.map(|chosen| Arc::clone(&chosen.name))
--- a/tests/request_fuzz.rs
+++ b/tests/request_fuzz.rs
@@ -323,7 +323,7 @@
         let name = candidate(attempt.target).name;
         match outcome {
             AttemptOutcome::Answered => self.book.succeed(&name, 1.0, None, self.now),
-            AttemptOutcome::NotRun => self.book.note_full(&name, self.now),
+            AttemptOutcome::NotRun => self.book.note_full(&name, 0, self.now),
             _ => drop(self.book.fail(&name, self.now)),
         }
         self.calls[call].in_hand |= matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Failed);
--- a/tests/target_choice.rs
+++ b/tests/target_choice.rs
@@ -11,6 +11,8 @@
 const NOW: TimePoint = TimePoint(1_000_000);
 /// What the bytes of the calls in these tests are worth, in milliseconds.
 const FAR_MS: f64 = 300.0;
+/// Rank of the calls.
+const RANK: u8 = 1;
 
 /// A book that knows the load of one near and one far target with twelve slots each.
 fn book(near_calls: u32, far_calls: u32) -> TargetBook {
@@ -36,6 +38,7 @@
         far_ms: FAR_MS,
         limit_ms: Some(limit_ms),
         only_idle: false,
+        priority: RANK,
     };
     let candidates = candidates();
     let target = book.choose(&candidates, &[], wish, &mut SmallRng::seed_from_u64(1), NOW);
@@ -56,3 +59,37 @@
 fn near_target_is_taken_where_both_would_be_late() {
     assert_eq!(chosen(&book(60, 60), 200.0), "near");
 }
+
+#[test]
+fn target_that_refused_calls_of_the_rank_as_full_is_passed_over() {
+    let mut book = book(2, 2);
+    book.note_full(&"near".into(), RANK, NOW);
+    assert_eq!(chosen(&book, 600.0), "far");
+}
+
+#[test]
+fn refusal_of_less_urgent_calls_says_nothing_of_more_urgent_ones() {
+    let mut book = book(2, 2);
+    book.note_full(&"near".into(), RANK + 1, NOW);
+    assert_eq!(chosen(&book, 600.0), "near");
+}
+
+#[test]
+fn targets_that_fail_alike_are_not_ejected() {
+    let mut book = book(2, 2);
+    for _ in 0..6 {
+        book.fail_answer(&"near".into(), NOW);
+        book.fail_answer(&"far".into(), NOW);
+    }
+    book.succeed(&"far".into(), 60.0, None, NOW);
+    assert_eq!(chosen(&book, 600.0), "near");
+}
+
+#[test]
+fn target_that_fails_alone_is_ejected() {
+    let mut book = book(2, 2);
+    for _ in 0..6 {
+        book.fail_answer(&"near".into(), NOW);
+    }
+    assert_eq!(chosen(&book, 10_000.0), "far");
+}
