Seeds are asked as soon as they are known

The addresses came from the store within 20 ms and waited for the next try, 0.5 to 1 s later. Ruled out: the store's answers, the targets' announcements (all within 0.2 s of the start). Test joining failed first.

--- a/src/daemon/control/joining.rs
+++ b/src/daemon/control/joining.rs
@@ -1,8 +1,8 @@
 //! Joining: peers, then the daemons that keep note of what this one had applied, then the seeds of the store.
 
 use {
-    super::{ControlState, JOIN_LIMIT_MS},
-    crate::clock::TimePoint,
+    super::ControlState,
+    crate::{clock::TimePoint, member::JOIN_LIMIT_MS},
     rand::{RngExt, seq::SliceRandom},
 };
 
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -19,13 +19,13 @@
         clock::TimePoint,
         config::CompiledTable,
         file_watch::FileWatch,
-        member::{MemberRecord, MemberState, MemberStatus, TargetRecord, TargetStatus},
+        member::{JoinProgress, MemberRecord, MemberState, MemberStatus, TargetRecord, TargetStatus},
         moves::WINDOW_MS,
         spread::SpreadState,
         timeline::{EventKind, EventRing},
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
     tokio::{
         net::UdpSocket,
         sync::mpsc,
@@ -37,8 +37,6 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Time between two rounds of anti-entropy, in milliseconds.
 const SYNC_INTERVAL_MS: u64 = 10_000;
-/// Time after which a daemon stops waiting for what its peers know of it, in milliseconds.
-const JOIN_LIMIT_MS: u64 = 4_000;
 /// Time between two looks at the stored seeds, in milliseconds.
 const SEEDS_INTERVAL_MS: u64 = 60_000;
 
@@ -68,20 +66,6 @@
     },
 }
 
-/// How far the daemon is with joining.
-#[derive(Debug)]
-struct JoinProgress {
-    limit: TimePoint,
-    next_at: TimePoint,
-    contacts: Vec<SocketAddr>,
-    pending: usize,
-    /// Tries to reach contacts so far.
-    tries: u32,
-    has_synced: bool,
-    asked_keepers: bool,
-    seeds_at: TimePoint,
-}
-
 /// The latest start of a target that was heard of.
 #[derive(Debug, Clone)]
 struct AnnouncedTarget {
@@ -151,16 +135,7 @@
             table: None,
             ring,
             moves: MoveRunner::new(Arc::clone(&shared), client.clone()),
-            join: JoinProgress {
-                limit: now.after_ms(JOIN_LIMIT_MS),
-                next_at: now,
-                contacts: settings.peers.clone(),
-                pending: 0,
-                tries: 0,
-                has_synced: false,
-                asked_keepers: false,
-                seeds_at: now,
-            },
+            join: JoinProgress::new(settings.peers.clone(), now),
             drain: DrainPhase::Serving,
             client,
             store,
@@ -241,7 +216,7 @@
             } => {
                 self.finish_verdict(&pool, move_id, result, now);
             }
-            ControlEvent::SeedsRead(seeds) => self.join.contacts.extend(seeds),
+            ControlEvent::SeedsRead(seeds) => self.join.hear_seeds(seeds, now),
             ControlEvent::TargetSaid { message, reply } => {
                 let _ = reply.send(self.hear_target(message, now));
             }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -4,6 +4,7 @@
 //! with anti-entropy by bucket digests. The state is pure; the daemon carries out its effects.
 
 mod digest;
+mod join;
 mod message;
 mod rank;
 mod record;
@@ -11,6 +12,7 @@
 
 pub use {
     digest::{BUCKETS, bucket_digests, bucket_of},
+    join::{JOIN_LIMIT_MS, JoinProgress},
     message::{ProbeKind, ProbeMessage, SyncReply, SyncRequest},
     rank::{best_ranked, is_among_best},
     record::{MemberRecord, MemberStatus, TargetRecord, TargetStatus},
