--- a/src/call/book.rs
+++ b/src/call/book.rs
@@ -1,14 +1,10 @@
 //! What this daemon has itself observed of targets, and the choice between them.
 
 use {
+    super::load::{LoadReport, RankCounts},
     crate::clock::TimePoint,
     rand::{Rng, seq::IndexedRandom},
-    std::{
-        collections::HashMap,
-        fmt::{Display, Formatter},
-        str::FromStr,
-        sync::Arc,
-    },
+    std::{collections::HashMap, sync::Arc},
 };
 
 /// Failures in a row after which a target is ejected.
@@ -64,33 +60,6 @@
     pub is_suspect: bool,
 }
 
-/// What a gate tells of its target's load on each answer.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct LoadReport {
-    /// Calls that run and wait.
-    pub calls: u32,
-    /// Typical time of a run, in milliseconds; 0 if unknown.
-    pub run_ms: f64,
-}
-
-impl Display for LoadReport {
-    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{},{:.0}", self.calls, self.run_ms)
-    }
-}
-
-impl FromStr for LoadReport {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let (calls, run_ms) = text.split_once(',').ok_or("a load has two numbers")?;
-        Ok(Self {
-            calls: calls.parse().map_err(|error| format!("{error}"))?,
-            run_ms: run_ms.parse().map_err(|error| format!("{error}"))?,
-        })
-    }
-}
-
 /// What a call needs of a target.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct TargetWish {
@@ -107,7 +76,7 @@
 /// What was observed of one target.
 #[derive(Debug, Clone, Default)]
 pub struct TargetStats {
-    in_flight: u32,
+    in_flight: RankCounts,
     latency_ms: f64,
     /// Failures in a row.
     failures: u32,
@@ -202,9 +171,10 @@
         }
     }
 
-    /// Takes note of a request sent to a target.
-    pub fn start(&mut self, name: &Arc<str>) {
-        self.stats.entry(Arc::clone(name)).or_default().in_flight += 1;
+    /// Takes note of a request of a rank sent to a target.
+    pub fn start(&mut self, name: &Arc<str>, priority: u8) {
+        let stats = self.stats.entry(Arc::clone(name)).or_default();
+        stats.in_flight.add(priority);
     }
 
     /// Takes note of an answer, with the load that the target's gate reported.
@@ -273,16 +243,16 @@
     }
 
     /// Takes note that a request to a target has ended.
-    pub fn end(&mut self, name: &Arc<str>) {
+    pub fn end(&mut self, name: &Arc<str>, priority: u8) {
         if let Some(stats) = self.stats.get_mut(name) {
-            stats.in_flight = stats.in_flight.saturating_sub(1);
+            stats.in_flight.remove(priority);
         }
     }
 
     /// Forgets targets that are not known any more and have nothing in flight.
     pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
         self.stats
-            .retain(|name, stats| stats.in_flight > 0 || is_known(name));
+            .retain(|name, stats| stats.in_flight.total() > 0 || is_known(name));
     }
 
     /// Tells whether a target is ejected.
@@ -306,16 +276,17 @@
         stats.is_some_and(|stats| stats.full_until > now && stats.full_rank <= priority)
     }
 
+    /// Returns the calls at a target that go before a new one of a rank, as a part of its slots.
     fn load_of(&self, target: &CandidateTarget, priority: u8, now: TimePoint) -> f64 {
         let Some(stats) = self.stats.get(&target.name) else {
             return 0.0;
         };
         let reported = if stats.reported_until > now {
-            stats.report.calls
+            stats.report.running + stats.report.waiting.up_to(priority)
         } else {
             0
         };
-        let load = f64::from(stats.in_flight.max(reported)) / f64::from(target.slots.max(1));
+        let load = f64::from(stats.in_flight.up_to(priority).max(reported)) / f64::from(target.slots.max(1));
         if self.is_full(target, priority, now) {
             load.max(FULL_LOAD)
         } else {
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -2,13 +2,15 @@
 
 mod book;
 mod budget;
+mod load;
 mod outcome;
 mod plan;
 mod version;
 
 pub use {
-    book::{CandidateTarget, LoadReport, TargetBook, TargetStats, TargetWish},
+    book::{CandidateTarget, TargetBook, TargetStats, TargetWish},
     budget::{BudgetBook, DEFAULT_EXTRA_RETRIES, RetryBudget},
+    load::{LoadReport, RankCounts},
     outcome::{AttemptOutcome, CallOutcome, RefusalReason},
     plan::{CallPlan, CallRules, CallStep},
     version::{VersionChoice, choose_version},
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -100,22 +100,24 @@
 pub struct BookedCall {
     shared: Arc<SharedState>,
     target: Arc<str>,
+    priority: u8,
 }
 
 impl BookedCall {
-    /// Takes a place.
-    pub fn new(shared: &Arc<SharedState>, target: &KnownTarget) -> Self {
-        shared.book.lock().start(&target.name);
+    /// Takes a place for a call of a rank.
+    pub fn new(shared: &Arc<SharedState>, target: &KnownTarget, priority: u8) -> Self {
+        shared.book.lock().start(&target.name, priority);
         Self {
             shared: Arc::clone(shared),
             target: Arc::clone(&target.name),
+            priority,
         }
     }
 }
 
 impl Drop for BookedCall {
     fn drop(&mut self) {
-        self.shared.book.lock().end(&self.target);
+        self.shared.book.lock().end(&self.target, self.priority);
     }
 }
 
--- a/src/daemon/traffic/hop.rs
+++ b/src/daemon/traffic/hop.rs
@@ -19,7 +19,7 @@
     pub const REASON: &str = "fuchsiashore-reason";
     /// A call as a proxy hands it to a gate: [`super::HopCall`], its fields parted by blanks.
     pub const HOP: &str = "fuchsiashore-hop";
-    /// Calls that run and wait at a gate and its typical run time, on its answers.
+    /// Load of a gate, on its answers: [`crate::call::LoadReport`].
     pub const LOAD: &str = "fuchsiashore-load";
     /// Clearance of the pool's open move, on a gate's answers.
     pub const CLEARANCE: &str = "fuchsiashore-clearance";
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -1,6 +1,9 @@
 //! The gate's listener: admits calls to the own target and counts their outcomes.
 
+mod slots;
+
 use {
+    self::slots::{HeldSlot, QueuePlace, WaitingSlot},
     super::{
         attempt::OnwardRequest,
         body::{AnswerBody, AnswerFault, RequestBody},
@@ -10,10 +13,10 @@
         relay::{answer_text, end_to_end, header_value, mark_leaving, pass_answer},
     },
     crate::{
-        call::{CallOutcome, LoadReport},
+        call::CallOutcome,
         clock::TimePoint,
         daemon::shared::{SharedState, TargetIdentity, TrafficNote},
-        gate::{GateAdmission, GateArrival, GateRefusal, TicketId},
+        gate::{GateAdmission, GateArrival, GateRefusal},
     },
     hyper::{Response as Answer, body::Incoming, header::HOST, http::uri::PathAndQuery},
     salvo::{
@@ -35,48 +38,6 @@
     clients: Arc<PeerClients>,
 }
 
-/// A slot of the target; given back when dropped.
-struct HeldSlot {
-    shared: Arc<SharedState>,
-    started: Instant,
-    /// Whether the target worked on the call to its end, so that the time tells its pace.
-    is_whole: bool,
-}
-
-impl HeldSlot {
-    fn new(shared: &Arc<SharedState>) -> Self {
-        Self {
-            shared: Arc::clone(shared),
-            started: Instant::now(),
-            is_whole: false,
-        }
-    }
-}
-
-impl Drop for HeldSlot {
-    fn drop(&mut self) {
-        let now = self.shared.now();
-        let ran_ms = self.is_whole.then(|| self.started.elapsed().as_secs_f64() * 1e3);
-        let mut gate = self.shared.gate.lock();
-        let wakes = gate.state.finish(ran_ms, now);
-        gate.wake(wakes, now);
-    }
-}
-
-/// A place in the queue; given up when dropped before the call is told.
-struct QueuePlace {
-    shared: Arc<SharedState>,
-    ticket: TicketId,
-}
-
-impl Drop for QueuePlace {
-    fn drop(&mut self) {
-        let mut gate = self.shared.gate.lock();
-        gate.waiting.remove(&self.ticket);
-        gate.state.abandon(self.ticket);
-    }
-}
-
 /// What is known of a call's end.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum RecordedEnd {
@@ -348,13 +309,7 @@
 
     /// Adds the gate's load and the pool's clearance, so that proxies learn both from answers.
     fn add_reports(&self, res: &mut Response, hop: &HopCall) {
-        let load = {
-            let gate = self.shared.gate.lock();
-            LoadReport {
-                calls: gate.state.in_flight() + gate.state.waiting() as u32,
-                run_ms: gate.state.run_ms(),
-            }
-        };
+        let load = self.shared.gate.lock().state.load();
         let headers = res.headers_mut();
         headers.insert(header::LOAD, header_value(&load.to_string()));
         let snapshot = self.shared.snapshot.load();
@@ -373,31 +328,6 @@
     }
 }
 
-/// Waits to be told; a slot that was granted but not taken is given back.
-struct WaitingSlot {
-    told: oneshot::Receiver<Result<(), GateRefusal>>,
-    shared: Arc<SharedState>,
-}
-
-impl WaitingSlot {
-    async fn wait(mut self) -> Result<HeldSlot, GateRefusal> {
-        match (&mut self.told).await {
-            Ok(Ok(())) => Ok(HeldSlot::new(&self.shared)),
-            Ok(Err(refusal)) => Err(refusal),
-            Err(_) => Err(GateRefusal::Expired),
-        }
-    }
-}
-
-impl Drop for WaitingSlot {
-    fn drop(&mut self) {
-        self.told.close();
-        if let Ok(Ok(())) = self.told.try_recv() {
-            drop(HeldSlot::new(&self.shared));
-        }
-    }
-}
-
 #[async_trait]
 impl Handler for InboundHandler {
     async fn handle(&self, req: &mut Request, _depot: &mut Depot, res: &mut Response, _ctrl: &mut FlowCtrl) {
--- /dev/null
+++ b/src/daemon/traffic/inbound/slots.rs
@@ -0,0 +1,77 @@
+//! Slots of the target and places in the gate's queue, given back when they are dropped.
+
+use {
+    crate::{
+        daemon::shared::SharedState,
+        gate::{GateRefusal, TicketId},
+    },
+    std::{sync::Arc, time::Instant},
+    tokio::sync::oneshot,
+};
+
+/// A slot of the target; given back when dropped.
+pub(super) struct HeldSlot {
+    pub(super) shared: Arc<SharedState>,
+    pub(super) started: Instant,
+    /// Whether the target worked on the call to its end, so that the time tells its pace.
+    pub(super) is_whole: bool,
+}
+
+impl HeldSlot {
+    pub(super) fn new(shared: &Arc<SharedState>) -> Self {
+        Self {
+            shared: Arc::clone(shared),
+            started: Instant::now(),
+            is_whole: false,
+        }
+    }
+}
+
+impl Drop for HeldSlot {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        let ran_ms = self.is_whole.then(|| self.started.elapsed().as_secs_f64() * 1e3);
+        let mut gate = self.shared.gate.lock();
+        let wakes = gate.state.finish(ran_ms, now);
+        gate.wake(wakes, now);
+    }
+}
+
+/// A place in the queue; given up when dropped before the call is told.
+pub(super) struct QueuePlace {
+    pub(super) shared: Arc<SharedState>,
+    pub(super) ticket: TicketId,
+}
+
+impl Drop for QueuePlace {
+    fn drop(&mut self) {
+        let mut gate = self.shared.gate.lock();
+        gate.waiting.remove(&self.ticket);
+        gate.state.abandon(self.ticket);
+    }
+}
+
+/// Waits to be told; a slot that was granted but not taken is given back.
+pub(super) struct WaitingSlot {
+    pub(super) told: oneshot::Receiver<Result<(), GateRefusal>>,
+    pub(super) shared: Arc<SharedState>,
+}
+
+impl WaitingSlot {
+    pub(super) async fn wait(mut self) -> Result<HeldSlot, GateRefusal> {
+        match (&mut self.told).await {
+            Ok(Ok(())) => Ok(HeldSlot::new(&self.shared)),
+            Ok(Err(refusal)) => Err(refusal),
+            Err(_) => Err(GateRefusal::Expired),
+        }
+    }
+}
+
+impl Drop for WaitingSlot {
+    fn drop(&mut self) {
+        self.told.close();
+        if let Ok(Ok(())) = self.told.try_recv() {
+            drop(HeldSlot::new(&self.shared));
+        }
+    }
+}
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -1,6 +1,10 @@
 //! The proxy for callers: finds the route, chooses a target and carries the call to that target's gate.
 
+mod choosing;
+mod logging;
+
 use {
+    self::logging::{log_attempt, log_slow_or_failed},
     super::{
         attempt::{AttemptEnd, BookedCall, CallAttempt, OnwardRequest},
         body::{AnswerBody, BodyFault, RequestBody},
@@ -10,10 +14,7 @@
         relay::{answer_text, end_to_end, mark_leaving, pass_answer, status_of},
     },
     crate::{
-        call::{
-            AttemptOutcome, CallOutcome, CallPlan, CallRules, CallStep, CandidateTarget, RefusalReason,
-            TargetWish, choose_version,
-        },
+        call::{CallOutcome, CallPlan, CallRules, CallStep, RefusalReason},
         clock::TimePoint,
         config::{CompiledPool, CompiledRoute, RouteMatch},
         daemon::{
@@ -270,73 +271,11 @@
                 useful_until: call.useful_until,
                 deadline: call.deadline,
             },
-            booked: BookedCall::new(shared, &target),
+            booked: BookedCall::new(shared, &target, call.route.priority),
             target,
         }
     }
 
-    /// Chooses a version and a target of it that has not been tried.
-    fn choose(
-        &self,
-        call: &RoutedCall,
-        body_bytes: usize,
-        tried: &[Arc<str>],
-        only_idle: bool,
-    ) -> Option<KnownTarget> {
-        let shared = &self.shared;
-        let pool: &CompiledPool = &call.pool;
-        let now = shared.now();
-        let snapshot = shared.snapshot.load();
-        let (draw, mut rng) = {
-            let mut rng = self.rng.lock();
-            (rng.random::<f64>(), SmallRng::seed_from_u64(rng.random()))
-        };
-        let old_is_gone = pool.order.as_ref().is_some_and(|order| {
-            snapshot
-                .targets_of(&pool.entry.service, &order.from, &order.to)
-                .next()
-                .is_none()
-        });
-        let (choice, preferred_is_stopped) = {
-            let board = shared.moves.lock();
-            let share = pool
-                .order
-                .as_ref()
-                .map_or(0.0, |order| board.share(&pool.name, order.id));
-            let choice = choose_version(pool, share, draw, old_is_gone);
-            let stopped = board.is_stopped(&pool.name, &choice.version, now);
-            (choice, stopped)
-        };
-        let moving_to = pool.order.as_ref().map_or("", |order| &order.to);
-        let first = Some(&choice.version).filter(|_| !preferred_is_stopped || choice.fallback.is_none());
-        for version in first.into_iter().chain(&choice.fallback) {
-            let targets: Vec<&KnownTarget> = snapshot
-                .targets_of(&pool.entry.service, version, moving_to)
-                .collect();
-            let candidates: Vec<CandidateTarget> = targets.iter().map(|target| candidate(target)).collect();
-            let chosen = {
-                let book = shared.book.lock();
-                let until = if now < call.useful_until {
-                    call.useful_until
-                } else {
-                    call.deadline
-                };
-                let wish = TargetWish {
-                    far_ms: book.far_ms(&call.route.name, body_bytes),
-                    limit_ms: Some(until.ms_since(now) as f64),
-                    only_idle,
-                    priority: call.route.priority,
-                };
-                let chosen = book.choose(&candidates, tried, wish, &mut rng, now);
-                chosen.map(|chosen| Arc::clone(&chosen.name))
-            };
-            if let Some(target) = chosen.and_then(|name| targets.iter().find(|target| target.name == name)) {
-                return Some((*target).clone());
-            }
-        }
-        None
-    }
-
     fn answer(&self, answer: AnswerInHand, call: &RoutedCall, active: ActiveCall, res: &mut Response) {
         let shared = &self.shared;
         let failed = answer.status.is_server_error();
@@ -453,45 +392,3 @@
         BodyFault::Incomplete => CallRefusal::not_run(RefusalReason::BodyIncomplete, ""),
     }
 }
-
-fn candidate(target: &KnownTarget) -> CandidateTarget {
-    CandidateTarget {
-        name: Arc::clone(&target.name),
-        slots: target.slots,
-        is_near: target.is_near,
-        is_suspect: target.is_suspect,
-    }
-}
-
-/// Logs an answer that came late or is a failure of the target; sound ones are counted only.
-fn log_slow_or_failed(call: &RoutedCall, answer: &AnswerInHand, took_ms: u64) {
-    log::info!(
-        target: "calls",
-        "event=call-answered id={} attempt={} route={} pool={} target={} version={} status={} took_ms={took_ms} useful_ms={}",
-        call.caller.id.as_deref().unwrap_or(""),
-        answer.attempt,
-        call.route.name,
-        call.pool.name,
-        answer.target,
-        answer.version,
-        answer.status.as_u16(),
-        call.useful_until.ms_since(call.arrived_at)
-    );
-}
-
-fn log_attempt(
-    call: &RoutedCall,
-    target: &KnownTarget,
-    hop: &HopCall,
-    outcome: AttemptOutcome,
-    reason: &str,
-) {
-    log::info!(
-        target: "calls",
-        "event=attempt-failed id={} attempt={} route={} target={} outcome={outcome:?} reason={reason:?}",
-        call.caller.id.as_deref().unwrap_or(""),
-        hop.id,
-        call.route.name,
-        target.name
-    );
-}
--- /dev/null
+++ b/src/daemon/traffic/outbound/choosing.rs
@@ -0,0 +1,85 @@
+//! The choice of a version and a target for an attempt.
+
+use {
+    super::{OutboundHandler, RoutedCall},
+    crate::{
+        call::{CandidateTarget, TargetWish, choose_version},
+        config::CompiledPool,
+        daemon::snapshot::KnownTarget,
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::sync::Arc,
+};
+
+impl OutboundHandler {
+    /// Chooses a version and a target of it that has not been tried.
+    pub(super) fn choose(
+        &self,
+        call: &RoutedCall,
+        body_bytes: usize,
+        tried: &[Arc<str>],
+        only_idle: bool,
+    ) -> Option<KnownTarget> {
+        let shared = &self.shared;
+        let pool: &CompiledPool = &call.pool;
+        let now = shared.now();
+        let snapshot = shared.snapshot.load();
+        let (draw, mut rng) = {
+            let mut rng = self.rng.lock();
+            (rng.random::<f64>(), SmallRng::seed_from_u64(rng.random()))
+        };
+        let old_is_gone = pool.order.as_ref().is_some_and(|order| {
+            snapshot
+                .targets_of(&pool.entry.service, &order.from, &order.to)
+                .next()
+                .is_none()
+        });
+        let (choice, preferred_is_stopped) = {
+            let board = shared.moves.lock();
+            let share = pool
+                .order
+                .as_ref()
+                .map_or(0.0, |order| board.share(&pool.name, order.id));
+            let choice = choose_version(pool, share, draw, old_is_gone);
+            let stopped = board.is_stopped(&pool.name, &choice.version, now);
+            (choice, stopped)
+        };
+        let moving_to = pool.order.as_ref().map_or("", |order| &order.to);
+        let first = Some(&choice.version).filter(|_| !preferred_is_stopped || choice.fallback.is_none());
+        for version in first.into_iter().chain(&choice.fallback) {
+            let targets: Vec<&KnownTarget> = snapshot
+                .targets_of(&pool.entry.service, version, moving_to)
+                .collect();
+            let candidates: Vec<CandidateTarget> = targets.iter().map(|target| candidate(target)).collect();
+            let chosen = {
+                let book = shared.book.lock();
+                let until = if now < call.useful_until {
+                    call.useful_until
+                } else {
+                    call.deadline
+                };
+                let wish = TargetWish {
+                    far_ms: book.far_ms(&call.route.name, body_bytes),
+                    limit_ms: Some(until.ms_since(now) as f64),
+                    only_idle,
+                    priority: call.route.priority,
+                };
+                let chosen = book.choose(&candidates, tried, wish, &mut rng, now);
+                chosen.map(|chosen| Arc::clone(&chosen.name))
+            };
+            if let Some(target) = chosen.and_then(|name| targets.iter().find(|target| target.name == name)) {
+                return Some((*target).clone());
+            }
+        }
+        None
+    }
+}
+
+fn candidate(target: &KnownTarget) -> CandidateTarget {
+    CandidateTarget {
+        name: Arc::clone(&target.name),
+        slots: target.slots,
+        is_near: target.is_near,
+        is_suspect: target.is_suspect,
+    }
+}
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -1,6 +1,10 @@
 //! The pure state of the gate: slots, a queue ordered by urgency, slow start and drain.
 
-use crate::{clock::TimePoint, macros::key_type};
+use crate::{
+    call::{LoadReport, RankCounts},
+    clock::TimePoint,
+    macros::key_type,
+};
 
 /// Time over which a cold target is given its slots, in milliseconds.
 pub const SLOW_START_MS: u64 = 3_000;
@@ -167,6 +171,19 @@
         self.queue.len()
     }
 
+    /// Returns what proxies are told of the load.
+    pub fn load(&self) -> LoadReport {
+        let mut waiting = RankCounts::default();
+        self.queue
+            .iter()
+            .for_each(|call| waiting.add(call.arrival.priority));
+        LoadReport {
+            running: self.in_flight,
+            waiting,
+            run_ms: self.run_ms,
+        }
+    }
+
     /// Returns the calls that may run at once at `now`; a cold target is given its slots bit by bit.
     pub fn open_slots(&self, now: TimePoint) -> u32 {
         match self.mode {
--- /dev/null
+++ b/src/member/state/probing.rs
@@ -0,0 +1,179 @@
+//! Probes: who is asked, what becomes of those that don't answer, and probes in the place of others.
+
+use {
+    super::{
+        DEAD_RETENTION_MS, MemberEffect, MemberEntry, MemberState, PendingProbe, RelayedProbe, SUSPICION_MS,
+    },
+    crate::{
+        clock::TimePoint,
+        member::{
+            message::ProbeKind,
+            record::{MemberRecord, MemberStatus},
+        },
+    },
+    indexmap::IndexMap,
+    rand::{rngs::SmallRng, seq::SliceRandom},
+    std::{net::SocketAddr, sync::Arc},
+};
+
+/// Time after which a probe that was not acknowledged is repeated through others, in milliseconds.
+const DIRECT_TIMEOUT_MS: u64 = 400;
+/// Time after which a probe has failed, in milliseconds.
+const PROBE_TIMEOUT_MS: u64 = 1_500;
+/// Daemons that are asked to probe in one's place.
+const INDIRECT_PROBES: usize = 3;
+/// Every how many probes a dead daemon is tried, to heal a partition.
+const DEAD_PROBE_EVERY: u64 = 4;
+
+impl MemberState {
+    pub(super) fn start_probe(&mut self, now: TimePoint) {
+        self.seq += 1;
+        let seq = self.seq;
+        self.rounds += 1;
+        if self.rounds.is_multiple_of(DEAD_PROBE_EVERY) {
+            self.probe_dead(seq);
+        }
+        let Some(record) = self.next_to_probe() else {
+            return;
+        };
+        self.probes.push(PendingProbe {
+            seq,
+            name: Arc::clone(&record.name),
+            indirect_at: now.after_ms(DIRECT_TIMEOUT_MS),
+            deadline: now.after_ms(PROBE_TIMEOUT_MS),
+        });
+        self.send(record.control, ProbeKind::Ping { seq });
+    }
+
+    /// Takes the next present daemon of a shuffled round, so that each is probed once a round.
+    fn next_to_probe(&mut self) -> Option<MemberRecord> {
+        let is_wanted = |status: MemberStatus| status.is_present();
+        next_of_round(&mut self.order, &self.entries, is_wanted, &mut self.rng)
+    }
+
+    /// Probes the next dead daemon of a shuffled round, so that each is tried in a bounded time.
+    fn probe_dead(&mut self, seq: u64) {
+        let is_wanted = |status: MemberStatus| status == MemberStatus::Dead;
+        if let Some(record) = next_of_round(&mut self.dead_order, &self.entries, is_wanted, &mut self.rng) {
+            self.send(record.control, ProbeKind::Ping { seq });
+        }
+    }
+
+    pub(super) fn repeat_probes(&mut self, now: TimePoint) {
+        let (failed, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.probes)
+            .into_iter()
+            .partition(|probe| probe.deadline <= now);
+        self.probes = waiting;
+        for probe in failed {
+            self.suspect(&probe.name, now);
+        }
+        let due: Vec<(u64, Arc<str>)> = self
+            .probes
+            .iter_mut()
+            .filter(|probe| probe.indirect_at <= now)
+            .map(|probe| {
+                probe.indirect_at = TimePoint::NEVER;
+                (probe.seq, Arc::clone(&probe.name))
+            })
+            .collect();
+        for (seq, name) in due {
+            let Some(address) = self.record_of(&name).map(|record| record.control) else {
+                continue;
+            };
+            for peer in self.random_peers(INDIRECT_PROBES, Some(&name)) {
+                let target = Arc::clone(&name);
+                self.send(peer, ProbeKind::PingRequest { seq, target, address });
+            }
+        }
+    }
+
+    fn suspect(&mut self, name: &Arc<str>, now: TimePoint) {
+        let Some(entry) = self.entries.get_mut(name) else {
+            return;
+        };
+        if entry.record.status != MemberStatus::Alive {
+            return;
+        }
+        entry.record.status = MemberStatus::Suspect;
+        entry.until = now.after_ms(SUSPICION_MS);
+        self.effects.push(MemberEffect::Changed {
+            record: entry.record.clone(),
+        });
+        let (address, record) = (entry.record.control, entry.record.clone());
+        self.spread(name);
+        // The suspect is told at once, so that a slow but living one can refute.
+        self.send_with(address, ProbeKind::Notice, vec![record]);
+    }
+
+    pub(super) fn expire_entries(&mut self, now: TimePoint) {
+        let mut died = Vec::new();
+        for entry in self.entries.values_mut().filter(|entry| entry.until <= now) {
+            if entry.record.status == MemberStatus::Suspect {
+                entry.record.status = MemberStatus::Dead;
+                entry.until = now.after_ms(DEAD_RETENTION_MS);
+                died.push(entry.record.clone());
+            }
+        }
+        for record in died {
+            self.spread(&record.name);
+            self.effects.push(MemberEffect::Changed { record });
+        }
+        self.entries.retain(|_, entry| entry.until > now);
+    }
+
+    pub(super) fn relay_probe(
+        &mut self,
+        origin: SocketAddr,
+        origin_seq: u64,
+        address: SocketAddr,
+        now: TimePoint,
+    ) {
+        self.seq += 1;
+        let seq = self.seq;
+        self.relays.push(RelayedProbe {
+            seq,
+            origin,
+            origin_seq,
+            deadline: now.after_ms(PROBE_TIMEOUT_MS),
+        });
+        self.send(address, ProbeKind::Ping { seq });
+    }
+
+    pub(super) fn finish_probe(&mut self, seq: u64) {
+        if let Some(at) = self.relays.iter().position(|relay| relay.seq == seq) {
+            let relay = self.relays.swap_remove(at);
+            self.send(
+                relay.origin,
+                ProbeKind::Ack {
+                    seq: relay.origin_seq,
+                },
+            );
+            return;
+        }
+        self.probes.retain(|probe| probe.seq != seq);
+    }
+}
+
+/// Takes the next wanted daemon of a shuffled round and starts a new round when one is over.
+fn next_of_round(
+    order: &mut Vec<Arc<str>>,
+    entries: &IndexMap<Arc<str>, MemberEntry>,
+    is_wanted: impl Fn(MemberStatus) -> bool,
+    rng: &mut SmallRng,
+) -> Option<MemberRecord> {
+    let wanted = |name: &Arc<str>| entries.get(name).filter(|entry| is_wanted(entry.record.status));
+    for _ in 0..2 {
+        while let Some(name) = order.pop() {
+            if let Some(entry) = wanted(&name) {
+                return Some(entry.record.clone());
+            }
+        }
+        *order = entries
+            .keys()
+            .filter(|name| wanted(name).is_some())
+            .cloned()
+            .collect();
+        order.shuffle(rng);
+    }
+    None
+}
--- /dev/null
+++ b/src/member/state/syncing.rs
@@ -0,0 +1,87 @@
+//! Anti-entropy: two daemons compare what they know and tell each other the rest.
+
+use {
+    super::{MemberEffect, MemberState},
+    crate::{
+        clock::TimePoint,
+        member::{
+            digest::{bucket_digests, bucket_of},
+            message::{SyncReply, SyncRequest},
+            record::MemberRecord,
+        },
+    },
+    indexmap::IndexMap,
+    std::sync::Arc,
+};
+
+impl MemberState {
+    /// Makes a request for anti-entropy.
+    pub fn sync_request(&self, records: Vec<MemberRecord>) -> SyncRequest {
+        SyncRequest {
+            own: self.own.clone(),
+            digests: self.digests(),
+            records,
+        }
+    }
+
+    /// Answers a request for anti-entropy.
+    pub fn answer_sync(&mut self, request: SyncRequest, now: TimePoint) -> (SyncReply, Vec<MemberEffect>) {
+        let digests = self.digests();
+        let differs = |name: &str| {
+            let bucket = bucket_of(name);
+            request.digests.get(bucket) != Some(&digests[bucket])
+        };
+        let known = std::iter::once(&self.own).chain(self.others());
+        let records = known.filter(|record| differs(&record.name)).cloned().collect();
+        self.absorb(request.own, now);
+        for record in request.records {
+            self.absorb(record, now);
+        }
+        (
+            SyncReply {
+                records,
+                applied: self.own.applied,
+            },
+            std::mem::take(&mut self.effects),
+        )
+    }
+
+    /// Takes in the answer of a peer and returns the records that the peer lacks.
+    pub fn finish_sync(
+        &mut self,
+        reply: SyncReply,
+        now: TimePoint,
+    ) -> (Vec<MemberRecord>, Vec<MemberEffect>) {
+        let buckets: Vec<usize> = reply
+            .records
+            .iter()
+            .map(|record| bucket_of(&record.name))
+            .collect();
+        let theirs: IndexMap<Arc<str>, MemberRecord> = reply
+            .records
+            .iter()
+            .map(|record| (Arc::clone(&record.name), record.clone()))
+            .collect();
+        let waiting = self.updates.clone();
+        for record in reply.records {
+            self.absorb(record, now);
+        }
+        // What a peer tells at length is known to others already; it is not passed on once more.
+        let own = Arc::clone(&self.own.name);
+        self.updates
+            .retain(|name, _| *name == own || waiting.contains_key(name));
+        let known = std::iter::once(&self.own).chain(self.others());
+        let in_buckets = known.filter(|record| buckets.contains(&bucket_of(&record.name)));
+        let newer = in_buckets.filter(|record| {
+            theirs
+                .get(&record.name)
+                .is_none_or(|theirs| record.supersedes(theirs))
+        });
+        let newer = newer.cloned().collect();
+        (newer, std::mem::take(&mut self.effects))
+    }
+
+    fn digests(&self) -> Vec<u64> {
+        bucket_digests(std::iter::once(&self.own).chain(self.others()))
+    }
+}
--- a/tests/target_choice.rs
+++ b/tests/target_choice.rs
@@ -2,7 +2,7 @@
 
 use {
     fuchsiashore::{
-        call::{CandidateTarget, LoadReport, TargetBook, TargetWish},
+        call::{CandidateTarget, LoadReport, RankCounts, TargetBook, TargetWish},
         clock::TimePoint,
     },
     rand::{SeedableRng, rngs::SmallRng},
@@ -11,6 +11,8 @@
 const NOW: TimePoint = TimePoint(1_000_000);
 /// What the bytes of the calls in these tests are worth, in milliseconds.
 const FAR_MS: f64 = 300.0;
+/// Calls that a target serves at once.
+const SLOTS: u32 = 12;
 /// Rank of the calls.
 const RANK: u8 = 1;
 
@@ -18,16 +20,26 @@
 fn book(near_calls: u32, far_calls: u32) -> TargetBook {
     let mut book = TargetBook::default();
     for (name, calls) in [("near", near_calls), ("far", far_calls)] {
-        let load = LoadReport { calls, run_ms: 60.0 };
-        book.succeed(&name.into(), 60.0, Some(load), NOW);
+        book.succeed(&name.into(), 60.0, Some(load(calls, RANK)), NOW);
     }
     book
 }
 
+/// The load of a gate with so many calls, of which those over its slots wait.
+fn load(calls: u32, rank: u8) -> LoadReport {
+    let mut waiting = RankCounts::default();
+    (SLOTS..calls).for_each(|_| waiting.add(rank));
+    LoadReport {
+        running: calls.min(SLOTS),
+        waiting,
+        run_ms: 60.0,
+    }
+}
+
 fn candidates() -> [CandidateTarget; 2] {
     [("near", true), ("far", false)].map(|(name, is_near)| CandidateTarget {
         name: name.into(),
-        slots: 12,
+        slots: SLOTS,
         is_near,
         is_suspect: false,
     })
@@ -93,3 +105,19 @@
     }
     assert_eq!(chosen(&book, 10_000.0), "far");
 }
+
+#[test]
+fn less_urgent_calls_that_wait_do_not_make_a_target_late() {
+    let mut book = book(2, 2);
+    book.note_load(&"near".into(), load(60, RANK + 1), NOW);
+    assert_eq!(chosen(&book, 200.0), "near");
+    book.note_load(&"near".into(), load(60, RANK), NOW);
+    assert_eq!(chosen(&book, 200.0), "far");
+}
+
+#[test]
+fn load_is_read_as_it_was_written() {
+    let load = load(60, RANK);
+    assert_eq!(load.to_string().parse(), Ok(load));
+    assert!("12,60,1".parse::<LoadReport>().is_err());
+}
