Readers take an accepted table of any size

Cause: the limits for tables of an edit (4000 entries, 720 KiB sealed) were checked again by every reader. The store accepts a document of up to 1 MiB, some 6000 routes. Above 4000 each daemon refused the valid configuration (event=value-refused, 72 lines), stayed on version 8 and answered from it.

Ruled out: late spread (no daemon ever applied version 10, and the ones that watch had read it at once), an invalid document (the store had acknowledged it, and it passes every other rule).

--- a/src/config/change.rs
+++ b/src/config/change.rs
@@ -180,7 +180,7 @@
             reason,
         } => close_move(&mut next, pool, *move_id, *verdict, reason, request.at)?,
     };
-    let faults = tables.check();
+    let faults = tables.check_edit();
     if !faults.is_empty() {
         return Err(EditError::Invalid(faults));
     }
--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -16,7 +16,7 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
-/// Maximum size of an encoded head, in bytes. The store accepts 1 MiB per value, and base64 in its JSON form adds a
+/// Maximum size of an encoded head that is written to the store, in bytes. The store accepts 1 MiB per value, and base64 in its JSON form adds a
 /// third.
 pub const MAX_HEAD_BYTES: usize = 720 * 1024;
 /// Maximum number of change notes in a head, and likewise of closed moves and of tombstones.
@@ -209,14 +209,20 @@
         Ok(xxh3_64(&codec::encode(&content)?))
     }
 
-    /// Sets the digest and returns the head with its encoding. Fails if that is too large for the store.
-    pub fn seal(mut self) -> Result<(Self, Vec<u8>), HeadError> {
+    /// Returns the head with its digest set.
+    pub fn with_digest(mut self) -> Result<Self, HeadError> {
         self.digest = self.compute_digest()?;
-        let bytes = codec::encode(&self)?;
+        Ok(self)
+    }
+
+    /// Sets the digest and returns the head with its encoding for the store. Fails if that is too large for the store.
+    pub fn seal(self) -> Result<(Self, Vec<u8>), HeadError> {
+        let head = self.with_digest()?;
+        let bytes = codec::encode(&head)?;
         if bytes.len() > MAX_HEAD_BYTES {
             return Err(HeadError::TooLarge { bytes: bytes.len() });
         }
-        Ok((self, bytes))
+        Ok((head, bytes))
     }
 
     /// Decodes a head and checks its digest.
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -69,7 +69,7 @@
             add_section(&mut tables, section, &mut faults);
         }
     }
-    faults.extend(tables.check().into_iter().map(ParseFault::Rule));
+    faults.extend(tables.check_edit().into_iter().map(ParseFault::Rule));
     if faults.is_empty() {
         Ok(tables)
     } else {
--- a/src/config/tables.rs
+++ b/src/config/tables.rs
@@ -13,7 +13,7 @@
     thiserror::Error,
 };
 
-/// Maximum number of entries in a table.
+/// Maximum number of entries in a table that operators submit. Readers accept any number.
 pub const MAX_ENTRIES: usize = 4_000;
 /// Maximum length of a name, path, service, version, method or host, in bytes.
 pub const MAX_NAME_BYTES: usize = 200;
@@ -231,10 +231,18 @@
 }
 
 impl ConfigTables {
-    /// Checks all rules and returns every fault found.
-    pub fn check(&self) -> Vec<TableFault> {
+    /// Checks the tables of an edit, their sizes included, and returns every fault found.
+    pub fn check_edit(&self) -> Vec<TableFault> {
         let mut faults = Vec::new();
         self.check_sizes(&mut faults);
+        faults.extend(self.check());
+        faults
+    }
+
+    /// Checks the rules for the content and returns every fault found. Sizes are not checked: whoever accepted the tables
+    /// has bounded them, and a reader that refused them would stay on an older version.
+    pub fn check(&self) -> Vec<TableFault> {
+        let mut faults = Vec::new();
         for (name, pool) in &self.pools {
             check_word(&mut faults, TableKind::Pool, name, "name", name);
             check_word(&mut faults, TableKind::Pool, name, "service", &pool.service);
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -111,3 +111,18 @@
     let faults = parse_tables(&[("tables.ini".into(), faulty)]).unwrap_err();
     insta::assert_snapshot!("faults_of_priority_and_shares", faults.to_string());
 }
+
+/// Readers that refused an accepted table for its size would stay on an older one.
+#[test]
+fn table_over_the_size_limit_of_edits_is_compiled_by_readers() {
+    let mut large = tables(TABLES);
+    let entry = large.routes["any"].clone();
+    for number in 0..6_000 {
+        let mut entry = entry.clone();
+        entry.path = format!("/p{number}/").into();
+        large.routes.insert(format!("r{number}").into(), entry);
+    }
+    assert!(!large.check_edit().is_empty(), "edits are limited");
+    let table = compiled(&large);
+    assert_eq!(route_of(&table, "", "/p5999/x").as_deref(), Some("r5999"));
+}
