Refuse with 503 what a table that may be outdated does not admit

What callers saw: 404 from a daemon whose table was older than the accepted configuration, for a route that the accepted one has; 405, 413 and 431 come from the same table. Callers don't try again after these statuses.

Cause: the proxy took the table in force for the newest one, whatever it knew: also when peers had told it of a newer version that was on its way or that it had refused, and after a suspension or in isolation, when nobody had told it anything for seconds. It can't know then that no route matches.

Now the control thread publishes the newest version that it has heard of and until when its knowledge counts (an answer to a probe or to anti-entropy confirms the time at which that request was sent, for 3 s). Refusals that follow from the table become 503 stale-table with a Retry-After unless the table is known to be the newest. Requests that the table admits are served as before.

Ruled out: confirming by the arrival of messages (after a suspension old ones wait in the socket), and by the watch of the store alone (it belongs to three daemons a data centre, and its wait is up to 20 s).

A 404 for a route that never existed stays a 404 in a mesh whose daemons answer each other.

--- a/src/call/outcome.rs
+++ b/src/call/outcome.rs
@@ -50,6 +50,8 @@
         NoConfiguration,
         /// No route matches the host and path.
         NoRoute,
+        /// The table in force does not admit the request, but it may not be the newest one.
+        StaleTable,
         /// Routes match the host and path, but none accepts the method.
         WrongMethod,
         /// This daemon knows no target of the versions that may serve the call.
@@ -79,6 +81,7 @@
         match self {
             Self::NoConfiguration => "no-configuration",
             Self::NoRoute => "no-route",
+            Self::StaleTable => "stale-table",
             Self::WrongMethod => "wrong-method",
             Self::NoTarget => "no-target",
             Self::DeadlinePassed => "deadline-passed",
@@ -98,6 +101,9 @@
             Self::NoConfiguration => {
                 "no configuration has reached this daemon yet; try again in a few seconds"
             }
+            Self::StaleTable => {
+                "this daemon may lack the newest configuration, and the one it has does not admit the request; try again"
+            }
             Self::NoRoute => "no route takes this path; check the path or add a route",
             Self::WrongMethod => "the route does not take this method; check the methods of the route",
             Self::NoTarget => {
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -7,6 +7,7 @@
         config::{ANY_VERSION, CompiledPool, CompiledTable, ConfigHead},
         daemon::{
             envelope::{ControlReply, ControlRequest},
+            freshness::CONFIRMATION_TTL_MS,
             seeds::select_seeds,
             snapshot::TrafficSnapshot,
             tasks::ControlEvent,
@@ -211,6 +212,22 @@
         self.moves.finish_verdict(pool, move_id, now);
     }
 
+    /// Publishes to the traffic threads whether the table in force is known to be the newest one. Other daemons confirm
+    /// it; a daemon that has none relies on its watch of the store.
+    pub(super) fn publish_freshness(&self, now: TimePoint) {
+        let has_peers = self.members.others().any(|record| record.status.is_present());
+        let is_watching = self.is_watcher && !self.store_was_down;
+        let confirmed_at = if !has_peers && is_watching {
+            now
+        } else {
+            self.members.confirmed_at()
+        };
+        self.shared.freshness.publish(
+            self.spread.newest_version(),
+            confirmed_at.after_ms(CONFIRMATION_TTL_MS),
+        );
+    }
+
     /// Publishes a snapshot to the traffic threads if the current one is outdated, and drops the state of targets and
     /// pools that are no longer listed.
     pub(super) fn publish_snapshot(&mut self) {
--- a/src/daemon/control/members.rs
+++ b/src/daemon/control/members.rs
@@ -119,16 +119,27 @@
                     Some(ControlReply::Sync(reply)) => Some(reply),
                     _ => None,
                 };
-                ControlEvent::SyncDone { peer, reply }
+                ControlEvent::SyncDone {
+                    peer,
+                    sent_at: now,
+                    reply,
+                }
             });
     }
 
     /// Merges a peer's reply, and sends back the records that the peer lacks or has in an older state. This daemon's
     /// record is left out, as each request contains it.
-    pub(super) fn finish_sync(&mut self, peer: SocketAddr, reply: Option<SyncReply>, now: TimePoint) {
+    pub(super) fn finish_sync(
+        &mut self,
+        peer: SocketAddr,
+        sent_at: TimePoint,
+        reply: Option<SyncReply>,
+        now: TimePoint,
+    ) {
         self.join.pending = self.join.pending.saturating_sub(1);
         let Some(reply) = reply else { return };
         self.join.has_synced = true;
+        self.members.confirm(sent_at);
         if reply.applied > self.spread.version() {
             self.schedule_pull(peer, reply.applied, now);
         }
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -192,6 +192,7 @@
                 }
             }
             self.publish_snapshot();
+            self.publish_freshness(self.shared.now());
         }
     }
 
@@ -207,7 +208,7 @@
                 let answer = self.answer(request, now);
                 let _ = reply.send((self.ring.stamp(now), answer));
             }
-            ControlEvent::SyncDone { peer, reply } => self.finish_sync(peer, reply, now),
+            ControlEvent::SyncDone { peer, sent_at, reply } => self.finish_sync(peer, sent_at, reply, now),
             ControlEvent::PullDone { peer, reply } => self.finish_pull(peer, reply, now),
             ControlEvent::PollDone {
                 pool,
--- /dev/null
+++ b/src/daemon/freshness.rs
@@ -0,0 +1,38 @@
+//! Whether the table in force is known to be the newest one, so that "no route" can be told from "not here yet".
+
+use {
+    crate::clock::TimePoint,
+    std::sync::atomic::{AtomicU64, Ordering},
+};
+
+/// Time for which an answer of another daemon confirms the table, in milliseconds: about as long as an accepted change
+/// may take to get here.
+pub const CONFIRMATION_TTL_MS: u64 = 3_000;
+
+/// Newest version that this daemon has heard of, and until when its knowledge counts as current. The control thread
+/// writes it, the traffic threads read it.
+#[derive(Debug, Default)]
+pub struct TableFreshness {
+    newest_version: AtomicU64,
+    /// [`TimePoint`] in milliseconds; a suspended process finds it in the past when it continues.
+    current_until: AtomicU64,
+}
+
+impl TableFreshness {
+    /// Publishes what the control thread knows.
+    pub fn publish(&self, newest_version: u64, current_until: TimePoint) {
+        self.newest_version.store(newest_version, Ordering::Relaxed);
+        self.current_until.store(current_until.0, Ordering::Relaxed);
+    }
+
+    /// Returns the newest version that this daemon has heard of, which it may be unable to apply.
+    pub fn newest_version(&self) -> u64 {
+        self.newest_version.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether `version` is the newest one at `now` as far as this daemon can know. If not, the accepted
+    /// configuration may have routes and limits that this version lacks.
+    pub fn is_newest(&self, version: u64, now: TimePoint) -> bool {
+        version >= self.newest_version() && now.0 <= self.current_until.load(Ordering::Relaxed)
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 mod edges;
 mod envelope;
 mod evidence_recorder;
+mod freshness;
 mod kv_store_edge;
 mod logs;
 mod metrics;
@@ -26,6 +27,7 @@
         ControlReply, ControlRequest, Envelope, EnvelopeError, PROTOCOL_VERSION, decode_envelope,
         encode_envelope,
     },
+    freshness::{CONFIRMATION_TTL_MS, TableFreshness},
     logs::start_logs,
     operators::{DaemonStatus, MoveStatus},
     run::{RunError, run},
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -5,6 +5,7 @@
         control::ControlState,
         edges::{DaemonEdges, EdgeContext},
         envelope::decode_envelope,
+        freshness::TableFreshness,
         metrics::DaemonMetrics,
         operators::{ControlHandler, OperatorHandler},
         readiness::ReadinessHandler,
@@ -182,6 +183,7 @@
         dialect: Arc::clone(&edges.dialect),
         target: ArcSwap::from_pointee(identity),
         snapshot: ArcSwap::default(),
+        freshness: TableFreshness::default(),
         gate: Mutex::new(GateQueue {
             state,
             waiting: HashMap::new(),
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        evidence_recorder::EvidenceRecorder, metrics::DaemonMetrics, snapshot::TrafficSnapshot,
-        traffic::CallDialect,
+        evidence_recorder::EvidenceRecorder, freshness::TableFreshness, metrics::DaemonMetrics,
+        snapshot::TrafficSnapshot, traffic::CallDialect,
     },
     crate::{
         call::{PoolBudgets, TargetSelector},
@@ -174,6 +174,8 @@
     pub clock: ProcessClock,
     /// Current configuration and serving targets.
     pub snapshot: ArcSwap<TrafficSnapshot>,
+    /// Whether the configuration is known to be the newest one.
+    pub freshness: TableFreshness,
     /// The gate of this daemon's target.
     pub gate: Mutex<GateQueue>,
     /// Load and failures of targets, by which this proxy selects the target of a call.
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -7,6 +7,7 @@
         shared::{SharedState, TrafficEvent},
     },
     crate::{
+        clock::TimePoint,
         config::ConfigHead,
         member::{ProbeMessage, SyncReply},
         moves::{Clearance, PollReply},
@@ -42,6 +43,8 @@
     SyncDone {
         /// Control address of the peer.
         peer: SocketAddr,
+        /// When the request was sent.
+        sent_at: TimePoint,
         /// Its reply, if any.
         reply: Option<SyncReply>,
     },
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -122,7 +122,7 @@
         let body = match RequestBody::read(req.headers(), body, limit, time_left).await {
             Ok(body) => body,
             Err(fault) => {
-                let refusal = body_refusal(fault, limit);
+                let refusal = self.unless_stale(&self.shared.snapshot.load(), body_refusal(fault, limit));
                 return self.refuse(req.headers(), Some(&call), &refusal, res);
             }
         };
@@ -152,11 +152,12 @@
             return Err(CallRefusal::not_run(RefusalReason::Leaving, ""));
         }
         let snapshot = shared.snapshot.load();
-        let route =
-            find_route(&snapshot, req).map_err(|reason| CallRefusal::not_run(reason, req.uri().path()))?;
+        let route = find_route(&snapshot, req)
+            .map_err(|reason| self.unless_stale(&snapshot, CallRefusal::not_run(reason, req.uri().path())))?;
         let head_limit = snapshot.table.as_ref().and_then(|table| table.limits.head_bytes);
         if head_limit.is_some_and(|limit| head_bytes(req) > limit) {
-            return Err(CallRefusal::not_run(RefusalReason::HeadTooLarge, ""));
+            let refusal = CallRefusal::not_run(RefusalReason::HeadTooLarge, "");
+            return Err(self.unless_stale(&snapshot, refusal));
         }
         let options = shared
             .dialect
@@ -176,6 +177,26 @@
         })
     }
 
+    /// Returns a refusal unchanged unless it follows from the table and that may not be the newest one. A newer table may
+    /// admit the request, so the caller is told to try again.
+    fn unless_stale(&self, snapshot: &TrafficSnapshot, refusal: CallRefusal) -> CallRefusal {
+        let depends_on_table = matches!(
+            refusal.reason,
+            RefusalReason::NoRoute
+                | RefusalReason::WrongMethod
+                | RefusalReason::HeadTooLarge
+                | RefusalReason::BodyTooLarge
+        );
+        let version = snapshot.table.as_ref().map_or(0, |table| table.version);
+        if !depends_on_table || self.shared.freshness.is_newest(version, self.shared.now()) {
+            return refusal;
+        }
+        CallRefusal {
+            reason: RefusalReason::StaleTable,
+            ..refusal
+        }
+    }
+
     /// Runs the attempts of a call as its plan decides, until it has an answer or is refused.
     async fn run_plan(
         &self,
@@ -338,9 +359,10 @@
             reason.as_str()
         );
         let retry_ms = match reason {
-            RefusalReason::NoConfiguration | RefusalReason::NoTarget | RefusalReason::Leaving => {
-                RETRY_AFTER_UNREADY_MS
-            }
+            RefusalReason::NoConfiguration
+            | RefusalReason::StaleTable
+            | RefusalReason::NoTarget
+            | RefusalReason::Leaving => RETRY_AFTER_UNREADY_MS,
             _ => RETRY_AFTER_MS,
         };
         let status = refusal_status(*outcome, *reason);
--- a/src/member/state/mod.rs
+++ b/src/member/state/mod.rs
@@ -120,6 +120,8 @@
     /// Dead daemons left to probe in this round; taken from the end.
     dead_probe_order: Vec<Arc<str>>,
     next_probe_at: TimePoint,
+    /// When the latest request that another daemon answered was sent.
+    confirmed_at: TimePoint,
     probe_count: u64,
     seq: u64,
     rng: SmallRng,
@@ -138,6 +140,7 @@
             probe_order: Vec::new(),
             dead_probe_order: Vec::new(),
             next_probe_at: now,
+            confirmed_at: TimePoint::default(),
             probe_count: 0,
             seq: 0,
             rng: SmallRng::seed_from_u64(seed),
@@ -195,6 +198,16 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Returns when the latest request that another daemon answered was sent: what that daemon knew then has arrived here.
+    pub fn confirmed_at(&self) -> TimePoint {
+        self.confirmed_at
+    }
+
+    /// Records that another daemon answered a request that was sent at `sent_at`.
+    pub fn confirm(&mut self, sent_at: TimePoint) {
+        self.confirmed_at = self.confirmed_at.max(sent_at);
+    }
+
     /// Performs what is due at `now`: starts a probe, repeats probes through other daemons and expires entries.
     pub fn tick(&mut self, now: TimePoint) -> Vec<MemberEffect> {
         self.check_probes(now);
--- a/src/member/state/probing.rs
+++ b/src/member/state/probing.rs
@@ -163,7 +163,10 @@
             );
             return;
         }
-        self.probes.retain(|probe| probe.seq != seq);
+        if let Some(at) = self.probes.iter().position(|probe| probe.seq == seq) {
+            let probe = self.probes.swap_remove(at);
+            self.confirm(probe.deadline.before_ms(PROBE_TIMEOUT_MS));
+        }
     }
 }
 
--- a/src/spread/state.rs
+++ b/src/spread/state.rs
@@ -82,6 +82,8 @@
 pub struct SpreadState {
     head: Option<Arc<ConfigHead>>,
     floor: u64,
+    /// Newest version that was offered or that a peer reported, whether it could be applied or not.
+    newest: u64,
     has_joined: bool,
     /// Newest head that was offered before the daemon had joined.
     pending_head: Option<ConfigHead>,
@@ -111,6 +113,12 @@
         self.floor
     }
 
+    /// Returns the newest version that this daemon has heard of. It is above [`Self::version`] while that version is on
+    /// its way, and after it was refused.
+    pub fn newest_version(&self) -> u64 {
+        self.newest.max(self.floor)
+    }
+
     /// Returns whether the daemon has joined; offers are held until then.
     pub fn has_joined(&self) -> bool {
         self.has_joined
@@ -133,6 +141,7 @@
     /// Puts an offered head in force and returns its compiled table, or refuses the whole head. A head offered before
     /// the daemon has joined is held.
     pub fn offer(&mut self, head: ConfigHead) -> Result<CompiledTable, OfferRefusal> {
+        self.newest = self.newest.max(head.version);
         if !self.has_joined {
             return Err(self.hold(head));
         }
@@ -211,6 +220,7 @@
     /// Adds a peer with a newer version, to be pulled at `not_before` at the earliest; if the peer is listed already,
     /// the earlier time applies. The delay avoids pulling a version that is about to arrive in a cheaper way.
     pub fn add_source(&mut self, from: SocketAddr, version: u64, not_before: TimePoint) {
+        self.newest = self.newest.max(version);
         let known = self.sources.get(&from).map(|known| known.not_before);
         if known.is_some() || self.sources.len() < MAX_SOURCES {
             let not_before = known.map_or(not_before, |known| known.min(not_before));
