A table has to be confirmed anew after a suspension

What callers saw: 404 in the first instants after a daemon continued (SIGSTOP and SIGCONT, a frozen machine), for a route that was added during the pause.

Cause: pauses of less than the 3 s for which a confirmation lasts. The traffic threads run before the control thread has read anything.

The control thread ticks every 50 ms. 500 ms without a tick count as a suspension: the published deadline lies at most that far ahead, so the traffic threads see it expire by themselves, and afterwards only an answer to a request that was sent since confirms the table. The next probe is sent at once.

--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -1,7 +1,7 @@
 //! Configuration: the watch on the store, pulls from peers, and the snapshot for the traffic threads.
 
 use {
-    super::{ControlState, SEEDS_WRITE_INTERVAL_MS, VERSION_CHECK_INTERVAL_MS},
+    super::{ControlState, SEEDS_WRITE_INTERVAL_MS, STALL_MS, VERSION_CHECK_INTERVAL_MS},
     crate::{
         clock::TimePoint,
         config::{ANY_VERSION, CompiledPool, CompiledTable, ConfigHead},
@@ -213,7 +213,7 @@
     }
 
     /// Publishes to the traffic threads whether the table in force is known to be the newest one. Other daemons confirm
-    /// it; a daemon that has none relies on its watch of the store.
+    /// it; a daemon that has none relies on its watch of the store. After a suspension the table has to be confirmed anew.
     pub(super) fn publish_freshness(&self, now: TimePoint) {
         let has_peers = self.members.others().any(|record| record.status.is_present());
         let is_watching = self.is_watcher && !self.store_was_down;
@@ -222,10 +222,15 @@
         } else {
             self.members.confirmed_at()
         };
-        self.shared.freshness.publish(
-            self.spread.newest_version(),
-            confirmed_at.after_ms(CONFIRMATION_TTL_MS),
-        );
+        let current_until = if confirmed_at < self.resumed_at {
+            TimePoint::default()
+        } else {
+            let confirmed_until = confirmed_at.after_ms(CONFIRMATION_TTL_MS);
+            confirmed_until.min(self.last_tick_at.after_ms(STALL_MS))
+        };
+        self.shared
+            .freshness
+            .publish(self.spread.newest_version(), current_until);
     }
 
     /// Publishes a snapshot to the traffic threads if the current one is outdated, and drops the state of targets and
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -36,6 +36,8 @@
 
 /// Time between two ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time without a tick after which this process counts as having been suspended, in milliseconds.
+const STALL_MS: u64 = 500;
 /// Mean time between two rounds of anti-entropy, in milliseconds; each interval is half to one and a half of it.
 const SYNC_INTERVAL_MS: u64 = 10_000;
 /// Time between two writes of the data centre's seeds to the store, in milliseconds.
@@ -105,6 +107,9 @@
     events: mpsc::Sender<ControlEvent>,
     datagrams: Arc<UdpSocket>,
     next_sync_at: TimePoint,
+    last_tick_at: TimePoint,
+    /// When this process continued after its last suspension; what it learnt before may be outdated.
+    resumed_at: TimePoint,
     /// When the current evidence window of the gate ends.
     window_end: TimePoint,
     settings_file: Option<FileWatch>,
@@ -159,6 +164,8 @@
             events,
             datagrams,
             window_end: now,
+            last_tick_at: now,
+            resumed_at: now,
             settings_file: settings.file.as_deref().map(FileWatch::new),
             next_settings_check_at: now,
             next_sync_at: now.after_ms(rng.random_range(0..SYNC_INTERVAL_MS)),
@@ -261,6 +268,11 @@
             self.window_end = now.after_ms(WINDOW_MS);
             self.shared.evidence.lock().end_window();
         }
+        if now.ms_since(self.last_tick_at) > STALL_MS {
+            self.resumed_at = now;
+            self.members.probe_at(now);
+        }
+        self.last_tick_at = now;
         self.tick_settings(now);
         let effects = self.members.tick(now);
         self.apply_effects(effects, now);
--- a/src/member/state/merging.rs
+++ b/src/member/state/merging.rs
@@ -49,7 +49,7 @@
             let expires_at = status_expiry(record.status, now);
             if self.confirmed_at == TimePoint::default() {
                 // The first peer is probed at once, as its answer confirms the table.
-                self.next_probe_at = now;
+                self.probe_at(now);
             }
             self.entries.insert(
                 Arc::clone(&record.name),
--- a/src/member/state/mod.rs
+++ b/src/member/state/mod.rs
@@ -208,6 +208,11 @@
         self.confirmed_at = self.confirmed_at.max(sent_at);
     }
 
+    /// Starts the next probe with the first tick at or after `now`.
+    pub fn probe_at(&mut self, now: TimePoint) {
+        self.next_probe_at = self.next_probe_at.min(now);
+    }
+
     /// Performs what is due at `now`: starts a probe, repeats probes through other daemons and expires entries.
     pub fn tick(&mut self, now: TimePoint) -> Vec<MemberEffect> {
         self.check_probes(now);
