Take every head within the configured size on both hops

What callers saw: 431 without a body for 100 headers of any size, 504 'unknown' for 97 to 99 headers or a head just under 32 KiB. Neither 431 had a log line; the 504 said 'answer of another call'.

Cause: the library's limits (100 headers, 32 KiB) stood in place of the configured one, and were the same on both hops, so the headers that the proxy adds took the request over the gate's limit. The gate's library then answered without a call header. Ruled out: the check of the configured limit, which counts bytes only and came after the library.

A caller's head may now have 64 KiB and 1000 headers, or what the configuration sets below that; the daemon checks this itself, with a counter and a line. The library's limits lie above on the calls listener, and above those on the gate. An answer without a call header is named as such, with its status, and stays 'unknown'. Other listeners keep their limits.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -225,10 +225,9 @@
     let body = move || {
         runtime.block_on(async move {
             tokio::spawn(clean_clients(clients));
-            let limits = HeadLimits::default();
             let (outbound, inbound) = tokio::join!(
-                serve_observed(calls, outbound, limits, on_unread_calls),
-                serve_observed(gate, inbound, limits, on_unread_gate)
+                serve_observed(calls, outbound, HeadLimits::CALLS, on_unread_calls),
+                serve_observed(gate, inbound, HeadLimits::GATE, on_unread_gate)
             );
             for error in [outbound.err(), inbound.err()].into_iter().flatten() {
                 log::error!("event=traffic-ended worker={worker} error={error}");
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -161,7 +161,9 @@
             Ok(Ok(answer)) if text_header(answer.headers(), header::CALL) == Some(&self.hop.id) => {
                 self.read_answer(&method, answer, deadline).await
             }
-            Ok(Ok(_)) => AttemptResult::failure(AttemptOutcome::Broken, "answer of another call"),
+            Ok(Ok(answer)) => {
+                AttemptResult::failure(AttemptOutcome::Broken, &describe_foreign_answer(&answer))
+            }
             Ok(Err(SendFault::NotSent)) => {
                 self.report_failure();
                 AttemptResult::failure(AttemptOutcome::NotRun, "no connection")
@@ -292,6 +294,17 @@
     }
 }
 
+/// Describes an answer that is not the gate's to this attempt: one of the gate's HTTP library, of another process at its
+/// address, or one to an earlier request.
+fn describe_foreign_answer(answer: &Response<Incoming>) -> String {
+    let status = answer.status().as_u16();
+    if answer.headers().contains_key(header::CALL) {
+        format!("answer of another call, status {status}")
+    } else {
+        format!("answer without a call header, status {status}")
+    }
+}
+
 fn parse_load(headers: &HeaderMap) -> Option<LoadReport> {
     text_header(headers, header::LOAD)?.parse().ok()
 }
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -21,6 +21,7 @@
             shared::{ActiveCall, SharedState},
             snapshot::{ServingTarget, TrafficSnapshot},
         },
+        http::{MAX_HEADERS, MAX_REQUEST_HEAD_BYTES},
     },
     futures_util::{StreamExt, stream::FuturesUnordered},
     hyper::{header::HOST, http::uri::PathAndQuery},
@@ -43,6 +44,9 @@
 /// milliseconds.
 const RETRY_AFTER_UNREADY_MS: u64 = 500;
 
+/// Size of a request line without its path, in bytes: the longest method in use, version and separators.
+const REQUEST_LINE_BYTES: usize = 32;
+
 /// Handler of the listener for callers on one traffic thread.
 #[derive(Debug)]
 pub struct OutboundHandler {
@@ -154,11 +158,9 @@
         let snapshot = shared.snapshot.load();
         let route = find_route(&snapshot, req)
             .map_err(|reason| self.unless_stale(&snapshot, CallRefusal::not_run(reason, req.uri().path())))?;
-        let head_limit = snapshot.table.as_ref().and_then(|table| table.limits.head_bytes);
-        if head_limit.is_some_and(|limit| head_bytes(req) > limit) {
-            let refusal = CallRefusal::not_run(RefusalReason::HeadTooLarge, "");
-            return Err(self.unless_stale(&snapshot, refusal));
-        }
+        let limits = snapshot.table.as_ref().map(|table| table.limits);
+        check_head(req, limits.and_then(|limits| limits.head_bytes))
+            .map_err(|refusal| self.unless_stale(&snapshot, refusal))?;
         let options = shared
             .dialect
             .parse_options(req.headers())
@@ -415,14 +417,29 @@
     path.cloned().unwrap_or_else(|| PathAndQuery::from_static("/"))
 }
 
-/// Returns the size of a request's headers in bytes, as the `head_bytes` limit counts it: with 4 bytes for the
-/// separators of each header, and without the request line.
-fn head_bytes(req: &Request) -> u64 {
-    let fields = req.headers().iter();
-    let bytes: usize = fields
+/// Refuses a head over the limit of the configuration, which counts the headers, or over the daemon's own, which count
+/// the whole head and the number of headers.
+fn check_head(req: &Request, limit: Option<u64>) -> Result<(), CallRefusal> {
+    let (count, bytes) = (req.headers().len(), header_bytes(req.headers()));
+    let path_bytes = req.uri().path_and_query().map_or(0, |path| path.as_str().len());
+    let limit = limit.unwrap_or(MAX_REQUEST_HEAD_BYTES as u64);
+    let is_over = bytes as u64 > limit
+        || bytes + path_bytes + REQUEST_LINE_BYTES > MAX_REQUEST_HEAD_BYTES
+        || count > MAX_HEADERS;
+    if is_over {
+        let detail = format!("{count} headers of {bytes} bytes and a path of {path_bytes}, limit {limit}");
+        return Err(CallRefusal::not_run(RefusalReason::HeadTooLarge, &detail));
+    }
+    Ok(())
+}
+
+/// Returns the size of headers in bytes, as the `head_bytes` limit counts it: with 4 bytes for the separators of each
+/// header, and without the request line.
+fn header_bytes(headers: &HeaderMap) -> usize {
+    let fields = headers.iter();
+    fields
         .map(|(name, value)| name.as_str().len() + value.len() + 4)
-        .sum();
-    bytes as u64
+        .sum()
 }
 
 fn body_refusal(fault: BodyFault, limit: u64) -> CallRefusal {
--- a/src/http.rs
+++ b/src/http.rs
@@ -29,10 +29,14 @@
 /// Time after which an idle connection of a caller is closed. All clients of this crate close theirs earlier, so no
 /// request is sent on a connection that the server is closing.
 const SERVER_IDLE_TIMEOUT: Duration = Duration::from_secs(75);
-/// Maximum size of a request head, in bytes.
-pub const MAX_REQUEST_HEAD_BYTES: usize = 32 * 1024;
-/// Maximum number of headers of a request.
-pub const MAX_HEADERS: usize = 100;
+/// Maximum size of a caller's request head, in bytes; the configuration may set a lower limit.
+pub const MAX_REQUEST_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum number of headers of a caller's request.
+pub const MAX_HEADERS: usize = 1_000;
+/// Size that a listener accepts beyond the limit of the sender's listener, in bytes. The headers that a hop adds fit in.
+const HEAD_MARGIN_BYTES: usize = 16 * 1024;
+/// Number of headers that a listener accepts beyond the limit of the sender's listener.
+const HEAD_MARGIN_HEADERS: usize = 24;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Text of the library's error for a URI over its limit; the error has no other mark.
@@ -70,13 +74,22 @@
     pub headers: usize,
 }
 
-impl Default for HeadLimits {
-    fn default() -> Self {
-        Self {
-            bytes: MAX_REQUEST_HEAD_BYTES,
-            headers: MAX_HEADERS,
-        }
-    }
+impl HeadLimits {
+    /// Limits of listeners that callers don't use.
+    pub const CONTROL: Self = Self {
+        bytes: 32 * 1024,
+        headers: 100,
+    };
+    /// Limits of the listener for callers. They are over the daemon's own, so that the daemon answers a larger head.
+    pub const CALLS: Self = Self {
+        bytes: MAX_REQUEST_HEAD_BYTES + HEAD_MARGIN_BYTES,
+        headers: MAX_HEADERS + HEAD_MARGIN_HEADERS,
+    };
+    /// Limits of a gate, which takes every head that a proxy has accepted, with the headers that the proxy adds.
+    pub const GATE: Self = Self {
+        bytes: Self::CALLS.bytes + HEAD_MARGIN_BYTES,
+        headers: Self::CALLS.headers + HEAD_MARGIN_HEADERS,
+    };
 }
 
 /// Request that the HTTP library refused before a handler got it.
@@ -113,7 +126,7 @@
 
 /// Serves all requests of a listener with one handler until the runtime stops.
 pub async fn serve<H: Handler>(listener: TcpListener, handler: H) -> io::Result<()> {
-    serve_observed(listener, handler, HeadLimits::default(), |_| {}).await
+    serve_observed(listener, handler, HeadLimits::CONTROL, |_| {}).await
 }
 
 /// Serves all requests of a listener with one handler until the runtime stops, and reports those that the HTTP library
