An earlier refusal that is written again is no refusal of the next request

What callers saw: "not run, try again" for requests that a target had run or was running, or such a request ran at a second target.

Cause: an answer with Not-Executed, or a 421, that bore no id was taken for a refusal of the request in hand. A target that writes an earlier refusal once more on a kept connection thus refused a request that it was running. One with the same id counted too, when the connection of a refusal met the same attempt again.

Ruled out: the HTTP client drops an idle connection that receives bytes; one that has unread bytes fails its next request before it is written. Bytes that arrive after a request was written can't be told apart but by the id.

Cost: one new connection to the target for each of its refusals; the gate admits no more than the slots, so they are rare.

--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -9,7 +9,7 @@
         body::{AnswerBody, AnswerFault, RequestBody},
         dialect::{AnswerVerdict, CallContext},
         hop::{HopCall, header},
-        peer_client::{PeerClients, SendFault},
+        peer_client::{PeerClients, SendFault, retire_connection},
         relay::{add_close_header, end_to_end_headers, header_value, write_answer, write_refusal},
     },
     crate::{
@@ -274,6 +274,8 @@
         match verdict {
             AnswerVerdict::Ran => {}
             AnswerVerdict::NotRun => {
+                // If the target sends the refusal once more, no other request may meet it.
+                retire_connection(&head.extensions);
                 recorder.outcome = RecordedOutcome::NotRun;
                 return Err(GateFailure::NotRun(GateRefusal::Shed));
             }
--- a/src/daemon/traffic/peer_client.rs
+++ b/src/daemon/traffic/peer_client.rs
@@ -6,9 +6,12 @@
     crate::http::{
         CONNECT_TIMEOUT, KEEPALIVE_INTERVAL, NON_REPEATABLE_IDLE_TIMEOUT, REPEATABLE_IDLE_TIMEOUT,
     },
-    hyper::{Request, Response, body::Incoming},
+    hyper::{Request, Response, body::Incoming, http::Extensions},
     hyper_util::{
-        client::legacy::{Client, Error, connect::HttpConnector},
+        client::legacy::{
+            Client, Error,
+            connect::{CaptureConnection, HttpConnector, capture_connection},
+        },
         rt::{TokioExecutor, TokioTimer},
     },
     parking_lot::Mutex,
@@ -67,13 +70,16 @@
         &self,
         peer: SocketAddr,
         repeatable: bool,
-        request: Request<ForwardedBody>,
+        mut request: Request<ForwardedBody>,
     ) -> Result<Response<Incoming>, SendFault> {
         let client = self.client(peer, repeatable);
-        client
+        let connection = capture_connection(&mut request);
+        let mut answer = client
             .request(request)
             .await
-            .map_err(|error| classify_error(&error))
+            .map_err(|error| classify_error(&error))?;
+        answer.extensions_mut().insert(connection);
+        Ok(answer)
     }
 
     fn client(&self, peer: SocketAddr, repeatable: bool) -> PeerClient {
@@ -101,6 +107,16 @@
     }
 }
 
+/// Keeps the connection of an answer, which holds these extensions, from being used for another request.
+pub fn retire_connection(answer: &Extensions) {
+    let Some(connection) = answer.get::<CaptureConnection>() else {
+        return;
+    };
+    if let Some(connected) = connection.connection_metadata().as_ref() {
+        connected.poison();
+    }
+}
+
 /// Creates a client that neither retries requests nor changes them: it sends path and headers as given, and adds no
 /// `host` header.
 fn new_client(idle_timeout: Duration) -> PeerClient {
