--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -4,15 +4,15 @@
     super::{ControlState, SEEDS_WRITE_INTERVAL_MS, STALL_MS, VERSION_CHECK_INTERVAL_MS},
     crate::{
         clock::TimePoint,
-        config::{ANY_VERSION, CompiledPool, CompiledTable, ConfigHead},
+        config::{ANY_VERSION, CompiledPool, CompiledTable},
         daemon::{
+            edges::StoreReading,
             envelope::{ControlReply, ControlRequest},
-            freshness::CONFIRMATION_TTL_MS,
             seeds::select_seeds,
             snapshot::TrafficSnapshot,
             tasks::ControlEvent,
         },
-        member::{MemberRecord, TargetStatus, best_ranked, is_among_best},
+        member::{CONFIRMATION_TTL_MS, MemberRecord, TargetStatus, WatchMode, best_ranked},
         spread::{ConfigReply, OfferRefusal},
         store::{StoreError, WriteError},
         timeline::EventKind,
@@ -21,25 +21,23 @@
 };
 
 impl ControlState {
-    /// Starts or stops the watch on the store, and writes the seeds of the data centre when that is due. Both are jobs
-    /// of the watchers of the data centre, which rendezvous hashing selects.
+    /// Sets the watch on the store, and writes the seeds of the data centre when that is due. Both are jobs of the watchers
+    /// of the data centre, which rendezvous hashing selects, and of daemons that get no confirmation from these.
     pub(super) fn tick_store(&mut self, now: TimePoint) {
         let settings = &self.shared.settings;
-        let local = self
-            .members
-            .present()
-            .filter(|record| record.data_centre == settings.data_centre);
-        let job = format!("watch/{}", settings.data_centre);
-        let names = local.map(|record| &*record.name);
-        let is_watcher = is_among_best(&job, &settings.name, names, settings.watchers);
         // A daemon that lists no others selects itself. It leaves the watch to daemons with a full member list until a
         // peer has answered or joining times out; without configured peers it watches at once.
         let may_watch = self.join.has_synced || now >= self.join.deadline || settings.peers.is_empty();
-        self.is_watcher = is_watcher && may_watch;
-        self.store.set_watcher(self.is_watcher);
+        let mode = if may_watch {
+            self.members.watch_mode(settings.watchers, now)
+        } else {
+            WatchMode::Off
+        };
+        self.is_watching = mode != WatchMode::Off;
+        self.store.set_watch(mode);
         if now >= self.next_seeds_write_at {
             self.next_seeds_write_at = now.after_ms(SEEDS_WRITE_INTERVAL_MS);
-            if is_watcher {
+            if self.is_watching {
                 let wanted = select_seeds(self.members.present(), &settings.data_centre);
                 self.store.replace_seeds(wanted);
             }
@@ -103,23 +101,22 @@
     }
 
     /// Handles a head read from the store, or the failure of the read.
-    pub(super) fn finish_read(
-        &mut self,
-        result: Result<Option<Box<ConfigHead>>, StoreError>,
-        now: TimePoint,
-    ) {
+    pub(super) fn finish_read(&mut self, result: Result<StoreReading, StoreError>, now: TimePoint) {
         match result {
-            Ok(head) => {
+            Ok(reading) => {
                 if std::mem::take(&mut self.store_was_down) {
                     self.ring
                         .record(EventKind::StoreUp, "the store answers again", now);
                 }
-                if let Some(head) = head {
+                if let Some(head) = reading.head {
                     let offer = self.spread.offer_stored(*head);
                     self.finish_offer(offer, "store", now);
                 }
+                let effects = self.members.confirm_read(reading.confirmed_at, now);
+                self.apply_effects(effects, now);
             }
             Err(error) => {
+                self.members.fail_read(self.shared.settings.watchers, now);
                 if !std::mem::replace(&mut self.store_was_down, true) {
                     self.ring.record(EventKind::StoreDown, error.to_string(), now);
                 }
@@ -212,16 +209,10 @@
         self.moves.finish_verdict(pool, move_id, now);
     }
 
-    /// Publishes to the traffic threads whether the table in force is known to be the newest one. Other daemons confirm
-    /// it; a daemon that has none relies on its watch of the store. After a suspension the table has to be confirmed anew.
-    pub(super) fn publish_freshness(&self, now: TimePoint) {
-        let has_peers = self.members.others().any(|record| record.status.is_present());
-        let is_watching = self.is_watcher && !self.store_was_down;
-        let confirmed_at = if !has_peers && is_watching {
-            now
-        } else {
-            self.members.confirmed_at()
-        };
+    /// Publishes to the traffic threads whether the table in force is known to be the newest one. After a suspension it has
+    /// to be confirmed anew.
+    pub(super) fn publish_freshness(&self) {
+        let confirmed_at = self.members.confirmed_at();
         let current_until = if confirmed_at < self.resumed_at {
             TimePoint::default()
         } else {
--- a/src/daemon/control/members.rs
+++ b/src/daemon/control/members.rs
@@ -34,6 +34,7 @@
                 }
                 MemberEffect::Sync { with } => self.start_sync(with, Vec::new(), now),
                 MemberEffect::Newer { from, version } => self.schedule_pull(from, version, now),
+                MemberEffect::Announced { version } => self.spread.add_announced(version),
                 MemberEffect::Floor { version } => self.spread.raise_floor(version),
                 MemberEffect::DepartedTarget { target } => self.restore_departed_target(target, now),
                 MemberEffect::NameTaken { by } => {
@@ -54,7 +55,7 @@
             .members
             .others()
             .any(|record| record.control == peer && record.data_centre == *own_centre);
-        let is_watching = self.is_watcher && !self.store_was_down;
+        let is_watching = self.is_watching && !self.store_was_down;
         let wait_ms = match (is_watching, is_local) {
             (true, _) => WATCH_GRACE_MS,
             (false, true) => 0,
@@ -119,27 +120,16 @@
                     Some(ControlReply::Sync(reply)) => Some(reply),
                     _ => None,
                 };
-                ControlEvent::SyncDone {
-                    peer,
-                    sent_at: now,
-                    reply,
-                }
+                ControlEvent::SyncDone { peer, reply }
             });
     }
 
     /// Merges a peer's reply, and sends back the records that the peer lacks or has in an older state. This daemon's
     /// record is left out, as each request contains it.
-    pub(super) fn finish_sync(
-        &mut self,
-        peer: SocketAddr,
-        sent_at: TimePoint,
-        reply: Option<SyncReply>,
-        now: TimePoint,
-    ) {
+    pub(super) fn finish_sync(&mut self, peer: SocketAddr, reply: Option<SyncReply>, now: TimePoint) {
         self.join.pending = self.join.pending.saturating_sub(1);
         let Some(reply) = reply else { return };
         self.join.has_synced = true;
-        self.members.confirm(sent_at);
         if reply.applied > self.spread.version() {
             self.schedule_pull(peer, reply.applied, now);
         }
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -124,7 +124,7 @@
     /// Whether the latest read or watch of the head failed.
     store_was_down: bool,
     /// Whether this daemon watches the store.
-    is_watcher: bool,
+    is_watching: bool,
     /// Whether the published snapshot is outdated.
     is_snapshot_stale: bool,
     rng: SmallRng,
@@ -175,7 +175,7 @@
             target_failures: 0,
             announced: None,
             store_was_down: false,
-            is_watcher: false,
+            is_watching: false,
             is_snapshot_stale: true,
             rng,
             shared,
@@ -199,7 +199,7 @@
                 }
             }
             self.publish_snapshot();
-            self.publish_freshness(self.shared.now());
+            self.publish_freshness();
         }
     }
 
@@ -207,6 +207,7 @@
         match event {
             ControlEvent::Datagram { from, message } => {
                 self.ring.observe(message.stamp, now);
+                self.members.set_newest_version(self.spread.newest_version());
                 let effects = self.members.receive(from, message.body, now);
                 self.apply_effects(effects, now);
             }
@@ -215,7 +216,7 @@
                 let answer = self.answer(request, now);
                 let _ = reply.send((self.ring.stamp(now), answer));
             }
-            ControlEvent::SyncDone { peer, sent_at, reply } => self.finish_sync(peer, sent_at, reply, now),
+            ControlEvent::SyncDone { peer, reply } => self.finish_sync(peer, reply, now),
             ControlEvent::PullDone { peer, reply } => self.finish_pull(peer, reply, now),
             ControlEvent::PollDone {
                 pool,
@@ -270,7 +271,7 @@
         }
         if now.ms_since(self.last_tick_at) > STALL_MS {
             self.resumed_at = now;
-            self.members.probe_at(now);
+            self.members.resume(now);
         }
         self.last_tick_at = now;
         self.tick_settings(now);
--- a/src/daemon/edges.rs
+++ b/src/daemon/edges.rs
@@ -10,6 +10,7 @@
     crate::{
         clock::TimePoint,
         config::{ConfigHead, MoveOrder, MoveVerdict},
+        member::WatchMode,
         moves::Clearance,
         settings::DaemonSettings,
         store::{StoreError, WriteError},
@@ -20,6 +21,7 @@
         io,
         net::{SocketAddr, TcpListener},
         sync::Arc,
+        time::Duration,
     },
     tokio::sync::{mpsc, oneshot},
 };
@@ -39,10 +41,32 @@
     pub at: TimePoint,
 }
 
+/// Result of a read or watch of the accepted configuration.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoreReading {
+    /// The accepted configuration; `None` if there is none or it has not changed.
+    pub head: Option<Box<ConfigHead>>,
+    /// When the store certainly had not accepted anything that this reading and the earlier ones lack: at the latest when
+    /// it answered, which a suspended process can't know, and at the earliest when the call was sent.
+    pub confirmed_at: TimePoint,
+}
+
+impl StoreReading {
+    /// Returns the time that a linearizable call confirms which was sent at `sent_at`. A watch that ended without a change
+    /// was answered no earlier than its wait after that.
+    pub fn confirmed_at(sent_at: TimePoint, wait: Duration, has_changed: bool, now: TimePoint) -> TimePoint {
+        let wait_ms = wait.as_millis() as u64;
+        if has_changed || now.ms_since(sent_at) < wait_ms {
+            return sent_at;
+        }
+        sent_at.after_ms(wait_ms)
+    }
+}
+
 /// Store interface of a daemon. Methods return without waiting; results arrive through the [`ControlInbox`].
 pub trait StoreEdge: Debug + Send {
-    /// Starts or stops watching the accepted configuration.
-    fn set_watcher(&mut self, is_watcher: bool);
+    /// Sets how the accepted configuration is watched. A change ends the call in flight, whose result is not needed then.
+    fn set_watch(&mut self, mode: WatchMode);
 
     /// Reads the seeds: addresses of daemons to join the mesh at. Registers `own`, at least if the data centre has no
     /// seed.
@@ -109,10 +133,9 @@
         Self { events }
     }
 
-    /// Reports the accepted configuration as read from the store, or why it could not be read.
-    pub async fn head_read(&self, result: Result<Option<ConfigHead>, StoreError>) {
-        self.send(ControlEvent::HeadRead(result.map(|head| head.map(Box::new))))
-            .await;
+    /// Reports a read of the accepted configuration from the store, or why it failed.
+    pub async fn head_read(&self, result: Result<StoreReading, StoreError>) {
+        self.send(ControlEvent::HeadRead(result)).await;
     }
 
     /// Reports the seeds read from the store.
--- a/src/daemon/freshness.rs
+++ b/src/daemon/freshness.rs
@@ -5,10 +5,6 @@
     std::sync::atomic::{AtomicU64, Ordering},
 };
 
-/// Time for which an answer of another daemon confirms the table, in milliseconds: about as long as an accepted change
-/// may take to get here.
-pub const CONFIRMATION_TTL_MS: u64 = 3_000;
-
 /// Newest version that this daemon has heard of, and until when its knowledge counts as current. The control thread
 /// writes it, the traffic threads read it.
 #[derive(Debug, Default)]
--- a/src/daemon/kv_store_edge.rs
+++ b/src/daemon/kv_store_edge.rs
@@ -2,12 +2,13 @@
 
 use {
     super::{
-        edges::{EdgeContext, MoveCloseRequest, StoreEdge},
+        edges::{EdgeContext, MoveCloseRequest, StoreEdge, StoreReading},
         seeds::{read_seeds, write_seeds},
     },
     crate::{
         codec,
         config::{ConfigHead, EditRequest, MoveOrder, TableEdit},
+        member::{LEAD_WAIT_MS, WatchMode},
         moves::Clearance,
         store::{HEAD_KEY, HttpStore, MOVES_PREFIX, StoreClient, StoreError, write_change},
     },
@@ -16,8 +17,12 @@
     tokio::sync::watch,
 };
 
-/// Maximum time for which a watch waits at the store for a change.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+/// Maximum time for which the watch of a daemon that does not lead waits at the store for a change.
+const STANDBY_WAIT: Duration = Duration::from_secs(20);
+/// The same for a leading daemon.
+const LEAD_WAIT: Duration = Duration::from_millis(LEAD_WAIT_MS);
+/// Wait of a leading daemon after a change, so that the time that the change's answer confirmed gets no older.
+const CHANGED_WAIT: Duration = Duration::from_millis(500);
 /// Backoff after the first failed call, in milliseconds; doubled with each further failure.
 const INITIAL_BACKOFF_MS: u64 = 250;
 /// Maximum backoff before jitter, in milliseconds.
@@ -33,7 +38,7 @@
 pub struct KvStoreEdge {
     context: EdgeContext,
     store: HttpStore,
-    is_watcher: watch::Sender<bool>,
+    mode: watch::Sender<WatchMode>,
 }
 
 impl KvStoreEdge {
@@ -41,20 +46,20 @@
     /// watcher.
     pub fn new(context: &EdgeContext) -> Self {
         let store = HttpStore::new(&context.settings.store);
-        let (is_watcher, watcher_changes) = watch::channel(false);
-        tokio::spawn(watch_head(context.clone(), store.clone(), watcher_changes));
+        let (mode, mode_changes) = watch::channel(WatchMode::Off);
+        tokio::spawn(watch_head(context.clone(), store.clone(), mode_changes));
         Self {
             context: context.clone(),
             store,
-            is_watcher,
+            mode,
         }
     }
 }
 
 impl StoreEdge for KvStoreEdge {
-    fn set_watcher(&mut self, is_watcher: bool) {
-        self.is_watcher
-            .send_if_modified(|current| std::mem::replace(current, is_watcher) != is_watcher);
+    fn set_watch(&mut self, mode: WatchMode) {
+        self.mode
+            .send_if_modified(|current| std::mem::replace(current, mode) != mode);
     }
 
     fn read_seeds(&mut self, own: SocketAddr) {
@@ -125,45 +130,76 @@
     }
 }
 
-/// Watches the head while the daemon is a watcher, and reports each answer or failure to the control thread.
-async fn watch_head(context: EdgeContext, store: HttpStore, mut watcher_changes: watch::Receiver<bool>) {
+/// Watches the head as long as the mode says so, and reports each answer or failure to the control thread.
+async fn watch_head(context: EdgeContext, store: HttpStore, mut mode_changes: watch::Receiver<WatchMode>) {
     let min_call_interval =
         Duration::from_millis(1_000 / u64::from(context.settings.store_calls_per_s.max(1)));
     let mut index = 0;
     let mut failures = 0_u32;
+    let mut has_changed = false;
+    let mut answered_mode = WatchMode::Off;
     tokio::time::sleep(jittered(FIRST_CALL_WINDOW_MS / 2)).await;
-    loop {
-        if watcher_changes.wait_for(|is_watcher| *is_watcher).await.is_err() {
-            return;
-        }
+    while mode_changes
+        .wait_for(|mode| *mode != WatchMode::Off)
+        .await
+        .is_ok()
+    {
+        let mode = *mode_changes.borrow();
+        let wait = match mode {
+            WatchMode::Leading { .. } if mode != answered_mode => Duration::ZERO,
+            WatchMode::Leading { .. } if has_changed => CHANGED_WAIT,
+            WatchMode::Leading { .. } => LEAD_WAIT,
+            WatchMode::Off | WatchMode::Standby => STANDBY_WAIT,
+        };
         context.count_store_call("watch");
-        let answer = match index {
-            0 => store.read(HEAD_KEY).await,
-            index => store.watch(HEAD_KEY, index, WATCH_TIMEOUT).await,
+        let sent_at = context.now();
+        let call = async {
+            if index == 0 || wait.is_zero() {
+                store.read(HEAD_KEY).await
+            } else {
+                store.watch(HEAD_KEY, index, wait).await
+            }
+        };
+        let answer = tokio::select! {
+            answer = call => answer,
+            () = wait_for_other(&mut mode_changes, mode) => continue,
         };
         let pause = if let Ok(value) = &answer {
             failures = 0;
-            index = value.as_ref().map_or(0, |value| value.index);
+            answered_mode = mode;
+            let former = std::mem::replace(&mut index, value.as_ref().map_or(0, |value| value.index));
+            has_changed = index != former;
             // A missing key has no index to watch from, so it is read again after a pause.
             if index == 0 {
                 jittered(INITIAL_BACKOFF_MS * 2)
             } else {
-                min_call_interval
+                min_call_interval.saturating_sub(context.now().remaining_from(sent_at))
             }
         } else {
             let pause_ms = (INITIAL_BACKOFF_MS << failures.min(8)).min(MAX_BACKOFF_MS);
             failures += 1;
             jittered(pause_ms)
         };
-        let head = answer.and_then(|value| {
+        let confirmed_at =
+            StoreReading::confirmed_at(sent_at, wait, has_changed || index == 0, context.now());
+        let reading = answer.and_then(|value| {
             let head = value.map(|value| ConfigHead::open(&value.data)).transpose();
-            head.map_err(|error| StoreError::Refused(error.to_string()))
+            let head = head.map_err(|error| StoreError::Refused(error.to_string()))?;
+            Ok(StoreReading {
+                head: head.map(Box::new),
+                confirmed_at,
+            })
         });
-        context.inbox.head_read(head).await;
+        context.inbox.head_read(reading).await;
         tokio::time::sleep(pause).await;
     }
 }
 
+/// Waits until the mode differs from `present`.
+async fn wait_for_other(mode_changes: &mut watch::Receiver<WatchMode>, present: WatchMode) {
+    let _ = mode_changes.wait_for(|mode| *mode != present).await;
+}
+
 /// Returns a random duration from half to one and a half of `pause_ms`.
 fn jittered(pause_ms: u64) -> Duration {
     Duration::from_millis(pause_ms / 2 + rand::rng().random_range(0..=pause_ms))
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -21,14 +21,14 @@
 
 pub use {
     edges::{
-        ControlInbox, DaemonEdges, EdgeContext, MoveCloseRequest, StoreEdge, TargetAnnouncement,
-        TargetMessage,
+        ControlInbox, DaemonEdges, EdgeContext, MoveCloseRequest, StoreEdge, StoreReading,
+        TargetAnnouncement, TargetMessage,
     },
     envelope::{
         ControlReply, ControlRequest, Envelope, EnvelopeError, PROTOCOL_VERSION, decode_envelope,
         encode_envelope,
     },
-    freshness::{CONFIRMATION_TTL_MS, TableFreshness},
+    freshness::TableFreshness,
     logs::start_logs,
     operators::{DaemonStatus, MoveStatus},
     run::{RunError, run},
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -2,12 +2,11 @@
 
 use {
     super::{
-        edges::TargetMessage,
+        edges::{StoreReading, TargetMessage},
         envelope::{ControlReply, ControlRequest, Envelope, decode_envelope, encode_envelope},
         shared::{SharedState, TrafficEvent},
     },
     crate::{
-        clock::TimePoint,
         config::ConfigHead,
         member::{ProbeMessage, SyncReply},
         moves::{Clearance, PollReply},
@@ -43,8 +42,6 @@
     SyncDone {
         /// Control address of the peer.
         peer: SocketAddr,
-        /// When the request was sent.
-        sent_at: TimePoint,
         /// Its reply, if any.
         reply: Option<SyncReply>,
     },
@@ -67,7 +64,7 @@
         reply: Option<PollReply>,
     },
     /// A read or watch of the head in the store ended.
-    HeadRead(Result<Option<Box<ConfigHead>>, StoreError>),
+    HeadRead(Result<StoreReading, StoreError>),
     /// A read of a move's progress from the store ended.
     ProgressRead {
         /// Pool that moves.
--- /dev/null
+++ b/src/member/confirmation.rs
@@ -0,0 +1,334 @@
+//! Confirmation of the configuration: since when this daemon can't have missed an accepted version.
+//!
+//! It rests on a read of the store. The leading daemon of each data centre reads the store continuously; the others ask
+//! it how old its confirmation is. Ages are exchanged rather than times, as clocks differ. A daemon that gets no
+//! confirmation reads the store itself, so one daemon that reaches the store is enough for the mesh.
+
+use {
+    crate::{clock::TimePoint, macros::value_type},
+    rand::{RngExt, rngs::SmallRng},
+    std::net::SocketAddr,
+};
+
+/// Time for which a confirmation lasts, in milliseconds. In a calm mesh it is at most [`LEAD_WAIT_MS`] and
+/// `INQUIRY_INTERVAL_MS` old, plus the answers; the rest is time for others to replace a leading daemon.
+pub const CONFIRMATION_TTL_MS: u64 = 4_500;
+/// Longest wait of a watch by a leading daemon, in milliseconds. Half of it would cost another call each two seconds
+/// and data centre.
+pub const LEAD_WAIT_MS: u64 = 2_000;
+/// Time between two inquiries while they are answered, in milliseconds.
+const INQUIRY_INTERVAL_MS: u64 = 1_000;
+/// Time after which the next daemon is asked, in milliseconds.
+const INQUIRY_TIMEOUT_MS: u64 = 300;
+/// The same once the confirmation has expired.
+const LATE_INQUIRY_TIMEOUT_MS: u64 = 600;
+/// Time after which an answer to an inquiry is ignored, in milliseconds.
+const ANSWER_TIMEOUT_MS: u64 = 3_000;
+/// Oldest confirmation that ends the search for a better one, in milliseconds: as old as that of a leading daemon gets.
+const USEFUL_AGE_MS: u64 = LEAD_WAIT_MS + 500;
+/// Age from which a daemon reads the store itself, in milliseconds: more than in a calm mesh, and less than
+/// [`CONFIRMATION_TTL_MS`], so that the first takeovers come in time.
+const TAKEOVER_AGE_MS: u64 = 3_500;
+/// Takeovers a second that all daemons together attempt.
+const TAKEOVERS_PER_S: u64 = 8;
+/// Shortest mean time between two attempts of a daemon that does not watch the store, in milliseconds.
+const MIN_TAKEOVER_INTERVAL_MS: u64 = 1_000;
+/// The same for a daemon that does, as its watch is paid for already.
+const WATCHER_TAKEOVER_INTERVAL_MS: u64 = 300;
+/// Time after which the daemons that are asked first are tried again, in milliseconds.
+const FIRST_TURN_MS: u64 = 5_000;
+
+/// How a daemon watches the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WatchMode {
+    /// Not at all.
+    Off,
+    /// With long waits, to get changes also if the leading daemon does not.
+    Standby,
+    /// With waits of at most [`LEAD_WAIT_MS`], after a first one that is answered at once.
+    Leading {
+        /// When it began, or when this process continued after a suspension.
+        since: TimePoint,
+    },
+}
+
+value_type! {
+    /// What a daemon knows about the newest accepted version.
+    pub struct KnownVersion {
+        /// Newest version that it has heard of.
+        pub version: u64,
+        /// How long ago, in milliseconds, a read of the store began or ended that showed no newer one.
+        pub age_ms: u64,
+        /// Control address of the daemon that made the read.
+        pub reader: SocketAddr,
+    }
+}
+
+/// Inquiry without an answer so far.
+#[derive(Debug, Clone, Copy)]
+struct PendingInquiry {
+    seq: u64,
+    sent_at: TimePoint,
+    expires_at: TimePoint,
+}
+
+/// Whether this daemon leads although others rank higher.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TakeoverPhase {
+    /// Other daemons confirm.
+    Idle,
+    /// No one does: leads from this time on.
+    DueAt(TimePoint),
+    /// Leads until another daemon does.
+    Leading,
+}
+
+/// Confirmation of the configuration at one daemon.
+#[derive(Debug)]
+pub(super) struct ConfirmationState {
+    own: SocketAddr,
+    confirmed_at: TimePoint,
+    /// Control address of the daemon whose read of the store it rests on.
+    reader: Option<SocketAddr>,
+    newest_version: u64,
+    inquiries: Vec<PendingInquiry>,
+    next_inquiry_at: TimePoint,
+    /// Whether the latest inquiry has had no useful answer.
+    is_searching: bool,
+    /// Daemon that has offered its confirmation, to be asked next.
+    offered_by: Option<SocketAddr>,
+    /// Number of daemons that were asked in vain.
+    turn: usize,
+    /// When the daemons that are asked first are tried again.
+    first_turn_at: TimePoint,
+    takeover: TakeoverPhase,
+    /// When this process started or continued after a suspension; others had no time to confirm before.
+    resumed_at: TimePoint,
+    mode: WatchMode,
+}
+
+impl ConfirmationState {
+    pub(super) fn new(own: SocketAddr, now: TimePoint) -> Self {
+        Self {
+            own,
+            confirmed_at: TimePoint::default(),
+            reader: None,
+            newest_version: 0,
+            inquiries: Vec::new(),
+            next_inquiry_at: now,
+            is_searching: false,
+            offered_by: None,
+            turn: 0,
+            first_turn_at: TimePoint::FAR_FUTURE,
+            takeover: TakeoverPhase::Idle,
+            resumed_at: now,
+            mode: WatchMode::Off,
+        }
+    }
+
+    pub(super) fn confirmed_at(&self) -> TimePoint {
+        self.confirmed_at
+    }
+
+    pub(super) fn reader(&self) -> Option<SocketAddr> {
+        self.reader
+    }
+
+    pub(super) fn turn(&self) -> usize {
+        self.turn
+    }
+
+    /// Returns whether this daemon leads although others rank higher.
+    pub(super) fn has_taken_over(&self) -> bool {
+        self.takeover == TakeoverPhase::Leading
+    }
+
+    /// Notes a confirmation that was not asked for. It may have waited in the socket, so it confirms nothing; its sender
+    /// is asked at once if there is no better one.
+    pub(super) fn note_offer(&mut self, from: SocketAddr, now: TimePoint) {
+        if now.ms_since(self.confirmed_at) > USEFUL_AGE_MS {
+            self.offered_by = Some(from);
+            self.next_inquiry_at = now;
+        }
+    }
+
+    /// Returns the daemon that has offered its confirmation, once.
+    pub(super) fn take_offer(&mut self) -> Option<SocketAddr> {
+        self.offered_by.take()
+    }
+
+    /// Starts anew after a suspension: an inquiry and, at a leading daemon, a read of the store are due at once.
+    pub(super) fn resume(&mut self, now: TimePoint) {
+        self.resumed_at = now;
+        self.next_inquiry_at = now;
+        if matches!(self.mode, WatchMode::Leading { .. }) {
+            self.mode = WatchMode::Leading { since: now };
+        }
+    }
+
+    /// Makes an inquiry due, for instance when the first peer becomes known.
+    pub(super) fn inquire_at(&mut self, now: TimePoint) {
+        self.next_inquiry_at = self.next_inquiry_at.min(now);
+    }
+
+    /// Sets the newest version that this daemon has heard of.
+    pub(super) fn set_newest_version(&mut self, version: u64) {
+        self.newest_version = self.newest_version.max(version);
+    }
+
+    /// Returns what this daemon can tell others; `None` before its first confirmation.
+    pub(super) fn known(&self, now: TimePoint) -> Option<KnownVersion> {
+        Some(KnownVersion {
+            version: self.newest_version,
+            // Both times are rounded down, so the age may be one millisecond more.
+            age_ms: now.ms_since(self.confirmed_at) + 1,
+            reader: self.reader?,
+        })
+    }
+
+    /// Records a read of the store by this daemon that showed every version accepted up to `confirmed_at`.
+    pub(super) fn confirm_read(&mut self, confirmed_at: TimePoint) {
+        self.learn(confirmed_at, self.own);
+    }
+
+    /// Records a failed read of the store. It ends a takeover of a daemon that does not watch the store otherwise.
+    pub(super) fn fail_read(
+        &mut self,
+        is_watcher: bool,
+        now: TimePoint,
+        attempts: TakeoverPace,
+        rng: &mut SmallRng,
+    ) {
+        if self.takeover == TakeoverPhase::Leading && !is_watcher {
+            let interval_ms = attempts.interval_ms(false);
+            self.takeover =
+                TakeoverPhase::DueAt(now.after_ms(interval_ms / 2 + rng.random_range(0..=interval_ms)));
+        }
+    }
+
+    /// Returns whether an inquiry is due.
+    pub(super) fn is_inquiry_due(&self, now: TimePoint) -> bool {
+        now >= self.next_inquiry_at
+    }
+
+    /// Returns whether this daemon's own reads confirm.
+    pub(super) fn reads_itself(&self, now: TimePoint) -> bool {
+        self.reader == Some(self.own) && now.ms_since(self.confirmed_at) <= USEFUL_AGE_MS
+    }
+
+    /// Moves on to the next daemon if the latest inquiry had no useful answer.
+    pub(super) fn next_turn(&mut self, now: TimePoint) {
+        self.inquiries.retain(|inquiry| inquiry.expires_at > now);
+        if now >= self.first_turn_at {
+            self.turn = 0;
+            self.first_turn_at = TimePoint::FAR_FUTURE;
+        } else if self.is_searching {
+            self.turn += 1;
+            self.first_turn_at = self.first_turn_at.min(now.after_ms(FIRST_TURN_MS));
+        }
+    }
+
+    /// Records that an inquiry was sent, or that nobody could be asked.
+    pub(super) fn start_inquiry(&mut self, seq: Option<u64>, now: TimePoint) {
+        let Some(seq) = seq else {
+            self.next_inquiry_at = now.after_ms(INQUIRY_INTERVAL_MS);
+            return;
+        };
+        self.is_searching = true;
+        self.next_inquiry_at = now.after_ms(self.retry_ms(now));
+        self.inquiries.push(PendingInquiry {
+            seq,
+            sent_at: now,
+            expires_at: now.after_ms(ANSWER_TIMEOUT_MS),
+        });
+    }
+
+    /// Handles an answer. It states an age, so it confirms the time that lies as long before the inquiry: an answer that
+    /// waited in the socket of a suspended daemon confirms nothing later. Returns the newest version that it names, or
+    /// `None` if nobody was asked.
+    pub(super) fn finish_inquiry(&mut self, seq: u64, known: &KnownVersion, now: TimePoint) -> Option<u64> {
+        let at = self.inquiries.iter().position(|inquiry| inquiry.seq == seq)?;
+        let inquiry = self.inquiries.swap_remove(at);
+        self.learn(inquiry.sent_at.before_ms(known.age_ms), known.reader);
+        if now.ms_since(self.confirmed_at) <= USEFUL_AGE_MS {
+            self.is_searching = false;
+            self.next_inquiry_at = inquiry.sent_at.after_ms(INQUIRY_INTERVAL_MS);
+        }
+        Some(known.version)
+    }
+
+    /// Ends a takeover, as `known` shows that another daemon leads. Of two takeovers, the one with the lower address
+    /// lasts.
+    pub(super) fn yield_to(&mut self, known: &KnownVersion, is_reader_first: bool) {
+        let is_useful = known.age_ms <= USEFUL_AGE_MS && known.reader != self.own;
+        if is_useful
+            && self.takeover == TakeoverPhase::Leading
+            && (is_reader_first || known.reader < self.own)
+        {
+            self.takeover = TakeoverPhase::Idle;
+        }
+    }
+
+    /// Returns how this daemon watches the store from `now` on, where `is_first` tells whether it ranks highest in its
+    /// data centre.
+    pub(super) fn watch_mode(
+        &mut self,
+        is_first: bool,
+        is_watcher: bool,
+        now: TimePoint,
+        attempts: TakeoverPace,
+        rng: &mut SmallRng,
+    ) -> WatchMode {
+        let is_confirmed = now.ms_since(self.confirmed_at.max(self.resumed_at)) <= TAKEOVER_AGE_MS;
+        self.takeover = match self.takeover {
+            TakeoverPhase::Leading => TakeoverPhase::Leading,
+            _ if is_confirmed => TakeoverPhase::Idle,
+            TakeoverPhase::Idle => {
+                let interval_ms = attempts.interval_ms(is_watcher);
+                TakeoverPhase::DueAt(now.after_ms(rng.random_range(0..=interval_ms)))
+            }
+            TakeoverPhase::DueAt(due_at) if now >= due_at => TakeoverPhase::Leading,
+            waiting @ TakeoverPhase::DueAt(_) => waiting,
+        };
+        let leads = is_first || self.takeover == TakeoverPhase::Leading;
+        self.mode = match self.mode {
+            leading @ WatchMode::Leading { .. } if leads => leading,
+            _ if leads => WatchMode::Leading { since: now },
+            _ if is_watcher => WatchMode::Standby,
+            _ => WatchMode::Off,
+        };
+        self.mode
+    }
+
+    fn learn(&mut self, confirmed_at: TimePoint, reader: SocketAddr) {
+        if confirmed_at > self.confirmed_at {
+            self.confirmed_at = confirmed_at;
+            self.reader = Some(reader);
+        }
+    }
+
+    fn retry_ms(&self, now: TimePoint) -> u64 {
+        if now.ms_since(self.confirmed_at) <= CONFIRMATION_TTL_MS {
+            INQUIRY_TIMEOUT_MS
+        } else {
+            LATE_INQUIRY_TIMEOUT_MS
+        }
+    }
+}
+
+/// Pace of takeovers, by the number of daemons that share the budget.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct TakeoverPace {
+    /// Number of present daemons.
+    pub(super) daemons: u64,
+}
+
+impl TakeoverPace {
+    /// Returns the mean time between two attempts of a daemon.
+    fn interval_ms(self, is_watcher: bool) -> u64 {
+        if is_watcher {
+            return WATCHER_TAKEOVER_INTERVAL_MS;
+        }
+        (self.daemons * 1_000 / TAKEOVERS_PER_S).max(MIN_TAKEOVER_INTERVAL_MS)
+    }
+}
--- a/src/member/message.rs
+++ b/src/member/message.rs
@@ -1,7 +1,7 @@
 //! Messages of the membership protocol.
 
 use {
-    super::record::MemberRecord,
+    super::{confirmation::KnownVersion, record::MemberRecord},
     crate::macros::value_type,
     std::{net::SocketAddr, sync::Arc},
 };
@@ -30,6 +30,19 @@
         },
         /// Carries the applied version and record updates; not acknowledged.
         Notice,
+        /// Asks what the receiver knows about the newest accepted version. A process that does not know this kind drops
+        /// the datagram.
+        Inquiry {
+            /// Sequence number that the answer repeats.
+            seq: u64,
+        },
+        /// Answers an inquiry.
+        Confirmation {
+            /// Sequence number of the inquiry.
+            seq: u64,
+            /// What the sender knows.
+            known: KnownVersion,
+        },
     }
 }
 
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -3,6 +3,7 @@
 //! A SWIM-like protocol: random probes, indirect probes, suspicion, incarnations and piggybacked updates,
 //! with anti-entropy by bucket digests. [`MemberState`] does no I/O: it returns effects for the daemon to perform.
 
+mod confirmation;
 mod digest;
 mod join;
 mod message;
@@ -11,10 +12,11 @@
 mod state;
 
 pub use {
+    confirmation::{CONFIRMATION_TTL_MS, KnownVersion, LEAD_WAIT_MS, WatchMode},
     digest::{BUCKETS, bucket_digests, bucket_of},
     join::{JOIN_TIMEOUT_MS, JoinProgress},
     message::{ProbeKind, ProbeMessage, SyncReply, SyncRequest},
-    rank::{best_ranked, is_among_best},
+    rank::best_ranked,
     record::{MemberRecord, MemberStatus, TargetRecord, TargetStatus},
     state::{MemberEffect, MemberEntry, MemberState, PROBE_INTERVAL_MS, SUSPICION_MS},
 };
--- a/src/member/rank.rs
+++ b/src/member/rank.rs
@@ -11,8 +11,3 @@
     ranked.sort_unstable_by(|a, b| b.cmp(a));
     ranked.into_iter().take(count).map(|(_, name)| name).collect()
 }
-
-/// Returns whether `own` is among the `count` highest-ranked of `names` for a job.
-pub fn is_among_best<'a>(job: &str, own: &str, names: impl Iterator<Item = &'a str>, count: usize) -> bool {
-    best_ranked(job, names, count).contains(&own)
-}
--- /dev/null
+++ b/src/member/state/confirming.rs
@@ -0,0 +1,174 @@
+//! Inquiries about the confirmation of the configuration, and who watches the store.
+
+use {
+    super::{MemberEffect, MemberState},
+    crate::{
+        clock::TimePoint,
+        member::{
+            confirmation::{KnownVersion, TakeoverPace, WatchMode},
+            message::ProbeKind,
+            rank::best_ranked,
+            record::{MemberRecord, MemberStatus},
+        },
+    },
+    indexmap::IndexSet,
+    std::{net::SocketAddr, sync::Arc},
+};
+
+/// Number of daemons of the own data centre that are asked before others.
+const ASKED_WATCHERS: usize = 3;
+
+impl MemberState {
+    /// Returns since when this daemon can't have missed an accepted version.
+    pub fn confirmed_at(&self) -> TimePoint {
+        self.confirmation.confirmed_at()
+    }
+
+    /// Records a read of the store by this daemon that showed every version accepted up to `confirmed_at`. A daemon that
+    /// others don't ask, as they rank higher, offers its confirmation to the first of each data centre.
+    pub fn confirm_read(&mut self, confirmed_at: TimePoint, now: TimePoint) -> Vec<MemberEffect> {
+        self.confirmation.confirm_read(confirmed_at);
+        if let Some(known) = self
+            .confirmation
+            .known(now)
+            .filter(|_| self.confirmation.has_taken_over())
+        {
+            for address in self.first_of_each_centre() {
+                let known = known.clone();
+                self.send_with(address, ProbeKind::Confirmation { seq: 0, known }, Vec::new());
+            }
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Records a failed read of the store, where `watchers` daemons of each data centre watch it.
+    pub fn fail_read(&mut self, watchers: usize, now: TimePoint) {
+        let is_watcher = self.own_rank().is_some_and(|rank| rank < watchers);
+        let pace = self.takeover_pace();
+        self.confirmation.fail_read(is_watcher, now, pace, &mut self.rng);
+    }
+
+    /// Sets the newest version that this daemon has heard of, which it tells others.
+    pub fn set_newest_version(&mut self, version: u64) {
+        self.confirmation.set_newest_version(version);
+    }
+
+    /// Returns how this daemon watches the store from `now` on: `watchers` daemons of each data centre do, of which the
+    /// first leads, and others that get no confirmation.
+    pub fn watch_mode(&mut self, watchers: usize, now: TimePoint) -> WatchMode {
+        let rank = self.own_rank();
+        let is_watcher = rank.is_some_and(|rank| rank < watchers);
+        let pace = self.takeover_pace();
+        self.confirmation
+            .watch_mode(rank == Some(0), is_watcher, now, pace, &mut self.rng)
+    }
+
+    /// Starts anew after a suspension: a probe, an inquiry and, at a leading daemon, a read of the store are due at once.
+    pub fn resume(&mut self, now: TimePoint) {
+        self.probe_at(now);
+        self.confirmation.resume(now);
+    }
+
+    /// Asks the next daemon about its confirmation when that is due.
+    pub(super) fn tick_confirmation(&mut self, now: TimePoint) {
+        if !self.confirmation.is_inquiry_due(now) {
+            return;
+        }
+        self.confirmation.next_turn(now);
+        if self.confirmation.reads_itself(now) && self.own_rank() == Some(0) {
+            self.confirmation.start_inquiry(None, now);
+            return;
+        }
+        let asked = self.inquiry_peer().map(|address| {
+            self.seq += 1;
+            (address, self.seq)
+        });
+        self.confirmation.start_inquiry(asked.map(|(_, seq)| seq), now);
+        if let Some((address, seq)) = asked {
+            self.send_with(address, ProbeKind::Inquiry { seq }, Vec::new());
+        }
+    }
+
+    /// Answers an inquiry.
+    pub(super) fn answer_inquiry(&mut self, from: SocketAddr, seq: u64, now: TimePoint) {
+        if let Some(known) = self.confirmation.known(now) {
+            self.send_with(from, ProbeKind::Confirmation { seq, known }, Vec::new());
+        }
+    }
+
+    /// Handles the answer to an inquiry.
+    pub(super) fn finish_inquiry(
+        &mut self,
+        from: SocketAddr,
+        seq: u64,
+        known: &KnownVersion,
+        now: TimePoint,
+    ) {
+        let Some(version) = self.confirmation.finish_inquiry(seq, known, now) else {
+            self.confirmation.note_offer(from, now);
+            return;
+        };
+        self.effects.push(MemberEffect::Announced { version });
+        let is_reader_first = self.is_first(known.reader);
+        self.confirmation.yield_to(known, is_reader_first);
+    }
+
+    /// Returns the daemon to ask next: those that rank highest in the own data centre in turn, then the one whose read
+    /// of the store the present confirmation rests on, then any other.
+    fn inquiry_peer(&mut self) -> Option<SocketAddr> {
+        if let Some(offering) = self.confirmation.take_offer() {
+            return Some(offering);
+        }
+        let own_name = &self.own.name;
+        let ranked = self.ranked(&self.own.data_centre, ASKED_WATCHERS + 1);
+        let asked = ranked.into_iter().filter(|name| **name != **own_name);
+        let asked = asked.take(ASKED_WATCHERS).filter_map(|name| self.record_of(name));
+        let mut peers: Vec<SocketAddr> = asked.map(|record| record.control).collect();
+        let reader = self.confirmation.reader();
+        peers.extend(reader.filter(|reader| *reader != self.own.control && !peers.contains(reader)));
+        let turn = self.confirmation.turn() % (peers.len() + 1);
+        match peers.get(turn) {
+            Some(peer) => Some(*peer),
+            None => self.random_peers(1, None).pop().or(peers.first().copied()),
+        }
+    }
+
+    /// Returns the control addresses of the other daemons that rank highest in their data centre.
+    fn first_of_each_centre(&self) -> Vec<SocketAddr> {
+        let centres: IndexSet<&Arc<str>> = self.present().map(|record| &record.data_centre).collect();
+        let first = centres.into_iter().flat_map(|centre| self.ranked(centre, 1));
+        first
+            .filter(|name| **name != *self.own.name)
+            .filter_map(|name| self.record_of(name))
+            .map(|record| record.control)
+            .collect()
+    }
+
+    /// Returns whether the daemon with this control address ranks highest in its data centre.
+    fn is_first(&self, control: SocketAddr) -> bool {
+        let record = self.others().find(|record| record.control == control);
+        record.is_some_and(|record| self.ranked(&record.data_centre, 1) == [&*record.name])
+    }
+
+    /// Returns the place of this daemon among those of its data centre that rank for the watch of the store.
+    fn own_rank(&self) -> Option<usize> {
+        let ranked = self.ranked(&self.own.data_centre, usize::MAX);
+        ranked.iter().position(|name| **name == *self.own.name)
+    }
+
+    /// Returns the daemons of a data centre that rank highest for the watch of the store, without suspects.
+    fn ranked(&self, data_centre: &str, count: usize) -> Vec<&str> {
+        let present = self.present();
+        let local = present.filter(|record: &&MemberRecord| {
+            *record.data_centre == *data_centre && record.status == MemberStatus::Alive
+        });
+        let job = format!("watch/{data_centre}");
+        best_ranked(&job, local.map(|record| &*record.name), count)
+    }
+
+    fn takeover_pace(&self) -> TakeoverPace {
+        TakeoverPace {
+            daemons: self.present().count() as u64,
+        }
+    }
+}
--- a/src/member/state/merging.rs
+++ b/src/member/state/merging.rs
@@ -47,9 +47,8 @@
             self.publish_change(record, now);
         } else if self.entries.len() < MAX_RECORDS {
             let expires_at = status_expiry(record.status, now);
-            if self.confirmed_at == TimePoint::default() {
-                // The first peer is probed at once, as its answer confirms the table.
-                self.probe_at(now);
+            if self.entries.is_empty() {
+                self.confirmation.inquire_at(now);
             }
             self.entries.insert(
                 Arc::clone(&record.name),
--- a/src/member/state/mod.rs
+++ b/src/member/state/mod.rs
@@ -1,11 +1,13 @@
 //! State machine of the membership protocol, without I/O.
 
+mod confirming;
 mod merging;
 mod probing;
 mod syncing;
 
 use {
     super::{
+        confirmation::ConfirmationState,
         message::{ProbeKind, ProbeMessage},
         rank::best_ranked,
         record::{MemberRecord, MemberStatus, TargetRecord, TargetStatus},
@@ -58,6 +60,11 @@
         /// Version that it has applied.
         version: u64,
     },
+    /// A peer has heard of a version, which this daemon may lack.
+    Announced {
+        /// The version.
+        version: u64,
+    },
     /// A peer's copy of this daemon's record shows that an earlier process of its name had applied a higher version.
     Floor {
         /// Lowest version that this daemon may apply.
@@ -120,8 +127,7 @@
     /// Dead daemons left to probe in this round; taken from the end.
     dead_probe_order: Vec<Arc<str>>,
     next_probe_at: TimePoint,
-    /// When the latest request that another daemon answered was sent.
-    confirmed_at: TimePoint,
+    confirmation: ConfirmationState,
     probe_count: u64,
     seq: u64,
     rng: SmallRng,
@@ -132,6 +138,7 @@
     /// Creates a member list with the daemon's own record only; `seed` seeds its random choices.
     pub fn new(own: MemberRecord, seed: u64, now: TimePoint) -> Self {
         Self {
+            confirmation: ConfirmationState::new(own.control, now),
             own,
             entries: IndexMap::new(),
             updates: IndexMap::new(),
@@ -140,7 +147,6 @@
             probe_order: Vec::new(),
             dead_probe_order: Vec::new(),
             next_probe_at: now,
-            confirmed_at: TimePoint::default(),
             probe_count: 0,
             seq: 0,
             rng: SmallRng::seed_from_u64(seed),
@@ -198,18 +204,8 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Returns when the latest request that another daemon answered was sent: what that daemon knew then has arrived here.
-    pub fn confirmed_at(&self) -> TimePoint {
-        self.confirmed_at
-    }
-
-    /// Records that another daemon answered a request that was sent at `sent_at`.
-    pub fn confirm(&mut self, sent_at: TimePoint) {
-        self.confirmed_at = self.confirmed_at.max(sent_at);
-    }
-
     /// Starts the next probe with the first tick at or after `now`.
-    pub fn probe_at(&mut self, now: TimePoint) {
+    fn probe_at(&mut self, now: TimePoint) {
         self.next_probe_at = self.next_probe_at.min(now);
     }
 
@@ -222,6 +218,7 @@
             self.next_probe_at = now.after_ms(PROBE_INTERVAL_MS);
             self.start_probe(now);
         }
+        self.tick_confirmation(now);
         std::mem::take(&mut self.effects)
     }
 
@@ -248,6 +245,8 @@
             ProbeKind::Ack { seq } => self.finish_probe(seq),
             ProbeKind::PingRequest { seq, address, .. } => self.relay_probe(from, seq, address, now),
             ProbeKind::Notice => {}
+            ProbeKind::Inquiry { seq } => self.answer_inquiry(from, seq, now),
+            ProbeKind::Confirmation { seq, known } => self.finish_inquiry(from, seq, &known, now),
         }
         std::mem::take(&mut self.effects)
     }
--- a/src/member/state/probing.rs
+++ b/src/member/state/probing.rs
@@ -164,8 +164,7 @@
             return;
         }
         if let Some(at) = self.probes.iter().position(|probe| probe.seq == seq) {
-            let probe = self.probes.swap_remove(at);
-            self.confirm(probe.deadline.before_ms(PROBE_TIMEOUT_MS));
+            self.probes.swap_remove(at);
         }
     }
 }
--- a/src/spread/state.rs
+++ b/src/spread/state.rs
@@ -119,6 +119,11 @@
         self.newest.max(self.floor)
     }
 
+    /// Records a version that others have heard of.
+    pub fn add_announced(&mut self, version: u64) {
+        self.newest = self.newest.max(version);
+    }
+
     /// Returns whether the daemon has joined; offers are held until then.
     pub fn has_joined(&self) -> bool {
         self.has_joined
--- a/src/store/http_store.rs
+++ b/src/store/http_store.rs
@@ -96,11 +96,16 @@
 
 impl StoreClient for HttpStore {
     async fn read(&self, key: &str) -> Result<Option<StoreValue>, StoreError> {
-        self.get(self.url(key), CALL_TIMEOUT).await
+        self.get(format!("{}?consistent", self.url(key)), CALL_TIMEOUT)
+            .await
     }
 
     async fn watch(&self, key: &str, index: u64, wait: Duration) -> Result<Option<StoreValue>, StoreError> {
-        let url = format!("{}?index={index}&wait={}ms", self.url(key), wait.as_millis());
+        let url = format!(
+            "{}?consistent&index={index}&wait={}ms",
+            self.url(key),
+            wait.as_millis()
+        );
         self.get(url, wait + CALL_TIMEOUT).await
     }
 
--- /dev/null
+++ b/tests/confirmation.rs
@@ -0,0 +1,326 @@
+//! Fleets of simulated daemons that learn from the store, or from each other, which version is the newest.
+
+use {
+    fuchsiashore::{
+        clock::TimePoint,
+        member::{
+            CONFIRMATION_TTL_MS, LEAD_WAIT_MS, MemberEffect, MemberRecord, MemberState, MemberStatus,
+            ProbeMessage, TargetRecord, TargetStatus, WatchMode,
+        },
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::net::SocketAddr,
+};
+
+const STEP_MS: u64 = 50;
+const WATCHERS: usize = 3;
+/// Wait of a watch on standby, in milliseconds.
+const STANDBY_WAIT_MS: u64 = 20_000;
+/// Share of datagrams that are lost.
+const LOSS: f64 = 0.01;
+
+/// Call to the store in flight.
+#[derive(Debug, Clone, Copy)]
+struct StoreCall {
+    mode: WatchMode,
+    confirms: TimePoint,
+    ends_at: TimePoint,
+}
+
+struct Daemon {
+    state: Option<MemberState>,
+    is_frozen: bool,
+    reaches_store: bool,
+    call: Option<StoreCall>,
+    next_call_at: TimePoint,
+    answered_mode: WatchMode,
+}
+
+struct Fleet {
+    now: TimePoint,
+    daemons: Vec<Daemon>,
+    datagrams: Vec<(usize, usize, ProbeMessage)>,
+    /// Calls to the store so far.
+    calls: u32,
+    inquiries: u32,
+    rng: SmallRng,
+}
+
+impl Fleet {
+    /// Starts a fleet in data centres of about 20 daemons, and lets it run until it is calm.
+    fn start(count: usize, seed: u64) -> Self {
+        let now = TimePoint(1_000_000);
+        let centres = count.div_ceil(22);
+        let mut fleet = Self {
+            now,
+            daemons: Vec::new(),
+            datagrams: Vec::new(),
+            calls: 0,
+            inquiries: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        for index in 0..count {
+            fleet.daemons.push(Daemon {
+                state: Some(MemberState::new(record(index, centres), seed + index as u64, now)),
+                is_frozen: false,
+                reaches_store: true,
+                call: None,
+                next_call_at: now,
+                answered_mode: WatchMode::Off,
+            });
+        }
+        for _ in 0..2 {
+            (1..count).for_each(|index| fleet.sync(index, 0));
+        }
+        fleet.run(12_000);
+        fleet
+    }
+
+    fn sync(&mut self, index: usize, peer: usize) {
+        let (Some(mut state), Some(mut other)) =
+            (self.daemons[index].state.take(), self.daemons[peer].state.take())
+        else {
+            return;
+        };
+        let (reply, _) = other.answer_sync(state.sync_request(Vec::new()), self.now);
+        state.finish_sync(reply, self.now);
+        self.daemons[index].state = Some(state);
+        self.daemons[peer].state = Some(other);
+    }
+
+    /// Runs for some time and returns the share of time, over all daemons that run, in which they had no confirmation.
+    fn run(&mut self, period_ms: u64) -> f64 {
+        let (mut unsure, mut all) = (0, 0);
+        for _ in 0..period_ms / STEP_MS {
+            self.step();
+            for daemon in self.daemons.iter().filter(|daemon| !daemon.is_frozen) {
+                let Some(state) = &daemon.state else { continue };
+                all += 1;
+                unsure += u32::from(self.now.ms_since(state.confirmed_at()) > CONFIRMATION_TTL_MS);
+            }
+        }
+        f64::from(unsure) / f64::from(all)
+    }
+
+    fn step(&mut self) {
+        self.now = self.now.after_ms(STEP_MS);
+        let now = self.now;
+        for (from, to, message) in std::mem::take(&mut self.datagrams) {
+            let daemon = &mut self.daemons[to];
+            if daemon.is_frozen {
+                self.datagrams.push((from, to, message));
+            } else if let Some(state) = &mut daemon.state {
+                let effects = state.receive(address(from), message, now);
+                self.apply_effects(to, effects);
+            }
+        }
+        for index in 0..self.daemons.len() {
+            let daemon = &mut self.daemons[index];
+            let Some(state) = daemon.state.as_mut().filter(|_| !daemon.is_frozen) else {
+                continue;
+            };
+            let effects = state.tick(now);
+            let mode = state.watch_mode(WATCHERS, now);
+            self.apply_effects(index, effects);
+            self.step_watch(index, mode);
+        }
+    }
+
+    /// Does what the edges do: one call at a time, which a change of the mode ends.
+    fn step_watch(&mut self, index: usize, mode: WatchMode) {
+        let now = self.now;
+        let jitter_ms = self.rng.random_range(0..600);
+        let daemon = &mut self.daemons[index];
+        let Some(state) = &mut daemon.state else { return };
+        match daemon.call {
+            Some(call) if call.mode != mode => daemon.call = None,
+            Some(call) if !daemon.reaches_store => {
+                daemon.call = None;
+                daemon.next_call_at = now.after_ms(600 + jitter_ms);
+                state.fail_read(WATCHERS, now);
+                assert!(
+                    call.ends_at > now.before_ms(STEP_MS),
+                    "a call is answered in time"
+                );
+            }
+            Some(call) if now >= call.ends_at => {
+                daemon.call = None;
+                daemon.answered_mode = mode;
+                let effects = state.confirm_read(call.confirms, now);
+                self.apply_effects(index, effects);
+                return;
+            }
+            _ => {}
+        }
+        if daemon.call.is_some() || mode == WatchMode::Off || now < daemon.next_call_at {
+            return;
+        }
+        let wait_ms = match mode {
+            WatchMode::Leading { .. } if mode != daemon.answered_mode => 0,
+            WatchMode::Leading { .. } => LEAD_WAIT_MS,
+            WatchMode::Off | WatchMode::Standby => STANDBY_WAIT_MS,
+        };
+        self.calls += 1;
+        daemon.call = Some(StoreCall {
+            mode,
+            confirms: now.after_ms(wait_ms),
+            ends_at: now.after_ms(wait_ms + STEP_MS),
+        });
+    }
+
+    fn apply_effects(&mut self, from: usize, effects: Vec<MemberEffect>) {
+        for effect in effects {
+            match effect {
+                MemberEffect::Send { to, message } => {
+                    if format!("{:?}", message.kind).starts_with("Inquiry") {
+                        self.inquiries += 1;
+                    }
+                    if !self.rng.random_bool(LOSS) {
+                        self.datagrams
+                            .push((from, usize::from(to.port() - 7_000), message));
+                    }
+                }
+                MemberEffect::Sync { with } => self.sync(from, usize::from(with.port() - 7_000)),
+                _ => {}
+            }
+        }
+    }
+
+    /// Returns the daemons that lead, with the first of each data centre.
+    fn leading(&self) -> Vec<usize> {
+        let is_leading = |daemon: &Daemon| matches!(daemon.answered_mode, WatchMode::Leading { .. });
+        let daemons = self.daemons.iter().enumerate();
+        daemons
+            .filter(|(_, daemon)| is_leading(daemon) && daemon.state.is_some())
+            .map(|(index, _)| index)
+            .collect()
+    }
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + index as u16))
+}
+
+fn record(index: usize, centres: usize) -> MemberRecord {
+    MemberRecord {
+        name: format!("d{index}").into(),
+        incarnation: 1,
+        status: MemberStatus::Alive,
+        control: address(index),
+        gate: address(index + 1_000),
+        operators: address(index + 2_000),
+        region: "r".into(),
+        data_centre: format!("z{}", index % centres).into(),
+        target: TargetRecord {
+            id: "t".into(),
+            born: 0,
+            service: "stock".into(),
+            version: "v1".into(),
+            slots: 4,
+            status: TargetStatus::Serving,
+        },
+        applied: 0,
+    }
+}
+
+/// Guards against 503 instead of 404 in a calm mesh, and against the price of knowing the newest version.
+#[test]
+fn calm_fleets_keep_their_confirmation_at_few_calls() {
+    for count in [1, 2, 12, 88, 295] {
+        let mut fleet = Fleet::start(count, 3);
+        let centres = count.div_ceil(22) as f64;
+        let (calls, inquiries) = (fleet.calls, fleet.inquiries);
+        let unsure = fleet.run(60_000);
+        let calls_per_s = f64::from(fleet.calls - calls) / 60.0 / centres;
+        let inquiries_per_s = f64::from(fleet.inquiries - inquiries) / 60.0 / count as f64;
+        println!(
+            "{count}: unsure {unsure}, {calls_per_s:.2} calls/s a data centre, {inquiries_per_s:.2} inquiries/s"
+        );
+        assert!(unsure < 0.001, "{count}: {unsure}");
+        // One call each two seconds and one standby call in 20 s for each other watcher.
+        assert!(calls_per_s < 0.75, "{count}: {calls_per_s}");
+        assert!(inquiries_per_s < 1.15, "{count}: {inquiries_per_s}");
+    }
+}
+
+/// Guards against a fleet that loses its confirmation with the daemons that read the store.
+#[test]
+fn others_take_the_place_of_a_leading_daemon() {
+    for (count, seed) in [(12, 1), (12, 2), (12, 3), (88, 4), (295, 5)] {
+        for trouble in ["killed", "left", "frozen", "refused"] {
+            let mut fleet = Fleet::start(count, seed);
+            for index in fleet.leading() {
+                let daemon = &mut fleet.daemons[index];
+                match trouble {
+                    "killed" => daemon.state = None,
+                    "frozen" => daemon.is_frozen = true,
+                    "refused" => daemon.reaches_store = false,
+                    _ => {
+                        let effects = daemon.state.as_mut().unwrap().leave();
+                        fleet.apply_effects(index, effects);
+                        fleet.daemons[index].state = None;
+                    }
+                }
+            }
+            let calls = fleet.calls;
+            let unsure = fleet.run(20_000);
+            let calls_per_s = f64::from(fleet.calls - calls) / 20.0;
+            println!("{count} {trouble}: unsure {unsure:.4}, {calls_per_s:.1} calls/s");
+            assert!(unsure < 0.01, "{count} {trouble}: {unsure}");
+        }
+    }
+}
+
+/// Guards against a fleet that stays without confirmation although one of its daemons, which does not watch, reaches
+/// the store; and against more calls than an outage allows.
+#[test]
+fn one_daemon_that_reaches_the_store_is_enough() {
+    for (count, seed, limit_ms) in [(12, 1, 4_000), (12, 2, 4_000), (88, 3, 20_000), (295, 4, 60_000)] {
+        let mut fleet = Fleet::start(count, seed);
+        let leading = fleet.leading();
+        let served = (0..count).rfind(|index| !leading.contains(index)).unwrap();
+        for (index, daemon) in fleet.daemons.iter_mut().enumerate() {
+            daemon.reaches_store = index == served;
+        }
+        let watchers = count.div_ceil(22) * WATCHERS;
+        let calls = fleet.calls;
+        fleet.run(3_500 + limit_ms);
+        let calls_per_s = f64::from(fleet.calls - calls) / (3_500 + limit_ms) as f64 * 1e3;
+        let unsure = fleet.run(20_000);
+        println!("{count}: unsure {unsure:.4}, {calls_per_s:.1} calls/s");
+        assert!(unsure < 0.01, "{count}: {unsure}");
+        // A watcher repeats a failed call about once a second.
+        assert!(
+            calls_per_s < 9.0 + 2.0 * watchers as f64,
+            "{count}: {calls_per_s}"
+        );
+    }
+}
+
+/// Guards against daemons that confirm each other's table while none of them reaches the store, and against calls to a
+/// store that is down.
+#[test]
+fn fleet_without_a_store_knows_that_its_table_may_be_old() {
+    for count in [1, 12, 88, 295] {
+        let mut fleet = Fleet::start(count, 7);
+        for daemon in &mut fleet.daemons {
+            daemon.reaches_store = false;
+        }
+        fleet.run(CONFIRMATION_TTL_MS);
+        let calls = fleet.calls;
+        let unsure = fleet.run(30_000);
+        let calls_per_s = f64::from(fleet.calls - calls) / 30.0;
+        println!("{count}: unsure {unsure:.4}, {calls_per_s:.1} calls/s");
+        assert!(unsure > 0.9999, "{count}: {unsure}");
+        let watchers = count.div_ceil(22) * WATCHERS;
+        assert!(
+            calls_per_s < 9.0 + 2.0 * watchers as f64,
+            "{count}: {calls_per_s}"
+        );
+        for daemon in &mut fleet.daemons {
+            daemon.reaches_store = true;
+        }
+        fleet.run(4_000);
+        assert!(fleet.run(10_000) < 0.001, "{count}");
+    }
+}
--- a/tests/table_freshness.rs
+++ b/tests/table_freshness.rs
@@ -4,14 +4,14 @@
     fuchsiashore::{
         clock::TimePoint,
         config::{ANY_VERSION, ConfigHead, MovePolicy, PoolEntry, PoolShare, RouteEntry, Stamped},
-        daemon::{CONFIRMATION_TTL_MS, TableFreshness},
+        daemon::{StoreReading, TableFreshness},
         member::{
-            MemberEffect, MemberRecord, MemberState, MemberStatus, ProbeKind, ProbeMessage, TargetRecord,
-            TargetStatus,
+            CONFIRMATION_TTL_MS, KnownVersion, MemberEffect, MemberRecord, MemberState, MemberStatus,
+            ProbeKind, ProbeMessage, TargetRecord, TargetStatus,
         },
         spread::SpreadState,
     },
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
 };
 
 const NOW: TimePoint = TimePoint(1_000_000);
@@ -112,25 +112,40 @@
     insta::assert_debug_snapshot!(seen);
 }
 
-/// An acknowledgement that waited in the socket while the daemon was suspended must not confirm the present.
+/// An answer that waited in the socket while the daemon was suspended must not confirm the present, and one without an
+/// inquiry must not confirm anything.
 #[test]
-fn acknowledgement_confirms_the_time_at_which_its_probe_was_sent() {
+fn answer_confirms_a_time_before_its_inquiry_was_sent() {
     let mut members = MemberState::new(record(0), 1, NOW);
     members.receive(address(1), message(1, ProbeKind::Notice), NOW);
     let mut seen = vec![("nothing sent", members.confirmed_at())];
-    let seq = ping_of(&members.tick(NOW.after_ms(1)));
-    members.receive(
-        address(1),
-        message(1, ProbeKind::Ack { seq }),
-        NOW.after_ms(9_000),
-    );
-    seen.push(("acknowledged 9 s later", members.confirmed_at()));
-    members.receive(
-        address(1),
-        message(1, ProbeKind::Ack { seq }),
-        NOW.after_ms(9_500),
-    );
-    seen.push(("acknowledged once more", members.confirmed_at()));
+    members.receive(address(1), confirmation(1), NOW);
+    seen.push(("not asked", members.confirmed_at()));
+    let effects = members.tick(NOW.after_ms(1));
+    let seq = inquiry_of(&effects);
+    members.receive(address(1), message(1, ProbeKind::Ack { seq }), NOW.after_ms(2));
+    seen.push(("acknowledged", members.confirmed_at()));
+    members.receive(address(1), confirmation(seq), NOW.after_ms(2_000));
+    seen.push(("answered 2 s later with an age of 300 ms", members.confirmed_at()));
+    members.receive(address(1), confirmation(seq), NOW.after_ms(2_500));
+    seen.push(("answered once more", members.confirmed_at()));
+    insta::assert_debug_snapshot!(seen);
+}
+
+/// A watch whose answer waited in the socket of a suspended daemon must not confirm the present.
+#[test]
+fn reading_confirms_no_later_than_the_store_answered() {
+    let wait = Duration::from_secs(2);
+    let confirmed_ms = |has_changed, took_ms| {
+        StoreReading::confirmed_at(NOW, wait, has_changed, NOW.after_ms(took_ms)).ms_since(NOW)
+    };
+    let seen = [
+        ("a change after 1.9 s", confirmed_ms(true, 1_900)),
+        ("a change, read after a suspension", confirmed_ms(true, 9_000)),
+        ("no change, cut after 1 s", confirmed_ms(false, 1_000)),
+        ("no change after 2 s", confirmed_ms(false, 2_005)),
+        ("no change, read after a suspension", confirmed_ms(false, 9_000)),
+    ];
     insta::assert_debug_snapshot!(seen);
 }
 
@@ -143,13 +158,23 @@
     }
 }
 
-fn ping_of(effects: &[MemberEffect]) -> u64 {
-    let pings = effects.iter().filter_map(|effect| match effect {
+/// Returns a confirmation that is 300 ms old.
+fn confirmation(seq: u64) -> ProbeMessage {
+    let known = KnownVersion {
+        version: 5,
+        age_ms: 300,
+        reader: address(1),
+    };
+    message(1, ProbeKind::Confirmation { seq, known })
+}
+
+fn inquiry_of(effects: &[MemberEffect]) -> u64 {
+    let inquiries = effects.iter().filter_map(|effect| match effect {
         MemberEffect::Send { message, .. } => match message.kind {
-            ProbeKind::Ping { seq } => Some(seq),
+            ProbeKind::Inquiry { seq } => Some(seq),
             _ => None,
         },
         _ => None,
     });
-    pings.max().expect("a probe is due")
+    inquiries.max().expect("an inquiry is due")
 }
