A peer that sends without pause leaves time for other calls

What callers saw: while one target answers with interim answers, tiny chunks or digits of a chunk size without end, other calls through the same daemon get 504 or no answer at all, also after the first call's deadline, and the target's connection stays open.

Cause: the HTTP library reads and parses as long as bytes are there. It yields after 128 reads of up to 400 kB each, so one poll of such a connection takes a second or more, and the runtime looks at timers and sockets only every 61 polls.

A connection now reads at most 64 KiB in a row, then pauses until the runtime has polled sockets, timers and other tasks. The library's buffer for an answer is bounded like that for a request.

--- a/src/daemon/traffic/peer_client.rs
+++ b/src/daemon/traffic/peer_client.rs
@@ -3,30 +3,62 @@
 
 use {
     super::body::ForwardedBody,
-    crate::http::{
-        CONNECT_TIMEOUT, KEEPALIVE_INTERVAL, NON_REPEATABLE_IDLE_TIMEOUT, REPEATABLE_IDLE_TIMEOUT,
+    crate::{
+        http::{
+            CONNECT_TIMEOUT, HeadLimits, KEEPALIVE_INTERVAL, NON_REPEATABLE_IDLE_TIMEOUT,
+            REPEATABLE_IDLE_TIMEOUT,
+        },
+        paced_stream::PacedStream,
     },
-    hyper::{Request, Response, body::Incoming, http::Extensions},
+    hyper::{Request, Response, Uri, body::Incoming, http::Extensions},
     hyper_util::{
         client::legacy::{
             Client, Error,
             connect::{CaptureConnection, HttpConnector, capture_connection},
         },
-        rt::{TokioExecutor, TokioTimer},
+        rt::{TokioExecutor, TokioIo, TokioTimer},
     },
     parking_lot::Mutex,
     std::{
         collections::HashMap,
         error::Error as _,
         net::SocketAddr,
+        pin::Pin,
+        task::{Context, Poll},
         time::{Duration, Instant},
     },
+    tokio::net::TcpStream,
+    tower_service::Service,
 };
 
 /// Idle time after which the clients of a peer are dropped.
 const UNUSED_TTL: Duration = Duration::from_mins(1);
 
-type PeerClient = Client<HttpConnector, ForwardedBody>;
+type PeerClient = Client<PacedConnector, ForwardedBody>;
+type PacedConnection = TokioIo<PacedStream<TcpStream>>;
+type ConnectError = <HttpConnector as Service<Uri>>::Error;
+
+/// Connector whose connections read at most a share of what a peer sends before others get their turn.
+#[derive(Debug, Clone)]
+struct PacedConnector(HttpConnector);
+
+impl Service<Uri> for PacedConnector {
+    type Response = PacedConnection;
+    type Error = ConnectError;
+    type Future = Pin<Box<dyn Future<Output = Result<PacedConnection, ConnectError>> + Send>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), ConnectError>> {
+        self.0.poll_ready(cx)
+    }
+
+    fn call(&mut self, peer: Uri) -> Self::Future {
+        let connecting = self.0.call(peer);
+        Box::pin(async move {
+            let stream = connecting.await?.into_inner();
+            Ok(TokioIo::new(PacedStream::new(stream)))
+        })
+    }
+}
 
 #[derive(Debug)]
 struct ClientPair {
@@ -132,7 +164,8 @@
         .pool_idle_timeout(idle_timeout)
         .retry_canceled_requests(false)
         .set_host(false)
-        .build(connector)
+        .http1_max_buf_size(HeadLimits::GATE.bytes)
+        .build(PacedConnector(connector))
 }
 
 fn classify_error(error: &Error) -> SendFault {
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,6 +1,7 @@
 //! Listening sockets, HTTP servers and HTTP clients. Options of the libraries that matter are set explicitly.
 
 use {
+    crate::paced_stream::PacedStream,
     bytes::Bytes,
     hyper::server::conn::http1,
     hyper_util::rt::{TokioIo, TokioTimer},
@@ -172,7 +173,7 @@
         let peer = remote_addr.clone().into_std();
         let handler =
             service.hyper_handler(local_addr, remote_addr, http_scheme, fuse_config, conn_ctrl, None);
-        let connection = http.serve_connection(TokioIo::new(stream), handler);
+        let connection = http.serve_connection(TokioIo::new(PacedStream::new(stream)), handler);
         let on_unread = Arc::clone(&on_unread);
         tokio::spawn(async move {
             let Err(error) = connection.await else { return };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod lab;
 pub mod member;
 pub mod moves;
+mod paced_stream;
 pub mod settings;
 pub mod spread;
 pub mod store;
