A caller that stops reading gives everything back at the deadline

What callers saw: 503 and queueing while a few callers read an answer slowly or not at all.

Cause: the deadline of a streamed answer was looked at when the server asked for the next chunk. It does not ask while the caller's socket is full.

Evidence: callers that send a request and read nothing, with an answer without end: with a length, in chunks, or with neither. Before the change the target's connection was open a second after the deadline in all three; now it is closed, and what the caller reads later is a transfer that breaks. Answers that end, and slow ones that fit the socket buffers, behave as before.

Ruled out: a cut before the deadline; the transfer ends early only if the target breaks off or the caller leaves.

A task of its own now moves the chunks, and gives the source up at the deadline, or when the caller's side is gone. A caller that has not taken the rest by then loses its connection. The gate and the proxy each do so by themselves. A streamed request body ends at the deadline too, so an upload that stalls after an early answer does not keep the connection to the target.

The end of a stalled upload has no test of its own yet.

--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -194,7 +194,8 @@
             Some(_) => return AttemptResult::failure(AttemptOutcome::Broken, reason),
             None => {}
         }
-        match AnswerBody::read(method, status, body, deadline.remaining_from(shared.now())).await {
+        let until = tokio::time::Instant::now() + deadline.remaining_from(shared.now());
+        match AnswerBody::read(method, status, body, until).await {
             Ok(body) => AttemptResult::Answer {
                 outcome: if status.is_server_error() {
                     AttemptOutcome::Failed
--- a/src/daemon/traffic/body.rs
+++ b/src/daemon/traffic/body.rs
@@ -1,14 +1,17 @@
 //! Request and answer bodies: small ones are fully buffered, larger ones are streamed.
 
 use {
-    crate::clock::TimePoint,
+    crate::{clock::TimePoint, http::ConnectionCloser},
     bytes::{Bytes, BytesMut},
     futures_util::{Stream, StreamExt, TryStreamExt, stream},
     http_body_util::{BodyExt, BodyStream, Full, StreamBody, combinators::UnsyncBoxBody},
     hyper::body::{Frame, Incoming},
     salvo::http::{HeaderMap, Method, ReqBody, StatusCode, header::CONTENT_LENGTH},
     std::{io, pin::Pin, time::Duration},
-    tokio::time::{Instant, timeout},
+    tokio::{
+        sync::mpsc,
+        time::{Instant, sleep_until, timeout, timeout_at},
+    },
 };
 
 /// Largest body that is fully buffered, in bytes. A buffered request can be sent again, and a buffered answer is known
@@ -44,16 +47,16 @@
 }
 
 impl RequestBody {
-    /// Buffers a body of up to [`MAX_BUFFERED_BYTES`] within `time_left`. A larger one is streamed; the stream ends
-    /// with an error if it exceeds `limit` bytes.
+    /// Buffers a body of up to [`MAX_BUFFERED_BYTES`]. A larger one is streamed; the stream ends with an error if it
+    /// exceeds `limit` bytes or is not complete at `until`.
     ///
     /// Fails with [`BodyFault::TooLarge`] if the declared length exceeds `limit`, and with [`BodyFault::Incomplete`] if
-    /// the body breaks off or `time_left` passes while it is buffered.
+    /// the body breaks off or `until` passes while it is buffered.
     pub async fn read(
         headers: &HeaderMap,
         body: ReqBody,
         limit: u64,
-        time_left: Duration,
+        until: Instant,
     ) -> Result<Self, BodyFault> {
         let length = headers
             .get(CONTENT_LENGTH)
@@ -65,11 +68,13 @@
         let chunks: ByteStream =
             Box::pin(body.try_filter_map(|frame| async move { Ok(frame.into_data().ok()) }));
         if length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64) {
-            return Ok(Self::Streaming(limit_size(chunks, limit)));
+            return Ok(Self::Streaming(limit_transfer(chunks, limit, until)));
         }
-        match timeout(time_left, buffer(chunks)).await {
+        match timeout_at(until, buffer(chunks)).await {
             Ok(Ok(BufferedBody::Complete(bytes))) => Ok(Self::Buffered(bytes)),
-            Ok(Ok(BufferedBody::Oversized(chunks))) => Ok(Self::Streaming(limit_size(chunks, limit))),
+            Ok(Ok(BufferedBody::Oversized(chunks))) => {
+                Ok(Self::Streaming(limit_transfer(chunks, limit, until)))
+            }
             Ok(Err(_)) | Err(_) => Err(BodyFault::Incomplete),
         }
     }
@@ -143,15 +148,23 @@
     let _ = timeout(DISCARD_LIMIT, reading).await;
 }
 
-fn limit_size(chunks: ByteStream, limit: u64) -> ByteStream {
-    let mut left = limit;
-    Box::pin(chunks.map(move |chunk| {
-        let chunk = chunk?;
-        left = left
-            .checked_sub(chunk.len() as u64)
-            .ok_or_else(|| io::Error::other("request body is over the limit"))?;
-        Ok(chunk)
-    }))
+fn limit_transfer(chunks: ByteStream, limit: u64, until: Instant) -> ByteStream {
+    Box::pin(stream::try_unfold(
+        (chunks, limit),
+        move |(mut chunks, left)| async move {
+            let chunk = timeout_at(until, chunks.next()).await;
+            let Some(chunk) =
+                chunk.map_err(|_| io::Error::new(io::ErrorKind::TimedOut, "request body is over-late"))?
+            else {
+                return Ok(None);
+            };
+            let chunk = chunk?;
+            let left = left
+                .checked_sub(chunk.len() as u64)
+                .ok_or_else(|| io::Error::other("request body is over the limit"))?;
+            Ok(Some((chunk, (chunks, left))))
+        },
+    ))
 }
 
 /// Body of an answer.
@@ -174,13 +187,13 @@
 }
 
 impl AnswerBody {
-    /// Buffers a body of up to [`MAX_BUFFERED_BYTES`] within `time_left`, so that a truncated one is detected before
-    /// any of the answer is returned. A larger one is streamed.
+    /// Buffers a body of up to [`MAX_BUFFERED_BYTES`] that is complete by `until`, so that a truncated one is detected
+    /// before any of the answer is returned. A larger one is streamed.
     pub async fn read(
         method: &Method,
         status: StatusCode,
         body: Incoming,
-        time_left: Duration,
+        until: Instant,
     ) -> Result<Self, AnswerFault> {
         let is_bodiless =
             *method == Method::HEAD || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
@@ -189,7 +202,7 @@
         }
         let frames = TryStreamExt::map_err(BodyStream::new(body), io::Error::other);
         let chunks = frames.try_filter_map(|frame| async move { Ok(frame.into_data().ok()) });
-        match timeout(time_left, buffer(Box::pin(chunks))).await {
+        match timeout_at(until, buffer(Box::pin(chunks))).await {
             Ok(Ok(BufferedBody::Complete(bytes))) => Ok(Self::Buffered(bytes)),
             Ok(Ok(BufferedBody::Oversized(chunks))) => Ok(Self::Streaming(chunks)),
             Ok(Err(_)) => Err(AnswerFault::Cut),
@@ -198,26 +211,73 @@
     }
 }
 
-/// Streams chunks until the deadline, and drops `guard` after the body has been sent or given up. A body that breaks
-/// off or passes the deadline ends with an error, which aborts the transfer, so that it can't be taken for a complete
-/// short one.
+/// End of the transfer of a streamed answer.
+#[derive(Debug, Clone)]
+pub struct TransferEnd {
+    /// Time at which the transfer is given up.
+    pub at: Instant,
+    /// Closes the connection of the caller, which may have stopped reading.
+    closer: ConnectionCloser,
+}
+
+impl TransferEnd {
+    /// Creates the end of a transfer at a deadline.
+    pub fn new(deadline: TimePoint, now: TimePoint, closer: ConnectionCloser) -> Self {
+        Self {
+            at: Instant::now() + deadline.remaining_from(now),
+            closer,
+        }
+    }
+}
+
+/// Item of a streamed body; `None` is its regular end.
+type PumpedItem = Option<io::Result<Bytes>>;
+
+/// Streams chunks until the end of the transfer, and drops `guard` after the body has been sent or given up. A body that
+/// breaks off or passes the deadline ends with an error, which aborts the transfer, so that it can't be taken for a
+/// complete short one.
 pub fn stream_until<K: Send + 'static>(
     chunks: ByteStream,
-    deadline: TimePoint,
-    now: TimePoint,
+    end: TransferEnd,
     guard: K,
 ) -> impl Stream<Item = io::Result<Bytes>> + Send {
-    let end = Instant::now() + deadline.remaining_from(now);
-    stream::unfold(Some((chunks, guard)), move |state| async move {
-        let (mut chunks, guard) = state?;
-        match tokio::time::timeout_at(end, chunks.next()).await {
-            Ok(None) => None,
-            Ok(Some(Ok(chunk))) => Some((Ok(chunk), Some((chunks, guard)))),
-            Ok(Some(Err(error))) => Some((Err(error), None)),
-            Err(_) => Some((
+    let (sender, receiver) = mpsc::channel(1);
+    // The server asks for no chunk while the caller doesn't read, so the source has a task of its own.
+    tokio::spawn(pump(chunks, sender, end, guard));
+    stream::unfold(Some(receiver), |receiver| async {
+        let mut receiver = receiver?;
+        match receiver.recv().await {
+            Some(Some(Ok(chunk))) => Some((Ok(chunk), Some(receiver))),
+            Some(Some(Err(error))) => Some((Err(error), None)),
+            Some(None) => None,
+            None => Some((
                 Err(io::Error::new(io::ErrorKind::TimedOut, "answer is over-late")),
                 None,
             )),
         }
     })
 }
+
+/// Passes chunks on until they end, the receiver is dropped, or the transfer ends. The source is dropped at once then,
+/// the guard only when the receiver has taken the last chunk or the transfer ends.
+async fn pump<K>(mut chunks: ByteStream, sender: mpsc::Sender<PumpedItem>, end: TransferEnd, guard: K) {
+    let transfer = async {
+        loop {
+            let item = chunks.next().await;
+            let is_last = !matches!(item, Some(Ok(_)));
+            if sender.send(item).await.is_err() || is_last {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        () = transfer => {}
+        () = sender.closed() => {}
+        () = sleep_until(end.at) => {}
+    }
+    drop(chunks);
+    if timeout_at(end.at, sender.closed()).await.is_err() {
+        end.closer.close();
+    }
+    drop(guard);
+}
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -6,7 +6,7 @@
     self::slots::{QueueGuard, SlotGuard, SlotWaiter},
     super::{
         attempt::ForwardedRequest,
-        body::{AnswerBody, AnswerFault, RequestBody},
+        body::{AnswerBody, AnswerFault, RequestBody, TransferEnd},
         dialect::{AnswerVerdict, CallContext},
         hop::{HopCall, header},
         peer_client::{PeerClients, SendFault, retire_connection},
@@ -20,6 +20,7 @@
             shared::{SharedState, TargetIdentity, TrafficEvent},
         },
         gate::{GateAdmission, GateArrival, GateRefusal},
+        http::ConnectionCloser,
     },
     hyper::{Response as Answer, body::Incoming, header::HOST, http::uri::PathAndQuery},
     salvo::{
@@ -214,9 +215,9 @@
     ) -> Result<(), GateFailure> {
         let shared = &self.shared;
         let limit = shared.settings.max_body_bytes;
-        let time_left = hop.deadline.remaining_from(shared.now());
+        let end = TransferEnd::new(hop.deadline, shared.now(), ConnectionCloser::of(req));
         let body = req.take_body();
-        let body = RequestBody::read(req.headers(), body, limit, time_left).await;
+        let body = RequestBody::read(req.headers(), body, limit, end.at).await;
         let mut forwarded =
             self.forwarded_request(req, hop, identity, body.map_err(|_| GateFailure::BadRequest)?);
         let mut recorder = CallRecorder {
@@ -252,7 +253,7 @@
             }
         };
         let ForwardedRequest { method, headers, .. } = forwarded;
-        self.return_answer((&method, &headers), res, hop, answer, &mut recorder, slot)
+        self.return_answer((&method, &headers), res, end, answer, &mut recorder, slot)
             .await
     }
 
@@ -261,7 +262,7 @@
         &self,
         (method, request): (&Method, &HeaderMap),
         res: &mut Response,
-        hop: &HopCall,
+        end: TransferEnd,
         answer: Answer<Incoming>,
         recorder: &mut CallRecorder,
         mut slot: SlotGuard,
@@ -288,8 +289,7 @@
                 ));
             }
         }
-        let time_left = hop.deadline.remaining_from(shared.now());
-        match AnswerBody::read(method, head.status, body, time_left).await {
+        match AnswerBody::read(method, head.status, body, end.at).await {
             Ok(body) => {
                 let failed = head.status.is_server_error();
                 recorder.outcome = if failed {
@@ -301,7 +301,7 @@
                 let headers = end_to_end_headers(&head.headers);
                 let is_streaming = matches!(body, AnswerBody::Streaming(_));
                 let slot = is_streaming.then_some(slot);
-                write_answer(res, head.status, headers, body, hop.deadline, shared.now(), slot);
+                write_answer(res, head.status, headers, body, end, slot);
                 Ok(())
             }
             Err(AnswerFault::Cut) => {
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -7,7 +7,7 @@
     self::logging::{LoggedRefusal, log_failed_attempt, log_refusal, log_slow_or_failed},
     super::{
         attempt::{AttemptResult, CallAttempt, ForwardedRequest, InFlightGuard},
-        body::{AnswerBody, BodyFault, RequestBody},
+        body::{AnswerBody, BodyFault, RequestBody, TransferEnd},
         dialect::{CallOptions, call_deadline},
         hop::HopCall,
         peer_client::PeerClients,
@@ -21,7 +21,7 @@
             shared::{ActiveCall, SharedState},
             snapshot::{ServingTarget, TrafficSnapshot},
         },
-        http::{MAX_HEADERS, MAX_REQUEST_HEAD_BYTES},
+        http::{ConnectionCloser, MAX_HEADERS, MAX_REQUEST_HEAD_BYTES},
     },
     futures_util::{StreamExt, stream::FuturesUnordered},
     hyper::{header::HOST, http::uri::PathAndQuery},
@@ -121,9 +121,9 @@
             Err(refusal) => return self.refuse(req, None, &refusal, res),
         };
         let limit = self.body_limit();
-        let time_left = call.deadline.remaining_from(self.shared.now());
+        let end = TransferEnd::new(call.deadline, self.shared.now(), ConnectionCloser::of(req));
         let body = req.take_body();
-        let body = match RequestBody::read(req.headers(), body, limit, time_left).await {
+        let body = match RequestBody::read(req.headers(), body, limit, end.at).await {
             Ok(body) => body,
             Err(fault) => {
                 let refusal = self.unless_stale(&self.shared.snapshot.load(), body_refusal(fault, limit));
@@ -138,7 +138,7 @@
             body,
         };
         match self.run_plan(&mut request, &mut call).await {
-            Ok(answer) => self.respond(answer, &call, active, res),
+            Ok(answer) => self.respond(answer, &call, (active, end), res),
             Err(refusal) => self.refuse(req, Some(&call), &refusal, res),
         }
     }
@@ -310,7 +310,13 @@
     }
 
     /// Writes an answer to the response and records its metrics.
-    fn respond(&self, answer: ReceivedAnswer, call: &RoutedCall, active: ActiveCall, res: &mut Response) {
+    fn respond(
+        &self,
+        answer: ReceivedAnswer,
+        call: &RoutedCall,
+        (active, end): (ActiveCall, TransferEnd),
+        res: &mut Response,
+    ) {
         let shared = &self.shared;
         let failed = answer.status.is_server_error();
         let now = shared.now();
@@ -333,8 +339,7 @@
             answer.status,
             end_to_end_headers(&answer.headers),
             answer.body,
-            call.deadline,
-            shared.now(),
+            end,
             (active, answer.in_flight_guard),
         );
     }
--- a/src/daemon/traffic/relay.rs
+++ b/src/daemon/traffic/relay.rs
@@ -2,12 +2,11 @@
 
 use {
     super::{
-        body::{AnswerBody, stream_until},
+        body::{AnswerBody, TransferEnd, stream_until},
         hop::header,
     },
     crate::{
         call::{CallOutcome, RefusalReason},
-        clock::TimePoint,
         daemon::shared::SharedState,
     },
     bytes::{Bytes, BytesMut},
@@ -83,8 +82,7 @@
     status: StatusCode,
     headers: HeaderMap,
     body: AnswerBody,
-    deadline: TimePoint,
-    now: TimePoint,
+    end: TransferEnd,
     guard: K,
 ) {
     res.status_code(status);
@@ -95,7 +93,7 @@
             drop(guard);
         }
         AnswerBody::None => drop(guard),
-        AnswerBody::Streaming(chunks) => res.stream(stream_until(chunks, deadline, now, guard)),
+        AnswerBody::Streaming(chunks) => res.stream(stream_until(chunks, end, guard)),
     }
 }
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,10 +3,14 @@
 use {
     crate::paced_stream::PacedStream,
     bytes::Bytes,
-    hyper::server::conn::http1,
+    hyper::{
+        body::Incoming,
+        server::conn::http1,
+        service::{Service as _, service_fn},
+    },
     hyper_util::rt::{TokioIo, TokioTimer},
     salvo::{
-        Handler, Response, Router, Service,
+        Handler, Request, Response, Router, Service,
         conn::{Accepted, Acceptor, tcp::TcpAcceptor},
         fuse::{ArcFusePolicy, FuseConfig},
         http::{ResBody, StatusCode},
@@ -19,7 +23,7 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::{sync::Notify, time::sleep},
 };
 
 /// Maximum number of connections waiting for `accept`; enough if all peers of a small service reconnect together.
@@ -125,6 +129,26 @@
     }
 }
 
+/// Closes the connection of a request, whether or not the sender reads.
+#[derive(Debug, Clone, Default)]
+pub struct ConnectionCloser(Arc<Notify>);
+
+impl ConnectionCloser {
+    /// Returns the closer of a request's connection; it has no effect if no listener of this crate serves the request.
+    pub fn of(req: &Request) -> Self {
+        req.extensions().get().cloned().unwrap_or_default()
+    }
+
+    /// Closes the connection.
+    pub fn close(&self) {
+        self.0.notify_one();
+    }
+
+    async fn closed(&self) {
+        self.0.notified().await;
+    }
+}
+
 /// Serves all requests of a listener with one handler until the runtime stops.
 pub async fn serve<H: Handler>(listener: TcpListener, handler: H) -> io::Result<()> {
     serve_observed(listener, handler, HeadLimits::CONTROL, |_| {}).await
@@ -173,10 +197,20 @@
         let peer = remote_addr.clone().into_std();
         let handler =
             service.hyper_handler(local_addr, remote_addr, http_scheme, fuse_config, conn_ctrl, None);
+        let closer = ConnectionCloser::default();
+        let request_closer = closer.clone();
+        let handler = service_fn(move |mut request: hyper::Request<Incoming>| {
+            request.extensions_mut().insert(request_closer.clone());
+            handler.call(request)
+        });
         let connection = http.serve_connection(TokioIo::new(PacedStream::new(stream)), handler);
         let on_unread = Arc::clone(&on_unread);
         tokio::spawn(async move {
-            let Err(error) = connection.await else { return };
+            let ended = tokio::select! {
+                ended = connection => ended,
+                () = closer.closed() => return,
+            };
+            let Err(error) = ended else { return };
             let unread = peer.and_then(|peer| UnreadRequest::from_error(peer, error));
             if let Some(unread) = unread {
                 on_unread(&unread);
