Answers of the store and of other daemons are read up to a limit

What callers saw: nothing yet; a daemon whose store, or another process at the store's or a peer's address, answers without end grows until the machine ends it, and every call on that VM with it.

The size was checked only when the message was decoded.

Ruled out: heads, which the HTTP library limits.

Reading stops at the size that could be decoded at all: 4 MiB, and twice that for the built-in store's base64. Such an answer counts as ambiguous, as the store may have made the change.

The control client reads by the same function; a test with a hostile peer is not part of this change.

--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -8,7 +8,9 @@
     },
     crate::{
         clock::TimePoint,
+        codec::MAX_MESSAGE_BYTES,
         config::ConfigHead,
+        http::read_body,
         member::{ProbeMessage, SyncReply},
         moves::{Clearance, PollReply},
         spread::ConfigReply,
@@ -177,7 +179,10 @@
         if !response.status().is_success() {
             return None;
         }
-        let bytes = response.bytes().await.ok()?;
+        let bytes = read_body(response, MAX_MESSAGE_BYTES).await;
+        let bytes = bytes
+            .inspect_err(|error| log::warn!("event=reply-unread peer={to} error={error:?}"))
+            .ok()?;
         self.shared
             .metrics
             .count_control_bytes("received", "http", bytes.len());
--- a/src/http.rs
+++ b/src/http.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::paced_stream::PacedStream,
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     hyper::{
         body::Incoming,
         server::conn::http1,
@@ -23,6 +23,7 @@
         sync::Arc,
         time::Duration,
     },
+    thiserror::Error,
     tokio::{sync::Notify, time::sleep},
 };
 
@@ -243,6 +244,29 @@
         .pool_idle_timeout(idle_timeout)
 }
 
+/// Error on reading the body of an answer.
+#[derive(Debug, Error)]
+pub enum ReadError {
+    /// The connection broke.
+    #[error(transparent)]
+    Broken(#[from] reqwest::Error),
+    /// The body is larger than the reader takes.
+    #[error("answer is over {0} bytes")]
+    TooLarge(usize),
+}
+
+/// Reads the body of an answer, at most `limit` bytes of it.
+pub async fn read_body(mut answer: reqwest::Response, limit: usize) -> Result<Bytes, ReadError> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = answer.chunk().await? {
+        if body.len() + chunk.len() > limit {
+            return Err(ReadError::TooLarge(limit));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
 /// Sets the status and the body of a response.
 pub fn respond(res: &mut Response, status: StatusCode, body: impl Into<Bytes>) {
     res.status_code(status);
--- a/src/store/http_store.rs
+++ b/src/store/http_store.rs
@@ -3,7 +3,10 @@
 
 use {
     super::{StoreClient, StoreError, StoreValue},
-    crate::http::{CLIENT_IDLE_TIMEOUT, plain_client},
+    crate::{
+        codec::MAX_MESSAGE_BYTES,
+        http::{CLIENT_IDLE_TIMEOUT, ReadError, plain_client, read_body},
+    },
     reqwest::{Response, StatusCode},
     serde::{Deserialize, Serialize},
     serde_with::{base64::Base64, serde_as},
@@ -13,6 +16,9 @@
 /// Timeout of a call to the store, added to the wait time of a watch.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Maximum size of an answer, in bytes: a stored value in base64, with room for its key.
+const MAX_BODY_BYTES: usize = 2 * MAX_MESSAGE_BYTES;
+
 /// One row of the response to a read.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -89,8 +95,11 @@
         if !status.is_success() {
             return Err(StoreError::Refused(format!("status {status}")));
         }
-        let bytes = answer.bytes().await.map_err(|error| self.failure(&error))?;
-        Ok(bytes.to_vec())
+        match read_body(answer, MAX_BODY_BYTES).await {
+            Ok(bytes) => Ok(bytes.to_vec()),
+            Err(ReadError::Broken(error)) => Err(self.failure(&error)),
+            Err(error) => Err(StoreError::Ambiguous(error.to_string())),
+        }
     }
 }
 
