Control messages are refused by their declared length and read for two seconds at most

What callers saw: nothing; a sender that declares a body of terabytes at the control listener and stops, or sends a byte now and then, holds a connection and up to 4 MiB for as long as it likes.

Cause: the listener counted what had arrived and had no time limit. Peers give a message up after two seconds.

--- a/src/daemon/traffic/relay.rs
+++ b/src/daemon/traffic/relay.rs
@@ -11,6 +11,7 @@
     },
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
+    hyper::body::Body as _,
     salvo::{
         Response,
         http::{
@@ -21,8 +22,13 @@
             },
         },
     },
+    std::time::Duration,
+    tokio::time::timeout,
 };
 
+/// Maximum time for reading a body whose sender gives up as early.
+const BODY_LIMIT: Duration = Duration::from_secs(2);
+
 const HOP_BY_HOP_HEADERS: [HeaderName; 7] = [
     CONNECTION,
     PROXY_AUTHENTICATE,
@@ -131,18 +137,23 @@
     }
 }
 
-/// Reads a whole body. Returns `None` if it exceeds `limit` bytes or breaks off.
-pub async fn read_limited(body: ReqBody, limit: usize) -> Option<Bytes> {
-    let mut content = BytesMut::new();
-    let mut body = body;
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else {
-            continue;
-        };
-        if content.len() + data.len() > limit {
-            return None;
-        }
-        content.extend_from_slice(&data);
+/// Reads a whole body. Returns `None` if it exceeds `limit` bytes, breaks off, or is not complete after [`BODY_LIMIT`].
+pub async fn read_limited(mut body: ReqBody, limit: usize) -> Option<Bytes> {
+    if body.size_hint().lower() > limit as u64 {
+        return None;
     }
-    Some(content.freeze())
+    let reading = async {
+        let mut content = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.ok()?.into_data() else {
+                continue;
+            };
+            if content.len() + data.len() > limit {
+                return None;
+            }
+            content.extend_from_slice(&data);
+        }
+        Some(content.freeze())
+    };
+    timeout(BODY_LIMIT, reading).await.ok()?
 }
