--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -7,7 +7,9 @@
         shared::{SharedState, TrafficEvent},
     },
     crate::{
+        codec::MAX_MESSAGE_BYTES,
         config::ConfigHead,
+        http::read_body,
         member::{ProbeMessage, SyncReply},
         moves::{Clearance, PollReply},
         spread::ConfigReply,
@@ -174,7 +176,10 @@
         if !response.status().is_success() {
             return None;
         }
-        let bytes = response.bytes().await.ok()?;
+        let bytes = read_body(response, MAX_MESSAGE_BYTES).await;
+        let bytes = bytes
+            .inspect_err(|error| log::warn!("event=reply-unread peer={to} error={error:?}"))
+            .ok()?;
         self.shared
             .metrics
             .count_control_bytes("received", "http", bytes.len());
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,11 +1,16 @@
 //! Listening sockets, HTTP servers and HTTP clients. Options of the libraries that matter are set explicitly.
 
 use {
-    bytes::Bytes,
-    hyper::server::conn::http1,
+    crate::paced_stream::PacedStream,
+    bytes::{Bytes, BytesMut},
+    hyper::{
+        body::Incoming,
+        server::conn::http1,
+        service::{Service as _, service_fn},
+    },
     hyper_util::rt::{TokioIo, TokioTimer},
     salvo::{
-        Handler, Response, Router, Service,
+        Handler, Request, Response, Router, Service,
         conn::{Accepted, Acceptor, tcp::TcpAcceptor},
         fuse::{ArcFusePolicy, FuseConfig},
         http::{ResBody, StatusCode},
@@ -18,7 +23,8 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::time::sleep,
+    thiserror::Error,
+    tokio::{sync::Notify, time::sleep},
 };
 
 /// Maximum number of connections waiting for `accept`; enough if all peers of a small service reconnect together.
@@ -124,6 +130,26 @@
     }
 }
 
+/// Closes the connection of a request, whether or not the sender reads.
+#[derive(Debug, Clone, Default)]
+pub struct ConnectionCloser(Arc<Notify>);
+
+impl ConnectionCloser {
+    /// Returns the closer of a request's connection; it has no effect if no listener of this crate serves the request.
+    pub fn of(req: &Request) -> Self {
+        req.extensions().get().cloned().unwrap_or_default()
+    }
+
+    /// Closes the connection.
+    pub fn close(&self) {
+        self.0.notify_one();
+    }
+
+    async fn closed(&self) {
+        self.0.notified().await;
+    }
+}
+
 /// Serves all requests of a listener with one handler until the runtime stops.
 pub async fn serve<H: Handler>(listener: TcpListener, handler: H) -> io::Result<()> {
     serve_observed(listener, handler, HeadLimits::CONTROL, |_| {}).await
@@ -172,10 +198,20 @@
         let peer = remote_addr.clone().into_std();
         let handler =
             service.hyper_handler(local_addr, remote_addr, http_scheme, fuse_config, conn_ctrl, None);
-        let connection = http.serve_connection(TokioIo::new(stream), handler);
+        let closer = ConnectionCloser::default();
+        let request_closer = closer.clone();
+        let handler = service_fn(move |mut request: hyper::Request<Incoming>| {
+            request.extensions_mut().insert(request_closer.clone());
+            handler.call(request)
+        });
+        let connection = http.serve_connection(TokioIo::new(PacedStream::new(stream)), handler);
         let on_unread = Arc::clone(&on_unread);
         tokio::spawn(async move {
-            let Err(error) = connection.await else { return };
+            let ended = tokio::select! {
+                ended = connection => ended,
+                () = closer.closed() => return,
+            };
+            let Err(error) = ended else { return };
             let unread = peer.and_then(|peer| UnreadRequest::from_error(peer, error));
             if let Some(unread) = unread {
                 on_unread(&unread);
@@ -208,6 +244,29 @@
         .pool_idle_timeout(idle_timeout)
 }
 
+/// Error on reading the body of an answer.
+#[derive(Debug, Error)]
+pub enum ReadError {
+    /// The connection broke.
+    #[error(transparent)]
+    Broken(#[from] reqwest::Error),
+    /// The body is larger than the reader takes.
+    #[error("answer is over {0} bytes")]
+    TooLarge(usize),
+}
+
+/// Reads the body of an answer, at most `limit` bytes of it.
+pub async fn read_body(mut answer: reqwest::Response, limit: usize) -> Result<Bytes, ReadError> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = answer.chunk().await? {
+        if body.len() + chunk.len() > limit {
+            return Err(ReadError::TooLarge(limit));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
 /// Sets the status and the body of a response.
 pub fn respond(res: &mut Response, status: StatusCode, body: impl Into<Bytes>) {
     res.status_code(status);
