--- a/tests/spread_fuzz.rs
+++ b/tests/spread_fuzz.rs
@@ -133,7 +133,7 @@
             },
         };
         if let Ok(HeadEdit::Next(edit)) = apply_edit(&head, &request) {
-            let edited = if entry % 2 == 0 {
+            let edited = if entry.is_multiple_of(2) {
                 edit.head
             } else {
                 without_stamps(edit.head)
