Tests: a mesh without a store serves its routes and does not refuse others for good

Six daemons in two data centres with the built-in store: while it is down, requests for paths without a route get 503 from every daemon, as a newer configuration may have the route, and requests of routes are served; once it is back, they get 404 again.

--- a/tests/mesh_faults.rs
+++ b/tests/mesh_faults.rs
@@ -8,7 +8,12 @@
     fuchsiashore::lab::{CallerReport, CallerSettings, TcpRelay, free_ports, run_caller},
     mesh::{Mesh, wait_until},
     parking_lot::Mutex,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    reqwest::StatusCode,
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 fn caller_settings(daemons: Vec<SocketAddr>, name: &str, rate: u32, count: u32) -> CallerSettings {
@@ -221,6 +226,39 @@
     );
 }
 
+/// Waits until every daemon answers a request for a path without a route with `status`, and one of a route with 200.
+async fn wait_for_status_without_a_route(mesh: &Mesh, status: StatusCode) {
+    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    let deadline = Instant::now() + Duration::from_secs(30);
+    for pair in &mesh.pairs {
+        let get = |path: &str| client.get(format!("http://{}{path}", pair.calls)).send();
+        loop {
+            assert_eq!(get("/stock").await.unwrap().status(), StatusCode::OK);
+            let seen = get("/nowhere").await.unwrap().status();
+            if seen == status {
+                break;
+            }
+            assert!(Instant::now() < deadline, "{}: {seen}, not {status}", pair.name);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
+/// Guards against daemons that confirm each other's table while none of them reaches the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn mesh_without_a_store_serves_its_routes_and_does_not_refuse_others_for_good() {
+    let mesh = Mesh::start("storeless", 6);
+    assert!(mesh.apply("v1", 600).status.success());
+    wait_for_status_without_a_route(&mesh, StatusCode::NOT_FOUND).await;
+    mesh.put_to_store("/lab/faults?down=true").await;
+    wait_for_status_without_a_route(&mesh, StatusCode::SERVICE_UNAVAILABLE).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    // From now on no daemon may take another one's word for it.
+    wait_for_status_without_a_route(&mesh, StatusCode::SERVICE_UNAVAILABLE).await;
+    mesh.put_to_store("/lab/faults?down=false").await;
+    wait_for_status_without_a_route(&mesh, StatusCode::NOT_FOUND).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn change_is_made_at_most_once_if_store_answers_are_lost() {
     let mesh = Mesh::start("lost", 2);
