A chunked body of a GET over 64 kB reaches the target

What callers saw: 200 for a GET or HEAD whose chunked body the target never got. It ran with an empty body.

Cause: a body over 64 kB is streamed, with no length known. The HTTP client then writes chunks for every method except GET, HEAD and CONNECT, which it sends without any body. The header that asked for chunks concerns one connection and is not passed on.

Ruled out: bodies with a length, and short ones, whose length is known after buffering; both arrived.

A streamed body without a length now asks for chunks on each hop, whatever the method.

--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -18,7 +18,12 @@
         gate::GateRefusal,
         moves::Clearance,
     },
-    hyper::{Request, Response, Uri, body::Incoming, header::HOST, http::uri::PathAndQuery},
+    hyper::{
+        Request, Response, Uri,
+        body::Incoming,
+        header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
+        http::uri::PathAndQuery,
+    },
     salvo::http::{HeaderMap, HeaderValue, Method, StatusCode},
     std::{net::SocketAddr, sync::Arc, time::Instant},
     tokio::time::timeout,
@@ -47,10 +52,17 @@
             .path_and_query(self.path.clone())
             .build()
             .ok()?;
+        // Without a framing of its own the library sends no body with a GET or HEAD.
+        let is_chunked =
+            matches!(self.body, RequestBody::Streaming(_)) && !self.headers.contains_key(CONTENT_LENGTH);
         let mut request = Request::new(self.body.take());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = uri;
         *request.headers_mut() = self.headers.clone();
+        if is_chunked {
+            let chunked = HeaderValue::from_static("chunked");
+            request.headers_mut().insert(TRANSFER_ENCODING, chunked);
+        }
         if let Some(host) = &self.host {
             request.headers_mut().insert(HOST, host.clone());
         }
