Take every head of an answer within the size of a request's

What callers saw: 504 for an answer with 97 or more headers, and the target counts as failed, though it had answered well.

Cause: the HTTP client's limit of 100 headers, as on the listeners before.

Evidence: answers with 90, 97, 120 and 900 headers through a real daemon; 97 ended as 504 before the change, all pass now.

The limits of the gate hold for answers on both hops.

--- a/src/daemon/traffic/peer_client.rs
+++ b/src/daemon/traffic/peer_client.rs
@@ -165,6 +165,7 @@
         .retry_canceled_requests(false)
         .set_host(false)
         .http1_max_buf_size(HeadLimits::GATE.bytes)
+        .http1_max_headers(HeadLimits::GATE.headers)
         .build(PacedConnector(connector))
 }
 
