Hosts are compared without case, default port and root dot

What callers saw: 404 no-route for `Host: MESH`, `mesh:80`, `mesh.` or `[::1]:80` where a route has the host `mesh` or `[::1]`, and for `GET http://mesh/...` with another `Host` header.

Cause: the text of the `Host` header was looked up byte for byte, and the authority of the URI was not looked at.

Fix: hosts of routes and of requests are compared in lower case, without port 80, an empty port or the dot of the root (RFC 9110, 4.2.3; RFC 3986, 3.2.2). A route without a port takes every port, as the address that callers connect to has any port; a route with one takes that first. The authority of the URI decides before the header (RFC 9112, 3.2.2). The header is forwarded as it came. The log line has the host by which the request was judged.

A user part in the authority is ignored; several `Host` headers are not looked into.

--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -4,6 +4,7 @@
 use {
     super::{
         head::{ConfigHead, MoveOrder, TrafficLimits},
+        host::{normalize_host, split_port},
         tables::{ANY_VERSION, PoolEntry, RepeatRule, TableFault},
     },
     std::{collections::HashMap, sync::Arc},
@@ -110,7 +111,7 @@
 pub struct CompiledTable {
     /// Version of the configuration.
     pub version: u64,
-    /// Routes by host and path; routes for every host have the empty string as their key.
+    /// Routes by normalized host and path; routes for every host have the empty string as their key.
     hosts: HashMap<Arc<str>, PathTable>,
     /// Limits on requests from callers.
     pub limits: TrafficLimits,
@@ -166,10 +167,10 @@
                 priority: row.entry.priority,
                 attempts: row.entry.attempts,
             };
-            let host = row.entry.host.clone().unwrap_or_default();
+            let host = normalize_host(row.entry.host.as_deref().unwrap_or(""));
             table
                 .hosts
-                .entry(host)
+                .entry(host.into())
                 .or_default()
                 .entry(Arc::clone(&route.path))
                 .or_default()
@@ -179,10 +180,14 @@
     }
 
     /// Finds the route with the longest path prefix that ends at a segment boundary and accepts the method, first
-    /// among the routes for `host`, then among those for every host.
+    /// among the routes for `host` with its port, then among those for `host` with any port, then among those for every
+    /// host.
     pub fn find(&self, host: &str, method: &str, path: &str) -> RouteMatch {
         let mut wrong_method = false;
-        let tables = [self.hosts.get(host), self.hosts.get("")];
+        let host = normalize_host(host);
+        let (name, port) = split_port(&host);
+        let with_port = port.and_then(|_| self.hosts.get(&*host));
+        let tables = [with_port, self.hosts.get(name), self.hosts.get("")];
         for table in tables.into_iter().flatten() {
             for prefix in prefixes(path) {
                 let Some(routes) = table.get(prefix) else {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -6,6 +6,7 @@
 mod delta;
 mod diff;
 mod head;
+mod host;
 mod parse;
 mod tables;
 
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -11,7 +11,9 @@
         dialect::{CallOptions, call_deadline},
         hop::HopCall,
         peer_client::PeerClients,
-        relay::{add_close_header, end_to_end_headers, refusal_status, write_answer, write_refusal},
+        relay::{
+            add_close_header, end_to_end_headers, refusal_status, request_host, write_answer, write_refusal,
+        },
     },
     crate::{
         call::{CallOutcome, CallPlan, CallRules, CallStep, RefusalReason},
@@ -400,12 +402,7 @@
 
 fn find_route(snapshot: &TrafficSnapshot, req: &Request) -> Result<Arc<CompiledRoute>, RefusalReason> {
     let table = snapshot.table.as_ref().ok_or(RefusalReason::NoConfiguration)?;
-    let host = req
-        .headers()
-        .get(HOST)
-        .and_then(|host| host.to_str().ok())
-        .unwrap_or("");
-    match table.find(host, req.method().as_str(), req.uri().path()) {
+    match table.find(request_host(req), req.method().as_str(), req.uri().path()) {
         RouteMatch::Found(route) => Ok(route),
         RouteMatch::WrongMethod => Err(RefusalReason::WrongMethod),
         RouteMatch::None => Err(RefusalReason::NoRoute),
--- a/src/daemon/traffic/outbound/logging.rs
+++ b/src/daemon/traffic/outbound/logging.rs
@@ -4,9 +4,13 @@
     super::{ReceivedAnswer, RoutedCall},
     crate::{
         call::{AttemptOutcome, CallOutcome, RefusalReason},
-        daemon::{refusals::log_word, shared::SharedState, snapshot::ServingTarget, traffic::hop::HopCall},
+        daemon::{
+            refusals::log_word,
+            shared::SharedState,
+            snapshot::ServingTarget,
+            traffic::{hop::HopCall, relay::request_host},
+        },
     },
-    hyper::header::HOST,
     salvo::{Request, http::StatusCode},
 };
 
@@ -27,7 +31,6 @@
 /// Logs a refused call with what the caller sent and with the table that this daemon judged it by.
 pub(super) fn log_refusal(shared: &SharedState, req: &Request, refusal: &LoggedRefusal<'_>) {
     let snapshot = shared.snapshot.load();
-    let host = req.headers().get(HOST).and_then(|host| host.to_str().ok());
     log::info!(
         target: "calls",
         "event=call-refused id={} route={} pool={} status={} outcome={} reason={} method={} host={} path={} table={} \
@@ -39,7 +42,7 @@
         refusal.outcome,
         refusal.reason.as_str(),
         req.method(),
-        log_word(host.unwrap_or("")),
+        log_word(request_host(req)),
         log_word(req.uri().path()),
         snapshot.table.as_ref().map_or(0, |table| table.version),
         shared.freshness.age_ms(shared.now()),
--- a/src/daemon/traffic/relay.rs
+++ b/src/daemon/traffic/relay.rs
@@ -13,13 +13,14 @@
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
     salvo::{
-        Response,
+        Request, Response,
         http::{
             HeaderMap, HeaderName, HeaderValue, ReqBody, ResBody, StatusCode,
             header::{
-                CONNECTION, CONTENT_TYPE, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+                CONNECTION, CONTENT_TYPE, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
                 TRANSFER_ENCODING, UPGRADE,
             },
+            uri::Authority,
         },
     },
 };
@@ -71,6 +72,15 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Returns the host of a request: the authority of its URI if that has one, otherwise the `host` header (RFC 9112, 3.2.2).
+/// It is empty if it is missing or not visible ASCII.
+pub fn request_host(req: &Request) -> &str {
+    let header = || req.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let authority = req.uri().authority().map(Authority::as_str);
+    let host = authority.or_else(header).unwrap_or("");
+    host.rsplit('@').next().unwrap_or(host)
+}
+
 /// Creates a header value from a text. The value is empty if the text has characters that a header can't contain.
 pub fn header_value(text: &str) -> HeaderValue {
     HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static(""))
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -82,6 +82,37 @@
     }
 }
 
+/// Guards against hosts that are compared byte for byte.
+#[test]
+fn host_is_compared_without_case_default_port_and_root_dot() {
+    let port = "[route port]\nhost = Shop.Example:8080\npath = /stock/\npool = trial\n";
+    let six = "[route six]\nhost = [::1]\npath = /stock/\npool = trial\n";
+    let table = compiled(&tables(&format!("{TABLES}{port}{six}")));
+    let cases = [
+        ("SHOP.example", "shop"),
+        ("shop.example:80", "shop"),
+        ("shop.example:", "shop"),
+        ("shop.example.", "shop"),
+        ("shop.example.:80", "shop"),
+        ("shop.example:81", "shop"),
+        ("shop.EXAMPLE:8080", "port"),
+        ("[::1]", "six"),
+        ("[::1]:80", "six"),
+        ("[::1]:8080", "six"),
+        ("[::2]", "any"),
+        ("shop", "any"),
+        ("shop.example:x", "any"),
+        ("", "any"),
+    ];
+    for (host, route) in cases {
+        assert_eq!(
+            route_of(&table, host, "/stock/7").as_deref(),
+            Some(route),
+            "{host}"
+        );
+    }
+}
+
 #[test]
 fn pools_are_chosen_in_proportion_to_their_weights() {
     let table = compiled(&tables(TABLES));
