A deadline in the past is passed, not malformed

What callers saw: 400 bad-request for `Deadline-Ms: -1`, or with the built-in headers for `fuchsiashore-timeout-ms: 0` and for 600001. Clients don't try again after 400.

Cause: both dialects refused a negative number; the built-in one also refused 0 and any time over the limit of routes. A client that computes the time it has left sends such a number when its time has run out, or when it waits longer than any route.

Fix: one function parses the header of both dialects. A number below 0 counts as 0, which ends as 503 deadline-passed, not run; a long time is bounded by the route's timeout, as before. What is no number, is empty or is infinite stays a 400.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -33,5 +33,7 @@
     operators::{DaemonStatus, MoveStatus},
     run::{RunError, run},
     snapshot::TrafficSnapshot,
-    traffic::{AnswerVerdict, CallContext, CallDialect, CallOptions, OwnDialect, header},
+    traffic::{
+        AnswerVerdict, CallContext, CallDialect, CallOptions, NotANumber, OwnDialect, header, parse_time_left,
+    },
 };
--- a/src/daemon/traffic/dialect.rs
+++ b/src/daemon/traffic/dialect.rs
@@ -1,14 +1,10 @@
 //! Header conventions of callers and targets, behind a trait.
 
 use {
-    super::{
-        hop::header,
-        relay::{header_value, number_header},
-    },
+    super::{hop::header, relay::header_value},
     crate::{
         call::{CallOutcome, RefusalReason},
         clock::TimePoint,
-        config::MAX_TIMEOUT_MS,
     },
     salvo::http::{HeaderMap, StatusCode},
     std::{fmt::Debug, sync::Arc},
@@ -83,12 +79,8 @@
     }
 
     fn parse_options(&self, headers: &HeaderMap) -> Result<CallOptions, &'static str> {
-        let is_present = headers.contains_key(header::TIMEOUT_MS);
-        let timeout_ms = number_header(headers, header::TIMEOUT_MS);
-        let is_valid = timeout_ms.is_some_and(|timeout_ms| (1..=MAX_TIMEOUT_MS).contains(&timeout_ms));
-        if is_present && !is_valid {
-            return Err("fuchsiashore-timeout-ms must be a whole number from 1 to 600000");
-        }
+        let timeout_ms = parse_time_left(headers, header::TIMEOUT_MS)
+            .map_err(|_| "fuchsiashore-timeout-ms must be a number of milliseconds")?;
         Ok(CallOptions { id: None, timeout_ms })
     }
 
@@ -118,6 +110,26 @@
     }
 }
 
+/// A header that is present but is not a number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NotANumber;
+
+/// Parses a header that holds the time left to a caller, in milliseconds; `None` if it is missing. A caller whose time has
+/// run out may send 0 or a negative number; both mean that the deadline has passed. Fractions are cut off.
+pub fn parse_time_left(headers: &HeaderMap, name: &str) -> Result<Option<u64>, NotANumber> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| NotANumber)?;
+    let ms: f64 = text.trim().parse().map_err(|_| NotANumber)?;
+    // The conversion saturates, so a negative number becomes 0.
+    if ms.is_finite() {
+        Ok(Some(ms as u64))
+    } else {
+        Err(NotANumber)
+    }
+}
+
 /// Returns the deadline of a call: the caller's timeout or the route's timeout of `route_ms`, whichever ends first.
 pub fn call_deadline(options: &CallOptions, route_ms: u64, now: TimePoint) -> TimePoint {
     now.after_ms(
--- a/src/daemon/traffic/mod.rs
+++ b/src/daemon/traffic/mod.rs
@@ -11,7 +11,9 @@
 mod relay;
 
 pub use {
-    dialect::{AnswerVerdict, CallContext, CallDialect, CallOptions, OwnDialect},
+    dialect::{
+        AnswerVerdict, CallContext, CallDialect, CallOptions, NotANumber, OwnDialect, parse_time_left,
+    },
     hop::header,
     inbound::InboundHandler,
     outbound::OutboundHandler,
--- a/src/daemon/traffic/relay.rs
+++ b/src/daemon/traffic/relay.rs
@@ -62,11 +62,6 @@
     kept
 }
 
-/// Returns a header parsed as a number; `None` if it is missing or malformed.
-pub fn number_header(headers: &HeaderMap, name: &str) -> Option<u64> {
-    headers.get(name)?.to_str().ok()?.trim().parse().ok()
-}
-
 /// Returns a header as text; `None` if it is missing or not visible ASCII.
 pub fn text_header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/tests/mesh_requests.rs
+++ b/tests/mesh_requests.rs
@@ -72,6 +72,12 @@
     assert_eq!(answer.status(), StatusCode::OK);
     assert_eq!(answer.text().await.unwrap(), "");
 
+    // A caller may wait longer than any route.
+    let patient = client
+        .get(format!("{base}/stock"))
+        .header("fuchsiashore-timeout-ms", "900000.0");
+    assert_eq!(patient.send().await.unwrap().status(), StatusCode::OK);
+
     // Refusals.
     let refusals = [
         (client.get(format!("{base}/")), StatusCode::NOT_FOUND),
@@ -88,6 +94,19 @@
                 .header("fuchsiashore-timeout-ms", "soon"),
             StatusCode::BAD_REQUEST,
         ),
+        // A caller whose time has run out is not malformed.
+        (
+            client
+                .get(format!("{base}/stock"))
+                .header("fuchsiashore-timeout-ms", "0"),
+            StatusCode::SERVICE_UNAVAILABLE,
+        ),
+        (
+            client
+                .get(format!("{base}/stock"))
+                .header("fuchsiashore-timeout-ms", "-20"),
+            StatusCode::SERVICE_UNAVAILABLE,
+        ),
         (
             client.post(format!("{base}/reserve")).body(vec![0; 20_000_001]),
             StatusCode::PAYLOAD_TOO_LARGE,
