Names outside of ASCII pass from daemon to daemon

What callers saw: 504 for every request of a route whose name, pool, target or service has characters that are not visible ASCII.

Cause: the properties of a call are one header of words between spaces. Its value was left empty if it could not be written, the gate answered 400 without the call's id, and the proxy took that for the answer of another call.

By reading: a name with a space, which no table has had so far, shifts the words.

Fix: names are percent-encoded as words. Names of visible ASCII without `%` are written as before, so daemons of both versions understand each other.

--- a/src/daemon/traffic/hop.rs
+++ b/src/daemon/traffic/hop.rs
@@ -4,7 +4,7 @@
     super::relay::{header_value, text_header},
     crate::clock::TimePoint,
     salvo::http::HeaderMap,
-    std::sync::Arc,
+    std::{borrow::Cow, fmt::Write as _, sync::Arc},
 };
 
 /// Names of the headers that daemons add.
@@ -17,7 +17,7 @@
     pub const OUTCOME: &str = "fuchsiashore-outcome";
     /// On refusals: the reason, without spaces.
     pub const REASON: &str = "fuchsiashore-reason";
-    /// Properties of a call from proxy to gate: the fields of `HopCall`, separated by spaces.
+    /// Properties of a call from proxy to gate: the fields of `HopCall`, separated by spaces, names percent-encoded.
     pub const HOP: &str = "fuchsiashore-hop";
     /// Load of a target, on its gate's answers: [`crate::call::LoadReport`].
     pub const LOAD: &str = "fuchsiashore-load";
@@ -56,10 +56,10 @@
         let text = format!(
             "{} {} {} {} {} {} {} {} {}",
             self.id,
-            self.route,
-            self.pool,
-            self.target,
-            self.caller,
+            encode_word(&self.route),
+            encode_word(&self.pool),
+            encode_word(&self.target),
+            encode_word(&self.caller),
             u8::from(self.repeatable),
             self.priority,
             self.useful_until.ms_since(now),
@@ -75,10 +75,10 @@
         let mut next = || words.next().filter(|word| !word.is_empty());
         Some(Self {
             id: next()?.into(),
-            route: next()?.into(),
-            pool: next()?.into(),
-            target: next()?.into(),
-            caller: next()?.into(),
+            route: decode_word(next()?)?,
+            pool: decode_word(next()?)?,
+            target: decode_word(next()?)?,
+            caller: decode_word(next()?)?,
             repeatable: next()? == "1",
             priority: next()?.parse().ok()?,
             useful_until: now.after_ms(next()?.parse().ok()?),
@@ -86,3 +86,37 @@
         })
     }
 }
+
+/// Encodes a name as one word of visible ASCII: other bytes, and `%`, become `%` and two hexadecimal digits.
+fn encode_word(name: &str) -> Cow<'_, str> {
+    let is_plain = |byte: u8| byte.is_ascii_graphic() && byte != b'%';
+    if name.bytes().all(is_plain) {
+        return Cow::Borrowed(name);
+    }
+    let mut word = String::with_capacity(name.len() + 16);
+    for byte in name.bytes() {
+        if is_plain(byte) {
+            word.push(char::from(byte));
+        } else {
+            // Writing to a string can't fail.
+            let _ = write!(word, "%{byte:02x}");
+        }
+    }
+    Cow::Owned(word)
+}
+
+/// Decodes a word of [`encode_word`]; `None` if it is malformed.
+fn decode_word(word: &str) -> Option<Arc<str>> {
+    if !word.contains('%') {
+        return Some(word.into());
+    }
+    let mut name = Vec::with_capacity(word.len());
+    let mut left = word;
+    while let Some((plain, encoded)) = left.split_once('%') {
+        name.extend_from_slice(plain.as_bytes());
+        name.push(u8::from_str_radix(encoded.get(..2)?, 16).ok()?);
+        left = &encoded[2..];
+    }
+    name.extend_from_slice(left.as_bytes());
+    String::from_utf8(name).ok().map(Into::into)
+}
