Readers accept every value that can be routed, whatever its size

What callers saw: 404 for each route of a configuration, and of all later ones, that has one value over a limit of ours: a name, path or host over 200 bytes or with a space, a timeout over 600 s, a priority over 9, over 16 attempts or parts, weights over 160,000 in total, `?` or `#` in a path. The whole configuration was refused, and the daemons stayed on the one before.

Cause: the same as for the number of routes: bounds that edits have to keep were checked again by every reader, although the store had accepted the value.

Ruled out: that such a value harms the reader.

Edits are checked as before; their check for equal routes compares hosts as requests do.

--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -47,7 +47,7 @@
     /// Methods; empty for all.
     pub methods: Vec<Arc<str>>,
     /// The route's pools, each with the cumulative weight up to and including it; never empty.
-    pools: Vec<(u32, Arc<CompiledPool>)>,
+    pools: Vec<(u64, Arc<CompiledPool>)>,
     /// Whether requests may be repeated.
     pub repeat: RepeatRule,
     /// Maximum time of a call, in milliseconds.
@@ -73,7 +73,7 @@
     /// Selects the pool of a request by weight; `draw` is a uniform random number in `[0, 1)`.
     pub fn pool(&self, draw: f64) -> &Arc<CompiledPool> {
         let last = &self.pools[self.pools.len() - 1];
-        let at = (draw * f64::from(last.0)) as u32;
+        let at = (draw * last.0 as f64) as u64;
         let drawn = self.pools.iter().find(|(end, _)| at < *end);
         &drawn.unwrap_or(last).1
     }
@@ -144,12 +144,12 @@
         }
         for (name, row) in &head.routes {
             let mut sum = 0;
-            let pools: Vec<(u32, Arc<CompiledPool>)> = row
+            let pools: Vec<(u64, Arc<CompiledPool>)> = row
                 .entry
                 .pools
                 .iter()
                 .filter_map(|share| {
-                    sum += share.weight;
+                    sum += u64::from(share.weight);
                     Some((sum, Arc::clone(table.pools.get(&share.pool)?)))
                 })
                 .collect();
--- a/src/config/tables.rs
+++ b/src/config/tables.rs
@@ -1,12 +1,14 @@
 //! The tables of routes and pools that operators edit, and the rules for their content.
 
 use {
+    super::host::normalize_host,
     crate::{
         clock::TimePoint,
         macros::{key_type, value_type},
     },
     indexmap::IndexMap,
     std::{
+        borrow::Cow,
         fmt::{Display, Formatter},
         sync::Arc,
     },
@@ -230,29 +232,47 @@
     },
 }
 
+/// Which rules a check applies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CheckScope {
+    /// All, the upper limits included, as for an edit.
+    Edit,
+    /// Those without which a request can't be routed, as for tables that are accepted already.
+    Accepted,
+}
+
 impl ConfigTables {
-    /// Checks the tables of an edit, their sizes included, and returns every fault found.
+    /// Checks the tables of an edit, their upper limits included, and returns every fault found.
     pub fn check_edit(&self) -> Vec<TableFault> {
         let mut faults = Vec::new();
         self.check_sizes(&mut faults);
-        faults.extend(self.check());
+        self.check_scope(CheckScope::Edit, &mut faults);
         faults
     }
 
-    /// Checks the rules for the content and returns every fault found. Sizes are not checked: whoever accepted the tables
-    /// has bounded them, and a reader that refused them would stay on an older version.
+    /// Checks the rules without which a request can't be routed, and returns every fault found. Upper limits are not
+    /// checked: whoever accepted the tables has set them, and a reader that refused the tables would stay on an older
+    /// version.
     pub fn check(&self) -> Vec<TableFault> {
         let mut faults = Vec::new();
+        self.check_scope(CheckScope::Accepted, &mut faults);
+        faults
+    }
+
+    fn check_scope(&self, scope: CheckScope, faults: &mut Vec<TableFault>) {
         for (name, pool) in &self.pools {
-            check_word(&mut faults, TableKind::Pool, name, "name", name);
-            check_word(&mut faults, TableKind::Pool, name, "service", &pool.service);
-            check_word(&mut faults, TableKind::Pool, name, "version", &pool.version);
+            for (key, value) in [
+                ("name", name),
+                ("service", &pool.service),
+                ("version", &pool.version),
+            ] {
+                check_word(scope, faults, TableKind::Pool, name, key, value);
+            }
         }
         for (name, route) in &self.routes {
-            self.check_route(&mut faults, name, route);
+            self.check_route(scope, faults, name, route);
         }
-        self.check_overlaps(&mut faults);
-        faults
+        self.check_overlaps(scope, faults);
     }
 
     fn check_sizes(&self, faults: &mut Vec<TableFault>) {
@@ -266,10 +286,18 @@
         }
     }
 
-    fn check_route(&self, faults: &mut Vec<TableFault>, name: &Arc<str>, route: &RouteEntry) {
-        check_word(faults, TableKind::Route, name, "name", name);
-        check_word(faults, TableKind::Route, name, "path", &route.path);
-        if !route.path.starts_with('/') || route.path.contains(['?', '#']) {
+    fn check_route(
+        &self,
+        scope: CheckScope,
+        faults: &mut Vec<TableFault>,
+        name: &Arc<str>,
+        route: &RouteEntry,
+    ) {
+        check_word(scope, faults, TableKind::Route, name, "name", name);
+        check_word(scope, faults, TableKind::Route, name, "path", &route.path);
+        // A path with `?` or `#` matches no request.
+        let is_unmatched = scope == CheckScope::Edit && route.path.contains(['?', '#']);
+        if !route.path.starts_with('/') || is_unmatched {
             faults.push(TableFault::BadPath {
                 route: Arc::clone(name),
             });
@@ -293,7 +321,7 @@
                 u64::from(MAX_WEIGHT) * MAX_SHARES as u64,
             ),
         ] {
-            if !(low..=high).contains(&value) {
+            if value < low || (scope == CheckScope::Edit && value > high) {
                 faults.push(TableFault::OutOfRange {
                     route: Arc::clone(name),
                     key,
@@ -303,10 +331,10 @@
             }
         }
         for method in &route.methods {
-            check_word(faults, TableKind::Route, name, "methods", method);
+            check_word(scope, faults, TableKind::Route, name, "methods", method);
         }
         if let Some(host) = &route.host {
-            check_word(faults, TableKind::Route, name, "host", host);
+            check_word(scope, faults, TableKind::Route, name, "host", host);
         }
         for share in &route.pools {
             if !self.pools.contains_key(&share.pool) {
@@ -320,15 +348,18 @@
 
     /// Adds a fault for each two routes with the same host, path and method. A route for every method does not count as
     /// overlapping with one that names methods.
-    fn check_overlaps(&self, faults: &mut Vec<TableFault>) {
-        let mut seen: IndexMap<(&str, &str, &str), &Arc<str>> = IndexMap::new();
+    fn check_overlaps(&self, scope: CheckScope, faults: &mut Vec<TableFault>) {
+        let mut seen: IndexMap<(Cow<'_, str>, &str, &str), &Arc<str>> = IndexMap::new();
         for (name, route) in &self.routes {
+            let host = route.host.as_deref().unwrap_or("");
+            let host = match scope {
+                CheckScope::Edit => normalize_host(host),
+                CheckScope::Accepted => Cow::Borrowed(host),
+            };
             let methods = route.methods.iter().map(|method| &**method);
             let any = route.methods.is_empty().then_some(ANY_METHOD);
             for method in methods.chain(any) {
-                if let Some(first) =
-                    seen.insert((route.host.as_deref().unwrap_or(""), &route.path, method), name)
-                {
+                if let Some(first) = seen.insert((host.clone(), &route.path, method), name) {
                     faults.push(TableFault::SameRequests {
                         first: Arc::clone(first),
                         second: Arc::clone(name),
@@ -342,16 +373,16 @@
 }
 
 fn check_word(
+    scope: CheckScope,
     faults: &mut Vec<TableFault>,
     kind: TableKind,
     name: &Arc<str>,
     key: &'static str,
     value: &str,
 ) {
-    let is_plain = !value.is_empty()
-        && value.len() <= MAX_NAME_BYTES
-        && !value.chars().any(|c| c.is_control() || c.is_whitespace());
-    if !is_plain {
+    let has_control = value.chars().any(char::is_control);
+    let is_within_limits = value.len() <= MAX_NAME_BYTES && !value.chars().any(char::is_whitespace);
+    if value.is_empty() || has_control || (scope == CheckScope::Edit && !is_within_limits) {
         faults.push(TableFault::BadWord {
             kind,
             name: Arc::clone(name),
