A gate takes every body that the proxy has accepted

What callers saw: 504 for a proper request whose body is within the limit of the configuration but over `max_body_bytes` in the settings of the daemon beside the target (64 MiB if not set). With a declared length it ended as 503 after a retry, by the postmortem.

Cause: the proxy takes the limit of the configuration, the gate took its own setting.

Evidence: gate_takes_every_body_that_the_configuration_allows (platform, refusals): 504 for 101,000 bytes in chunks before the change, with 100,000 in the settings and 200,000 in the configuration.

Ruled out: the limit of the target, which took the same bodies afterwards.

Fix: a gate has no limit of its own. All its requests come from daemons that have checked theirs, whose table may be newer.

--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -213,10 +213,10 @@
         slot: SlotGuard,
     ) -> Result<(), GateFailure> {
         let shared = &self.shared;
-        let limit = shared.settings.max_body_bytes;
         let time_left = hop.deadline.remaining_from(shared.now());
         let body = req.take_body();
-        let body = RequestBody::read(req.headers(), body, limit, time_left).await;
+        // The proxy has checked the limit of its table, which may be newer than the one here.
+        let body = RequestBody::read(req.headers(), body, u64::MAX, time_left).await;
         let mut forwarded =
             self.forwarded_request(req, hop, identity, body.map_err(|_| GateFailure::BadRequest)?);
         let mut recorder = CallRecorder {
@@ -395,7 +395,7 @@
             StatusCode::BAD_REQUEST,
             CallOutcome::NotRun,
             "bad-request",
-            "the body did not arrive whole or is over the limit; send it again",
+            "the body did not arrive whole; send it again",
         ),
     };
     if let Some(suppressed) = shared.record_refusal("gate", status, reason) {
