A body over the limit is answered 413 wherever it is found, and not held against the target

What callers saw: 504 connection-broken for a body in chunks that passes the limit after more than 64 KiB; and other callers found the target ejected after three such requests.

Cause: the body's error broke the connection to the gate, and the gate's to the target. Each side took that for a broken peer: failure counts and ejection at the proxy, a failed call in the evidence of moves at the gate, all connections to it dropped. So did a body that broke off on the way. And a body in chunks up to 64 KiB was not compared with a smaller limit at all.

Fix: the stream of a body records why it ends early. If the caller's body is the reason, neither side records a failure; a body over the limit is 413, with the outcome of its attempt (`unknown`, as a part was sent on), or 503 or 504 while the table is stale. What is left of it is read and dropped, within the limits that a declared length had, so that the caller gets to read the answer. The gate's line says body-incomplete instead of target-broken.

Not changed: a caller that stalls in the middle of a large body until the deadline still counts against the target, as it looks like a target that stops reading.

--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        body::{AnswerBody, AnswerFault, ForwardedBody, RequestBody},
+        body::{AnswerBody, AnswerFault, BodyFault, BodyProgress, ForwardedBody, RequestBody},
         hop::{HopCall, header},
         peer_client::{PeerClients, SendFault},
         relay::text_header,
@@ -36,6 +36,8 @@
     pub host: Option<HeaderValue>,
     /// Request body.
     pub body: RequestBody,
+    /// What is known of the body on its way.
+    pub progress: Arc<BodyProgress>,
 }
 
 impl ForwardedRequest {
@@ -136,6 +138,8 @@
     pub target: ServingTarget,
     /// Properties of the attempt that are sent to the gate.
     pub hop: HopCall,
+    /// What is known of the caller's body on its way.
+    pub body_progress: Arc<BodyProgress>,
     /// Kept until the whole answer has been sent to the caller.
     pub in_flight_guard: InFlightGuard,
 }
@@ -168,7 +172,14 @@
                 self.report_failure();
                 AttemptResult::failure(AttemptOutcome::NotRun, "no connection")
             }
-            Ok(Err(SendFault::Broken)) => AttemptResult::failure(AttemptOutcome::Broken, "connection broke"),
+            Ok(Err(SendFault::Broken)) => {
+                let reason = match self.body_progress.fault() {
+                    Some(BodyFault::TooLarge) => "the caller's body is over the limit",
+                    Some(BodyFault::Incomplete) => "the caller's body broke off",
+                    None => "connection broke",
+                };
+                AttemptResult::failure(AttemptOutcome::Broken, reason)
+            }
             Err(_) => AttemptResult::failure(AttemptOutcome::Stalled, "no answer in time"),
         };
         self.record_result(&result, started);
@@ -245,6 +256,11 @@
     /// with their cause before. Discards the connections to the gate after a broken or stalled attempt.
     fn record_result(&self, result: &AttemptResult, started: Instant) {
         let shared = &self.shared;
+        let is_failure = matches!(result, AttemptResult::Failure { .. });
+        if is_failure && self.body_progress.fault().is_some() {
+            // The caller's fault says nothing about the target or the connections to it.
+            return;
+        }
         match result {
             AttemptResult::Answer {
                 outcome: AttemptOutcome::Answered,
--- a/src/daemon/traffic/body.rs
+++ b/src/daemon/traffic/body.rs
@@ -6,8 +6,9 @@
     futures_util::{Stream, StreamExt, TryStreamExt, stream},
     http_body_util::{BodyExt, BodyStream, Full, StreamBody, combinators::UnsyncBoxBody},
     hyper::body::{Frame, Incoming},
+    parking_lot::Mutex,
     salvo::http::{HeaderMap, Method, ReqBody, StatusCode, header::CONTENT_LENGTH},
-    std::{io, pin::Pin, time::Duration},
+    std::{io, pin::Pin, sync::Arc, time::Duration},
     tokio::time::{Instant, timeout},
 };
 
@@ -43,34 +44,65 @@
     Incomplete,
 }
 
+/// What is known of a caller's body while several parts of the daemon read it.
+#[derive(Default)]
+pub struct BodyProgress {
+    failed: Mutex<Option<BodyFault>>,
+    /// What is left of a body over the limit.
+    rest: Mutex<Option<ByteStream>>,
+}
+
+impl BodyProgress {
+    /// Returns the fault for which reading the body ended early.
+    pub fn fault(&self) -> Option<BodyFault> {
+        *self.failed.lock()
+    }
+
+    /// Reads and drops the rest of a body over the limit, so that the caller, which may send its whole body first, gets to
+    /// read the refusal.
+    pub async fn discard_rest(&self) {
+        let rest = self.rest.lock().take();
+        if let Some(rest) = rest {
+            // If the body has not ended by then, the connection is closed.
+            let _ = timeout(DISCARD_LIMIT, discard(rest)).await;
+        }
+    }
+
+    fn fail(&self, fault: BodyFault) {
+        *self.failed.lock() = Some(fault);
+    }
+}
+
 impl RequestBody {
     /// Buffers a body of up to [`MAX_BUFFERED_BYTES`] within `time_left`. A larger one is streamed; the stream ends
-    /// with an error if it exceeds `limit` bytes.
+    /// with an error if it exceeds `limit` bytes. `progress` tells later why.
     ///
-    /// Fails with [`BodyFault::TooLarge`] if the declared length exceeds `limit`, and with [`BodyFault::Incomplete`] if
-    /// the body breaks off or `time_left` passes while it is buffered.
+    /// Fails with [`BodyFault::TooLarge`] if the body exceeds `limit` by its declared length or while it is buffered, and
+    /// with [`BodyFault::Incomplete`] if it breaks off or `time_left` passes while it is buffered.
     pub async fn read(
         headers: &HeaderMap,
         body: ReqBody,
         limit: u64,
         time_left: Duration,
+        progress: &Arc<BodyProgress>,
     ) -> Result<Self, BodyFault> {
-        let length = headers
-            .get(CONTENT_LENGTH)
-            .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+        let length = declared_length(headers);
         if length.is_some_and(|length| length > limit) {
-            discard(body).await;
+            *progress.rest.lock() = Some(data_chunks(body));
+            progress.discard_rest().await;
             return Err(BodyFault::TooLarge);
         }
-        let chunks: ByteStream =
-            Box::pin(body.try_filter_map(|frame| async move { Ok(frame.into_data().ok()) }));
+        let chunks = observe(data_chunks(body), limit, Arc::clone(progress));
         if length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64) {
-            return Ok(Self::Streaming(limit_size(chunks, limit)));
+            return Ok(Self::Streaming(chunks));
         }
         match timeout(time_left, buffer(chunks)).await {
             Ok(Ok(BufferedBody::Complete(bytes))) => Ok(Self::Buffered(bytes)),
-            Ok(Ok(BufferedBody::Oversized(chunks))) => Ok(Self::Streaming(limit_size(chunks, limit))),
-            Ok(Err(_)) | Err(_) => Err(BodyFault::Incomplete),
+            Ok(Ok(BufferedBody::Oversized(chunks))) => Ok(Self::Streaming(chunks)),
+            Ok(Err(_)) | Err(_) => {
+                progress.discard_rest().await;
+                Err(progress.fault().unwrap_or(BodyFault::Incomplete))
+            }
         }
     }
 
@@ -128,30 +160,48 @@
     Ok(BufferedBody::Complete(read.freeze()))
 }
 
-/// Reads and drops a refused body, at most [`DISCARD_BYTES`] of it and for at most [`DISCARD_LIMIT`].
-async fn discard(mut body: ReqBody) {
+fn data_chunks(body: ReqBody) -> ByteStream {
+    Box::pin(body.try_filter_map(|frame| async move { Ok(frame.into_data().ok()) }))
+}
+
+fn declared_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+/// Reads and drops a refused body, at most [`DISCARD_BYTES`] of it.
+async fn discard(mut chunks: ByteStream) {
     let mut left = DISCARD_BYTES;
-    let reading = async {
-        while let Some(Ok(frame)) = body.frame().await {
-            left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
-            if left == 0 {
-                return;
-            }
+    while let Some(chunk) = chunks.next().await {
+        left = left.saturating_sub(chunk.map_or(DISCARD_BYTES, |chunk| chunk.len()));
+        if left == 0 {
+            return;
         }
-    };
-    // If the body has not ended by then, the connection is closed.
-    let _ = timeout(DISCARD_LIMIT, reading).await;
-}
-
-fn limit_size(chunks: ByteStream, limit: u64) -> ByteStream {
-    let mut left = limit;
-    Box::pin(chunks.map(move |chunk| {
-        let chunk = chunk?;
-        left = left
-            .checked_sub(chunk.len() as u64)
-            .ok_or_else(|| io::Error::other("request body is over the limit"))?;
-        Ok(chunk)
-    }))
+    }
+}
+
+/// Limits a body to `limit` bytes, and records in `progress` how it ends.
+fn observe(chunks: ByteStream, limit: u64, progress: Arc<BodyProgress>) -> ByteStream {
+    Box::pin(stream::unfold(
+        Some((chunks, limit, progress)),
+        |state| async move {
+            let (mut chunks, left, progress) = state?;
+            match chunks.next().await {
+                None => None,
+                Some(Err(error)) => {
+                    progress.fail(BodyFault::Incomplete);
+                    Some((Err(error), None))
+                }
+                Some(Ok(chunk)) => {
+                    if let Some(left) = left.checked_sub(chunk.len() as u64) {
+                        return Some((Ok(chunk), Some((chunks, left, progress))));
+                    }
+                    *progress.rest.lock() = Some(chunks);
+                    progress.fail(BodyFault::TooLarge);
+                    Some((Err(io::Error::other("request body is over the limit")), None))
+                }
+            }
+        },
+    ))
 }
 
 /// Body of an answer.
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -6,7 +6,7 @@
     self::slots::{QueueGuard, SlotGuard, SlotWaiter},
     super::{
         attempt::ForwardedRequest,
-        body::{AnswerBody, AnswerFault, RequestBody},
+        body::{AnswerBody, AnswerFault, BodyProgress, RequestBody},
         dialect::{AnswerVerdict, CallContext},
         hop::{HopCall, header},
         peer_client::{PeerClients, SendFault, retire_connection},
@@ -48,7 +48,7 @@
     Open,
     Answered,
     Failed,
-    /// The call did not run and is not counted.
+    /// The call did not run, or the caller ended it, and is not counted.
     NotRun,
 }
 
@@ -84,6 +84,8 @@
     NotRun(GateRefusal),
     /// The request may have run; the text describes the failure.
     Unknown(&'static str),
+    /// The body of the request broke off after a part of it was sent to the target.
+    BodyBroken,
     BadRequest,
 }
 
@@ -215,10 +217,16 @@
         let shared = &self.shared;
         let time_left = hop.deadline.remaining_from(shared.now());
         let body = req.take_body();
+        let progress = Arc::new(BodyProgress::default());
         // The proxy has checked the limit of its table, which may be newer than the one here.
-        let body = RequestBody::read(req.headers(), body, u64::MAX, time_left).await;
-        let mut forwarded =
-            self.forwarded_request(req, hop, identity, body.map_err(|_| GateFailure::BadRequest)?);
+        let body = RequestBody::read(req.headers(), body, u64::MAX, time_left, &progress).await;
+        let mut forwarded = self.forwarded_request(
+            req,
+            hop,
+            identity,
+            body.map_err(|_| GateFailure::BadRequest)?,
+            progress,
+        );
         let mut recorder = CallRecorder {
             shared: Arc::clone(shared),
             route: Arc::clone(&hop.route),
@@ -239,6 +247,10 @@
                 shared.report_event(TrafficEvent::TargetRefuses);
                 return Err(GateFailure::NotRun(GateRefusal::Starting));
             }
+            Ok(Err(SendFault::Broken)) if forwarded.progress.fault().is_some() => {
+                recorder.outcome = RecordedOutcome::NotRun;
+                return Err(GateFailure::BodyBroken);
+            }
             Ok(Err(SendFault::Broken)) => {
                 recorder.outcome = RecordedOutcome::Failed;
                 return Err(GateFailure::Unknown("the connection to the target broke"));
@@ -321,6 +333,7 @@
         hop: &HopCall,
         identity: &TargetIdentity,
         body: RequestBody,
+        progress: Arc<BodyProgress>,
     ) -> ForwardedRequest {
         let mut headers = end_to_end_headers(req.headers());
         let call = CallContext {
@@ -336,6 +349,7 @@
             headers,
             host: req.headers().get(HOST).cloned(),
             body,
+            progress,
         }
     }
 
@@ -391,6 +405,12 @@
             "target-broken",
             *text,
         ),
+        GateFailure::BodyBroken => (
+            StatusCode::GATEWAY_TIMEOUT,
+            CallOutcome::Unknown,
+            "body-incomplete",
+            "the body broke off on its way to the target",
+        ),
         GateFailure::BadRequest => (
             StatusCode::BAD_REQUEST,
             CallOutcome::NotRun,
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -7,7 +7,7 @@
     self::logging::{LoggedRefusal, log_failed_attempt, log_refusal, log_slow_or_failed},
     super::{
         attempt::{AttemptResult, CallAttempt, ForwardedRequest, InFlightGuard},
-        body::{AnswerBody, BodyFault, RequestBody},
+        body::{AnswerBody, BodyFault, BodyProgress, RequestBody},
         dialect::{CallOptions, call_deadline},
         hop::HopCall,
         peer_client::PeerClients,
@@ -125,7 +125,8 @@
         let limit = self.body_limit();
         let time_left = call.deadline.remaining_from(self.shared.now());
         let body = req.take_body();
-        let body = match RequestBody::read(req.headers(), body, limit, time_left).await {
+        let progress = Arc::new(BodyProgress::default());
+        let body = match RequestBody::read(req.headers(), body, limit, time_left, &progress).await {
             Ok(body) => body,
             Err(fault) => {
                 let refusal = self.unless_stale(&self.shared.snapshot.load(), body_refusal(fault, limit));
@@ -138,10 +139,25 @@
             headers: end_to_end_headers(req.headers()),
             host: req.headers().get(HOST).cloned(),
             body,
+            progress,
         };
         match self.run_plan(&mut request, &mut call).await {
             Ok(answer) => self.respond(answer, &call, active, res),
-            Err(refusal) => self.refuse(req, Some(&call), &refusal, res),
+            Err(refusal) => {
+                let refusal = match request.progress.fault() {
+                    // A part of the body was sent on, so the outcome is the one of the attempt.
+                    Some(BodyFault::TooLarge) => self.unless_stale(
+                        &self.shared.snapshot.load(),
+                        CallRefusal {
+                            outcome: refusal.outcome,
+                            ..body_refusal(BodyFault::TooLarge, limit)
+                        },
+                    ),
+                    _ => refusal,
+                };
+                request.progress.discard_rest().await;
+                self.refuse(req, Some(&call), &refusal, res);
+            }
         }
     }
 
@@ -244,7 +260,8 @@
                         }
                         plan.record_attempt(Arc::clone(&target.name), shared.now());
                         let forwarded = request.request_to(target.gate);
-                        in_flight.push(self.attempt(call, target).run(forwarded));
+                        let progress = Arc::clone(&request.progress);
+                        in_flight.push(self.attempt(call, target, progress).run(forwarded));
                         CallStep::Wait
                     }
                     None => plan.after_no_target(received.is_some()),
@@ -289,7 +306,12 @@
         }
     }
 
-    fn attempt(&self, call: &RoutedCall, target: ServingTarget) -> CallAttempt {
+    fn attempt(
+        &self,
+        call: &RoutedCall,
+        target: ServingTarget,
+        body_progress: Arc<BodyProgress>,
+    ) -> CallAttempt {
         let shared = &self.shared;
         CallAttempt {
             shared: Arc::clone(shared),
@@ -308,6 +330,7 @@
             },
             in_flight_guard: InFlightGuard::new(shared, &target, call.route.priority),
             target,
+            body_progress,
         }
     }
 
