A refusal says when its connection is closed

What callers saw: a connection that was closed after a refusal without `Connection: close`; the next request on it failed. A body of 40 kB that had been sent in full was enough.

Cause: the server closes a connection whose request body was not read, beyond what it finds in one read. Refusals before the body is read (404, 400, 503 of a daemon, all of a gate) left it unread.

Evidence: refusal_states_whether_its_connection_is_closed (platform, refusals): no answer to the second request with 40,000 bytes before the change.

Ruled out: bytes left over that are read as the next request; the test for it (requests) passed before and after.

Fix: what arrives of a body of up to 64 KiB within 50 ms is read and dropped after such a refusal, so the connection serves the next request. In every other case the refusal has `Connection: close`: a larger body, one that is not there yet, one that broke off, one that the client sends only after 100 Continue.

--- a/src/daemon/traffic/body.rs
+++ b/src/daemon/traffic/body.rs
@@ -5,10 +5,21 @@
     bytes::{Bytes, BytesMut},
     futures_util::{Stream, StreamExt, TryStreamExt, stream},
     http_body_util::{BodyExt, BodyStream, Full, StreamBody, combinators::UnsyncBoxBody},
-    hyper::body::{Frame, Incoming},
+    hyper::body::{Body, Frame, Incoming},
     parking_lot::Mutex,
-    salvo::http::{HeaderMap, Method, ReqBody, StatusCode, header::CONTENT_LENGTH},
-    std::{io, pin::Pin, sync::Arc, time::Duration},
+    salvo::http::{
+        HeaderMap, Method, ReqBody, StatusCode,
+        header::{CONTENT_LENGTH, EXPECT},
+    },
+    std::{
+        io,
+        pin::Pin,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     tokio::time::{Instant, timeout},
 };
 
@@ -18,6 +29,8 @@
 /// Maximum number of bytes of a refused body that are read and dropped, so that the caller, which may send its whole
 /// body first, gets to read the refusal.
 const DISCARD_BYTES: usize = 64 << 20;
+/// Maximum time for the arrival of a small body whose request was refused at once.
+const ARRIVAL_LIMIT: Duration = Duration::from_millis(50);
 /// Maximum time for reading a refused body.
 const DISCARD_LIMIT: Duration = Duration::from_secs(2);
 
@@ -47,12 +60,18 @@
 /// What is known of a caller's body while several parts of the daemon read it.
 #[derive(Default)]
 pub struct BodyProgress {
+    has_ended: AtomicBool,
     failed: Mutex<Option<BodyFault>>,
     /// What is left of a body over the limit.
     rest: Mutex<Option<ByteStream>>,
 }
 
 impl BodyProgress {
+    /// Returns whether the body was read to its end.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended.load(Ordering::Acquire)
+    }
+
     /// Returns the fault for which reading the body ended early.
     pub fn fault(&self) -> Option<BodyFault> {
         *self.failed.lock()
@@ -62,12 +81,17 @@
     /// read the refusal.
     pub async fn discard_rest(&self) {
         let rest = self.rest.lock().take();
-        if let Some(rest) = rest {
-            // If the body has not ended by then, the connection is closed.
-            let _ = timeout(DISCARD_LIMIT, discard(rest)).await;
+        if let Some(rest) = rest
+            && timeout(DISCARD_LIMIT, discard(rest)).await == Ok(true)
+        {
+            self.end();
         }
     }
 
+    fn end(&self) {
+        self.has_ended.store(true, Ordering::Release);
+    }
+
     fn fail(&self, fault: BodyFault) {
         *self.failed.lock() = Some(fault);
     }
@@ -168,15 +192,28 @@
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
-/// Reads and drops a refused body, at most [`DISCARD_BYTES`] of it.
-async fn discard(mut chunks: ByteStream) {
+/// Reads and drops what has arrived of a body whose request was refused before it was read. Returns whether that is the
+/// whole body, so that the connection can be used again.
+pub async fn discard_arrived(headers: &HeaderMap, body: ReqBody) -> bool {
+    if body.is_end_stream() {
+        return true;
+    }
+    // A caller that expects to be asked for the body doesn't send it after a refusal.
+    let is_coming = !headers.contains_key(EXPECT)
+        && declared_length(headers).is_none_or(|length| length <= MAX_BUFFERED_BYTES as u64);
+    is_coming && timeout(ARRIVAL_LIMIT, discard(data_chunks(body))).await == Ok(true)
+}
+
+/// Reads and drops a refused body, at most [`DISCARD_BYTES`] of it. Returns whether it has ended.
+async fn discard(mut chunks: ByteStream) -> bool {
     let mut left = DISCARD_BYTES;
     while let Some(chunk) = chunks.next().await {
         left = left.saturating_sub(chunk.map_or(DISCARD_BYTES, |chunk| chunk.len()));
         if left == 0 {
-            return;
+            return false;
         }
     }
+    true
 }
 
 /// Limits a body to `limit` bytes, and records in `progress` how it ends.
@@ -186,7 +223,10 @@
         |state| async move {
             let (mut chunks, left, progress) = state?;
             match chunks.next().await {
-                None => None,
+                None => {
+                    progress.end();
+                    None
+                }
                 Some(Err(error)) => {
                     progress.fail(BodyFault::Incomplete);
                     Some((Err(error), None))
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -6,11 +6,14 @@
     self::slots::{QueueGuard, SlotGuard, SlotWaiter},
     super::{
         attempt::ForwardedRequest,
-        body::{AnswerBody, AnswerFault, BodyProgress, RequestBody},
+        body::{AnswerBody, AnswerFault, BodyProgress, RequestBody, discard_arrived},
         dialect::{AnswerVerdict, CallContext},
         hop::{HopCall, header},
         peer_client::{PeerClients, SendFault, retire_connection},
-        relay::{add_close_header, end_to_end_headers, header_value, write_answer, write_refusal},
+        relay::{
+            add_close_header, end_to_end_headers, header_value, keep_connection_if, write_answer,
+            write_refusal,
+        },
     },
     crate::{
         call::CallOutcome,
@@ -123,7 +126,11 @@
         };
         let result = match self.wait_for_slot(&hop).await {
             Ok((slot, identity)) => self.run(req, res, &hop, &identity, slot).await,
-            Err(refusal) => Err(GateFailure::NotRun(refusal)),
+            Err(refusal) => {
+                let body = req.take_body();
+                keep_connection_if(discard_arrived(req.headers(), body).await, res);
+                Err(GateFailure::NotRun(refusal))
+            }
         };
         if let Err(failure) = result {
             refuse(&self.shared, res, &hop, &failure);
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -7,12 +7,13 @@
     self::logging::{LoggedRefusal, log_failed_attempt, log_refusal, log_slow_or_failed},
     super::{
         attempt::{AttemptResult, CallAttempt, ForwardedRequest, InFlightGuard},
-        body::{AnswerBody, BodyFault, BodyProgress, RequestBody},
+        body::{AnswerBody, BodyFault, BodyProgress, RequestBody, discard_arrived},
         dialect::{CallOptions, call_deadline},
         hop::HopCall,
         peer_client::PeerClients,
         relay::{
-            add_close_header, end_to_end_headers, refusal_status, request_host, write_answer, write_refusal,
+            add_close_header, end_to_end_headers, keep_connection_if, refusal_status, request_host,
+            write_answer, write_refusal,
         },
     },
     crate::{
@@ -120,7 +121,11 @@
         let active = ActiveCall::start(&self.shared);
         let mut call = match self.route(req) {
             Ok(call) => call,
-            Err(refusal) => return self.refuse(req, None, &refusal, res),
+            Err(refusal) => {
+                self.refuse(req, None, &refusal, res);
+                let body = req.take_body();
+                return keep_connection_if(discard_arrived(req.headers(), body).await, res);
+            }
         };
         let limit = self.body_limit();
         let time_left = call.deadline.remaining_from(self.shared.now());
@@ -130,7 +135,8 @@
             Ok(body) => body,
             Err(fault) => {
                 let refusal = self.unless_stale(&self.shared.snapshot.load(), body_refusal(fault, limit));
-                return self.refuse(req, Some(&call), &refusal, res);
+                self.refuse(req, Some(&call), &refusal, res);
+                return keep_connection_if(progress.has_ended(), res);
             }
         };
         let mut request = ForwardedRequest {
@@ -157,6 +163,7 @@
                 };
                 request.progress.discard_rest().await;
                 self.refuse(req, Some(&call), &refusal, res);
+                keep_connection_if(request.progress.has_ended(), res);
             }
         }
     }
--- a/src/daemon/traffic/relay.rs
+++ b/src/daemon/traffic/relay.rs
@@ -138,6 +138,15 @@
     }
 }
 
+/// Adds `connection: close` unless the body of the refused request was read to its end: the server closes the connection
+/// then, and the client has to know that it can't send another request on it.
+pub fn keep_connection_if(has_ended: bool, res: &mut Response) {
+    if !has_ended {
+        res.headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+}
+
 /// Reads a whole body. Returns `None` if it exceeds `limit` bytes or breaks off.
 pub async fn read_limited(body: ReqBody, limit: usize) -> Option<Bytes> {
     let mut content = BytesMut::new();
