Count and log refusals on every listener

What operators saw of a 400, 404, 409 or 413 on `control`, `operators` and `announcements`, or of the HTTP library's own 400, 414 and 431 there and on `ready`: at most a warning without status, and no counter by status. The lines of a gate had neither the caller's id nor the path or the table.

Cause: only the listeners for calls counted their refusals, each in its own way.

Fix: one wrapper serves the other listeners; it counts what ends with a redirect or a client error under refusals_total (listener, status, reason) and logs event=request-refused with id, peer, method, host, path, version and age of the table, newest version and the answer's text. The fields of the request and the table are written in one place for all lines, the gate's included. The limits of lines for each listener and reason are those that exist.

Readiness answers (503) are not logged.

--- a/src/daemon/edges.rs
+++ b/src/daemon/edges.rs
@@ -3,6 +3,7 @@
 
 use {
     super::{
+        listeners::serve_counted,
         shared::SharedState,
         tasks::ControlEvent,
         traffic::{CallDialect, OwnDialect},
@@ -15,6 +16,7 @@
         store::{StoreError, WriteError},
     },
     futures_util::future::BoxFuture,
+    salvo::Handler,
     std::{
         fmt::{Debug, Formatter},
         io,
@@ -173,6 +175,11 @@
         }
     }
 
+    /// Serves the listener for the target's announcements until the runtime stops, and counts and logs refused ones.
+    pub async fn serve_announcements<H: Handler>(&self, listener: TcpListener, handler: H) -> io::Result<()> {
+        serve_counted(Arc::clone(&self.shared), "announcements", listener, handler).await
+    }
+
     /// Returns the current time of the daemon's clock.
     pub fn now(&self) -> TimePoint {
         self.shared.now()
--- /dev/null
+++ b/src/daemon/listeners.rs
@@ -0,0 +1,114 @@
+//! Listeners on which every refused request is counted and logged, whoever refused it: the handler or the HTTP library.
+
+use {
+    super::{
+        refusals::{RequestFields, log_word},
+        shared::SharedState,
+    },
+    crate::http::{HeadLimits, UnreadRequest, serve_observed},
+    salvo::{
+        Depot, FlowCtrl, Handler, Request, Response, async_trait,
+        http::{ResBody, StatusCode},
+    },
+    std::{io, net::TcpListener, sync::Arc},
+};
+
+/// Serves all requests of a listener that callers don't use, until the runtime stops. Requests that end with a redirect or a
+/// client error are counted and logged.
+pub async fn serve_counted<H: Handler>(
+    shared: Arc<SharedState>,
+    name: &'static str,
+    listener: TcpListener,
+    handler: H,
+) -> io::Result<()> {
+    let on_unread = report_unread(Arc::clone(&shared), name);
+    let handler = CountedHandler {
+        shared,
+        listener: name,
+        handler,
+    };
+    serve_observed(listener, handler, HeadLimits::CONTROL, on_unread).await
+}
+
+/// Returns a function that counts and logs a request which the HTTP library refused. Its head could not be read, so the
+/// line has no id.
+pub fn report_unread(shared: Arc<SharedState>, listener: &'static str) -> impl Fn(&UnreadRequest) {
+    move |unread| {
+        let reason = match unread.status {
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE => "unread-head-too-large",
+            StatusCode::URI_TOO_LONG => "unread-uri-too-long",
+            _ => "unread-malformed",
+        };
+        if let Some(suppressed) = shared.record_refusal(listener, unread.status, reason) {
+            log::info!(
+                target: "calls",
+                "event=request-unread listener={listener} status={} reason={reason} peer={} suppressed={suppressed} detail={:?}",
+                unread.status.as_u16(),
+                unread.peer,
+                unread.to_string()
+            );
+        }
+    }
+}
+
+/// Counts and logs a refused request, with what was sent and the table in force.
+pub fn report_refusal(
+    shared: &SharedState,
+    listener: &'static str,
+    req: &Request,
+    (status, reason): (StatusCode, &'static str),
+    detail: &str,
+) {
+    if let Some(suppressed) = shared.record_refusal(listener, status, reason) {
+        let peer = req.remote_addr().clone().into_std();
+        log::info!(
+            target: "calls",
+            "event=request-refused id={} listener={listener} status={} reason={reason} peer={} {} suppressed={suppressed} detail={:?}",
+            log_word(shared.dialect.call_id(req.headers()).unwrap_or("")),
+            status.as_u16(),
+            peer.map(|peer| peer.to_string()).unwrap_or_default(),
+            RequestFields { shared, req },
+            detail
+        );
+    }
+}
+
+/// Handler whose refusals are counted and logged.
+struct CountedHandler<H> {
+    shared: Arc<SharedState>,
+    listener: &'static str,
+    handler: H,
+}
+
+#[async_trait]
+impl<H: Handler> Handler for CountedHandler<H> {
+    async fn handle(&self, req: &mut Request, depot: &mut Depot, res: &mut Response, ctrl: &mut FlowCtrl) {
+        self.handler.handle(req, depot, res, ctrl).await;
+        let Some(status) = res.status_code else { return };
+        if !status.is_redirection() && !status.is_client_error() {
+            return;
+        }
+        let detail = match &res.body {
+            ResBody::Once(bytes) => str::from_utf8(bytes).unwrap_or("").trim_end(),
+            _ => "",
+        };
+        report_refusal(
+            &self.shared,
+            self.listener,
+            req,
+            (status, refusal_reason(status)),
+            detail,
+        );
+    }
+}
+
+/// Returns the reason under which an answer of a handler is counted.
+fn refusal_reason(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::BAD_REQUEST => "bad-request",
+        StatusCode::NOT_FOUND => "not-found",
+        StatusCode::CONFLICT => "conflict",
+        StatusCode::PAYLOAD_TOO_LARGE => "message-too-large",
+        _ => "other",
+    }
+}
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -37,7 +37,7 @@
 /// Labels of the counter of refused requests; a fixed set of words and statuses.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RefusalLabels {
-    /// `calls` or `gate`.
+    /// Key of the listener's address in the settings.
     pub listener: &'static str,
     /// Status of the answer.
     pub status: u16,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 mod evidence_recorder;
 mod freshness;
 mod kv_store_edge;
+mod listeners;
 mod logs;
 mod metrics;
 mod move_runner;
--- a/src/daemon/refusals.rs
+++ b/src/daemon/refusals.rs
@@ -1,6 +1,15 @@
 //! Log lines of refused requests, limited in number.
 
-use {crate::clock::TimePoint, parking_lot::Mutex, std::collections::HashMap};
+use {
+    super::{shared::SharedState, traffic::request_host},
+    crate::clock::TimePoint,
+    parking_lot::Mutex,
+    salvo::Request,
+    std::{
+        collections::HashMap,
+        fmt::{Display, Formatter},
+    },
+};
 
 /// Refusals of one reason that are logged per second.
 const LINES_PER_S: f64 = 50.0;
@@ -59,3 +68,26 @@
     }
     word
 }
+
+/// Fields of a log line: what was requested, and the table in force by which it was judged.
+pub struct RequestFields<'a> {
+    pub shared: &'a SharedState,
+    pub req: &'a Request,
+}
+
+impl Display for RequestFields<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        let Self { shared, req } = self;
+        let snapshot = shared.snapshot.load();
+        write!(
+            f,
+            "method={} host={} path={} table={} table_age_ms={} newest={}",
+            req.method(),
+            log_word(request_host(req)),
+            log_word(req.uri().path()),
+            snapshot.table.as_ref().map_or(0, |table| table.version),
+            shared.freshness.age_ms(shared.now()),
+            shared.freshness.newest_version()
+        )
+    }
+}
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -6,6 +6,7 @@
         edges::{DaemonEdges, EdgeContext},
         envelope::decode_envelope,
         freshness::TableFreshness,
+        listeners::{report_unread, serve_counted},
         metrics::DaemonMetrics,
         operators::{ControlHandler, OperatorHandler},
         readiness::ReadinessHandler,
@@ -18,14 +19,13 @@
         call::PoolBudgets,
         clock::ProcessClock,
         gate::GateState,
-        http::{HeadLimits, UnreadRequest, bind, serve, serve_observed},
+        http::{HeadLimits, bind, serve_observed},
         member::ProbeMessage,
         settings::DaemonSettings,
     },
     arc_swap::ArcSwap,
     miette::Diagnostic,
     parking_lot::Mutex,
-    salvo::http::StatusCode,
     std::{
         collections::HashMap,
         io,
@@ -91,14 +91,18 @@
     new_runtime()?.block_on(async {
         let (events, queue) = mpsc::channel(EVENT_QUEUE_CAPACITY);
         let datagrams = bind_datagrams(&shared)?;
-        tokio::spawn(serve(
+        tokio::spawn(serve_counted(
+            Arc::clone(&shared),
+            "control",
             control,
             ControlHandler {
                 shared: Arc::clone(&shared),
                 events: events.clone(),
             },
         ));
-        tokio::spawn(serve(
+        tokio::spawn(serve_counted(
+            Arc::clone(&shared),
+            "operators",
             operators,
             OperatorHandler {
                 shared: Arc::clone(&shared),
@@ -106,7 +110,9 @@
             },
         ));
         if let Some(ready) = ready {
-            tokio::spawn(serve(
+            tokio::spawn(serve_counted(
+                Arc::clone(&shared),
+                "ready",
                 ready,
                 ReadinessHandler {
                     shared: Arc::clone(&shared),
@@ -240,27 +246,6 @@
         .map(drop)
 }
 
-/// Returns a function that counts and logs a request which the HTTP library refused. Its head could not be read, so the
-/// line has no id.
-fn report_unread(shared: Arc<SharedState>, listener: &'static str) -> impl Fn(&UnreadRequest) {
-    move |unread| {
-        let reason = match unread.status {
-            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE => "unread-head-too-large",
-            StatusCode::URI_TOO_LONG => "unread-uri-too-long",
-            _ => "unread-malformed",
-        };
-        if let Some(suppressed) = shared.record_refusal(listener, unread.status, reason) {
-            log::info!(
-                target: "calls",
-                "event=request-unread listener={listener} status={} reason={reason} peer={} suppressed={suppressed} detail={:?}",
-                unread.status.as_u16(),
-                unread.peer,
-                unread.to_string()
-            );
-        }
-    }
-}
-
 async fn clean_clients(clients: Arc<PeerClients>) {
     let mut ticks = interval(CLIENT_CLEANUP_INTERVAL);
     loop {
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -19,7 +19,8 @@
         call::CallOutcome,
         clock::TimePoint,
         daemon::{
-            refusals::log_word,
+            listeners::report_refusal,
+            refusals::{RequestFields, log_word},
             shared::{SharedState, TargetIdentity, TrafficEvent},
         },
         gate::{GateAdmission, GateArrival, GateRefusal},
@@ -103,17 +104,13 @@
     async fn handle_call(&self, req: &mut Request, res: &mut Response) {
         let Some(hop) = HopCall::read(req.headers(), self.shared.now()) else {
             let text = "only daemons call a gate; send the call to a daemon's listener for callers";
-            if let Some(suppressed) =
-                self.shared
-                    .record_refusal("gate", StatusCode::BAD_REQUEST, "no-hop-header")
-            {
-                log::info!(
-                    target: "calls",
-                    "event=gate-refused reason=no-hop-header status=400 method={} path={} suppressed={suppressed}",
-                    req.method(),
-                    log_word(req.uri().path())
-                );
-            }
+            report_refusal(
+                &self.shared,
+                "gate",
+                req,
+                (StatusCode::BAD_REQUEST, "no-hop-header"),
+                text,
+            );
             write_refusal(
                 res,
                 StatusCode::BAD_REQUEST,
@@ -133,7 +130,7 @@
             }
         };
         if let Err(failure) = result {
-            refuse(&self.shared, res, &hop, &failure);
+            refuse(&self.shared, req, res, &hop, &failure);
         }
         res.headers_mut().insert(header::CALL, header_value(&hop.id));
         self.add_load_and_clearance(res, &hop);
@@ -398,7 +395,7 @@
     headers.insert(header::REASON, header_value(reason));
 }
 
-fn refuse(shared: &SharedState, res: &mut Response, hop: &HopCall, failure: &GateFailure) {
+fn refuse(shared: &SharedState, req: &Request, res: &mut Response, hop: &HopCall, failure: &GateFailure) {
     let (status, outcome, reason, text) = match failure {
         GateFailure::NotRun(refusal) => (
             StatusCode::SERVICE_UNAVAILABLE,
@@ -428,9 +425,16 @@
     if let Some(suppressed) = shared.record_refusal("gate", status, reason) {
         log::info!(
             target: "calls",
-            "event=gate-refused attempt={} route={} target={} caller={} priority={} status={} outcome={outcome} reason={reason} \
-             suppressed={suppressed} detail={text:?}",
-            hop.id, hop.route, hop.target, hop.caller, hop.priority, status.as_u16()
+            "event=gate-refused id={} attempt={} route={} target={} caller={} priority={} status={} outcome={outcome} \
+             reason={reason} {} suppressed={suppressed} detail={text:?}",
+            log_word(shared.dialect.call_id(req.headers()).unwrap_or("")),
+            hop.id,
+            log_word(&hop.route),
+            log_word(&hop.target),
+            log_word(&hop.caller),
+            hop.priority,
+            status.as_u16(),
+            RequestFields { shared, req }
         );
     }
     write_refusal(res, status, outcome, reason, text);
--- a/src/daemon/traffic/mod.rs
+++ b/src/daemon/traffic/mod.rs
@@ -18,5 +18,5 @@
     inbound::InboundHandler,
     outbound::OutboundHandler,
     peer_client::PeerClients,
-    relay::read_limited,
+    relay::{read_limited, request_host},
 };
--- a/src/daemon/traffic/outbound/logging.rs
+++ b/src/daemon/traffic/outbound/logging.rs
@@ -5,10 +5,10 @@
     crate::{
         call::{AttemptOutcome, CallOutcome, RefusalReason},
         daemon::{
-            refusals::log_word,
+            refusals::{RequestFields, log_word},
             shared::SharedState,
             snapshot::ServingTarget,
-            traffic::{hop::HopCall, relay::request_host},
+            traffic::hop::HopCall,
         },
     },
     salvo::{Request, http::StatusCode},
@@ -30,23 +30,16 @@
 
 /// Logs a refused call with what the caller sent and with the table that this daemon judged it by.
 pub(super) fn log_refusal(shared: &SharedState, req: &Request, refusal: &LoggedRefusal<'_>) {
-    let snapshot = shared.snapshot.load();
     log::info!(
         target: "calls",
-        "event=call-refused id={} route={} pool={} status={} outcome={} reason={} method={} host={} path={} table={} \
-         table_age_ms={} newest={} suppressed={} detail={:?}",
+        "event=call-refused id={} route={} pool={} status={} outcome={} reason={} {} suppressed={} detail={:?}",
         log_word(shared.dialect.call_id(req.headers()).unwrap_or("")),
-        refusal.route,
-        refusal.pool,
+        log_word(refusal.route),
+        log_word(refusal.pool),
         refusal.status.as_u16(),
         refusal.outcome,
         refusal.reason.as_str(),
-        req.method(),
-        log_word(request_host(req)),
-        log_word(req.uri().path()),
-        snapshot.table.as_ref().map_or(0, |table| table.version),
-        shared.freshness.age_ms(shared.now()),
-        shared.freshness.newest_version(),
+        RequestFields { shared, req },
         refusal.suppressed,
         refusal.detail
     );
@@ -59,8 +52,8 @@
         "event=call-answered id={} attempt={} route={} pool={} target={} version={} status={} took_ms={took_ms} useful_ms={}",
         call.options.id.as_deref().unwrap_or(""),
         answer.attempt,
-        call.route.name,
-        call.pool.name,
+        log_word(&call.route.name),
+        log_word(&call.pool.name),
         answer.target,
         answer.version,
         answer.status.as_u16(),
@@ -81,7 +74,7 @@
         "event=attempt-failed id={} attempt={} route={} target={} outcome={outcome:?} reason={reason:?}",
         call.options.id.as_deref().unwrap_or(""),
         hop.id,
-        call.route.name,
+        log_word(&call.route.name),
         target.name
     );
 }
