--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -4,6 +4,7 @@
 use {
     super::{
         head::{ConfigHead, MoveOrder, TrafficLimits},
+        host::{normalize_host, split_port},
         tables::{ANY_VERSION, PoolEntry, RepeatRule, TableFault},
     },
     std::{collections::HashMap, sync::Arc},
@@ -46,7 +47,7 @@
     /// Methods; empty for all.
     pub methods: Vec<Arc<str>>,
     /// The route's pools, each with the cumulative weight up to and including it; never empty.
-    pools: Vec<(u32, Arc<CompiledPool>)>,
+    pools: Vec<(u64, Arc<CompiledPool>)>,
     /// Whether requests may be repeated.
     pub repeat: RepeatRule,
     /// Maximum time of a call, in milliseconds.
@@ -72,7 +73,7 @@
     /// Selects the pool of a request by weight; `draw` is a uniform random number in `[0, 1)`.
     pub fn pool(&self, draw: f64) -> &Arc<CompiledPool> {
         let last = &self.pools[self.pools.len() - 1];
-        let at = (draw * f64::from(last.0)) as u32;
+        let at = (draw * last.0 as f64) as u64;
         let drawn = self.pools.iter().find(|(end, _)| at < *end);
         &drawn.unwrap_or(last).1
     }
@@ -110,7 +111,7 @@
 pub struct CompiledTable {
     /// Version of the configuration.
     pub version: u64,
-    /// Routes by host and path; routes for every host have the empty string as their key.
+    /// Routes by normalized host and path; routes for every host have the empty string as their key.
     hosts: HashMap<Arc<str>, PathTable>,
     /// Limits on requests from callers.
     pub limits: TrafficLimits,
@@ -143,12 +144,12 @@
         }
         for (name, row) in &head.routes {
             let mut sum = 0;
-            let pools: Vec<(u32, Arc<CompiledPool>)> = row
+            let pools: Vec<(u64, Arc<CompiledPool>)> = row
                 .entry
                 .pools
                 .iter()
                 .filter_map(|share| {
-                    sum += share.weight;
+                    sum += u64::from(share.weight);
                     Some((sum, Arc::clone(table.pools.get(&share.pool)?)))
                 })
                 .collect();
@@ -166,10 +167,10 @@
                 priority: row.entry.priority,
                 attempts: row.entry.attempts,
             };
-            let host = row.entry.host.clone().unwrap_or_default();
+            let host = normalize_host(row.entry.host.as_deref().unwrap_or(""));
             table
                 .hosts
-                .entry(host)
+                .entry(host.into())
                 .or_default()
                 .entry(Arc::clone(&route.path))
                 .or_default()
@@ -179,10 +180,14 @@
     }
 
     /// Finds the route with the longest path prefix that ends at a segment boundary and accepts the method, first
-    /// among the routes for `host`, then among those for every host.
+    /// among the routes for `host` with its port, then among those for `host` with any port, then among those for every
+    /// host.
     pub fn find(&self, host: &str, method: &str, path: &str) -> RouteMatch {
         let mut wrong_method = false;
-        let tables = [self.hosts.get(host), self.hosts.get("")];
+        let host = normalize_host(host);
+        let (name, port) = split_port(&host);
+        let with_port = port.and_then(|_| self.hosts.get(&*host));
+        let tables = [with_port, self.hosts.get(name), self.hosts.get("")];
         for table in tables.into_iter().flatten() {
             for prefix in prefixes(path) {
                 let Some(routes) = table.get(prefix) else {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 mod evidence_recorder;
 mod freshness;
 mod kv_store_edge;
+mod listeners;
 mod logs;
 mod metrics;
 mod move_runner;
@@ -33,5 +34,7 @@
     operators::{DaemonStatus, MoveStatus},
     run::{RunError, run},
     snapshot::TrafficSnapshot,
-    traffic::{AnswerVerdict, CallContext, CallDialect, CallOptions, OwnDialect, header},
+    traffic::{
+        AnswerVerdict, CallContext, CallDialect, CallOptions, NotANumber, OwnDialect, header, parse_time_left,
+    },
 };
--- a/src/daemon/traffic/body.rs
+++ b/src/daemon/traffic/body.rs
@@ -5,9 +5,21 @@
     bytes::{Bytes, BytesMut},
     futures_util::{Stream, StreamExt, TryStreamExt, stream},
     http_body_util::{BodyExt, BodyStream, Full, StreamBody, combinators::UnsyncBoxBody},
-    hyper::body::{Frame, Incoming},
-    salvo::http::{HeaderMap, Method, ReqBody, StatusCode, header::CONTENT_LENGTH},
-    std::{io, pin::Pin, time::Duration},
+    hyper::body::{Body, Frame, Incoming},
+    parking_lot::Mutex,
+    salvo::http::{
+        HeaderMap, Method, ReqBody, StatusCode,
+        header::{CONTENT_LENGTH, EXPECT},
+    },
+    std::{
+        io,
+        pin::Pin,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     tokio::{
         sync::mpsc,
         time::{Instant, sleep_until, timeout, timeout_at},
@@ -20,6 +32,8 @@
 /// Maximum number of bytes of a refused body that are read and dropped, so that the caller, which may send its whole
 /// body first, gets to read the refusal.
 const DISCARD_BYTES: usize = 64 << 20;
+/// Maximum time for the arrival of a small body whose request was refused at once.
+const ARRIVAL_LIMIT: Duration = Duration::from_millis(50);
 /// Maximum time for reading a refused body.
 const DISCARD_LIMIT: Duration = Duration::from_secs(2);
 
@@ -46,36 +60,76 @@
     Incomplete,
 }
 
+/// What is known of a caller's body while several parts of the daemon read it.
+#[derive(Default)]
+pub struct BodyProgress {
+    has_ended: AtomicBool,
+    failed: Mutex<Option<BodyFault>>,
+    /// What is left of a body over the limit.
+    rest: Mutex<Option<ByteStream>>,
+}
+
+impl BodyProgress {
+    /// Returns whether the body was read to its end.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended.load(Ordering::Acquire)
+    }
+
+    /// Returns the fault for which reading the body ended early.
+    pub fn fault(&self) -> Option<BodyFault> {
+        *self.failed.lock()
+    }
+
+    /// Reads and drops the rest of a body over the limit, so that the caller, which may send its whole body first, gets to
+    /// read the refusal.
+    pub async fn discard_rest(&self) {
+        let rest = self.rest.lock().take();
+        if let Some(rest) = rest
+            && timeout(DISCARD_LIMIT, discard(rest)).await == Ok(true)
+        {
+            self.end();
+        }
+    }
+
+    fn end(&self) {
+        self.has_ended.store(true, Ordering::Release);
+    }
+
+    fn fail(&self, fault: BodyFault) {
+        *self.failed.lock() = Some(fault);
+    }
+}
+
 impl RequestBody {
     /// Buffers a body of up to [`MAX_BUFFERED_BYTES`]. A larger one is streamed; the stream ends with an error if it
-    /// exceeds `limit` bytes or is not complete at `until`.
+    /// exceeds `limit` bytes or is not complete at `until`. `progress` tells later why.
     ///
-    /// Fails with [`BodyFault::TooLarge`] if the declared length exceeds `limit`, and with [`BodyFault::Incomplete`] if
-    /// the body breaks off or `until` passes while it is buffered.
+    /// Fails with [`BodyFault::TooLarge`] if the body exceeds `limit` by its declared length or while it is buffered, and
+    /// with [`BodyFault::Incomplete`] if it breaks off or `until` passes while it is buffered.
     pub async fn read(
         headers: &HeaderMap,
         body: ReqBody,
         limit: u64,
         until: Instant,
+        progress: &Arc<BodyProgress>,
     ) -> Result<Self, BodyFault> {
-        let length = headers
-            .get(CONTENT_LENGTH)
-            .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+        let length = declared_length(headers);
         if length.is_some_and(|length| length > limit) {
-            discard(body).await;
+            *progress.rest.lock() = Some(data_chunks(body));
+            progress.discard_rest().await;
             return Err(BodyFault::TooLarge);
         }
-        let chunks: ByteStream =
-            Box::pin(body.try_filter_map(|frame| async move { Ok(frame.into_data().ok()) }));
+        let chunks = observe(data_chunks(body), limit, until, Arc::clone(progress));
         if length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64) {
-            return Ok(Self::Streaming(limit_transfer(chunks, limit, until)));
+            return Ok(Self::Streaming(chunks));
         }
         match timeout_at(until, buffer(chunks)).await {
             Ok(Ok(BufferedBody::Complete(bytes))) => Ok(Self::Buffered(bytes)),
-            Ok(Ok(BufferedBody::Oversized(chunks))) => {
-                Ok(Self::Streaming(limit_transfer(chunks, limit, until)))
+            Ok(Ok(BufferedBody::Oversized(chunks))) => Ok(Self::Streaming(chunks)),
+            Ok(Err(_)) | Err(_) => {
+                progress.discard_rest().await;
+                Err(progress.fault().unwrap_or(BodyFault::Incomplete))
             }
-            Ok(Err(_)) | Err(_) => Err(BodyFault::Incomplete),
         }
     }
 
@@ -133,36 +187,64 @@
     Ok(BufferedBody::Complete(read.freeze()))
 }
 
-/// Reads and drops a refused body, at most [`DISCARD_BYTES`] of it and for at most [`DISCARD_LIMIT`].
-async fn discard(mut body: ReqBody) {
+fn data_chunks(body: ReqBody) -> ByteStream {
+    Box::pin(body.try_filter_map(|frame| async move { Ok(frame.into_data().ok()) }))
+}
+
+fn declared_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+/// Reads and drops what has arrived of a body whose request was refused before it was read. Returns whether that is the
+/// whole body, so that the connection can be used again.
+pub async fn discard_arrived(headers: &HeaderMap, body: ReqBody) -> bool {
+    if body.is_end_stream() {
+        return true;
+    }
+    // A caller that expects to be asked for the body doesn't send it after a refusal.
+    let is_coming = !headers.contains_key(EXPECT)
+        && declared_length(headers).is_none_or(|length| length <= MAX_BUFFERED_BYTES as u64);
+    is_coming && timeout(ARRIVAL_LIMIT, discard(data_chunks(body))).await == Ok(true)
+}
+
+/// Reads and drops a refused body, at most [`DISCARD_BYTES`] of it. Returns whether it has ended.
+async fn discard(mut chunks: ByteStream) -> bool {
     let mut left = DISCARD_BYTES;
-    let reading = async {
-        while let Some(Ok(frame)) = body.frame().await {
-            left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
-            if left == 0 {
-                return;
-            }
+    while let Some(chunk) = chunks.next().await {
+        left = left.saturating_sub(chunk.map_or(DISCARD_BYTES, |chunk| chunk.len()));
+        if left == 0 {
+            return false;
         }
-    };
-    // If the body has not ended by then, the connection is closed.
-    let _ = timeout(DISCARD_LIMIT, reading).await;
+    }
+    true
 }
 
-fn limit_transfer(chunks: ByteStream, limit: u64, until: Instant) -> ByteStream {
-    Box::pin(stream::try_unfold(
-        (chunks, limit),
-        move |(mut chunks, left)| async move {
+/// Limits a body to `limit` bytes and to what arrives by `until`, and records in `progress` how it ends.
+fn observe(chunks: ByteStream, limit: u64, until: Instant, progress: Arc<BodyProgress>) -> ByteStream {
+    Box::pin(stream::unfold(
+        Some((chunks, limit, progress)),
+        move |state| async move {
+            let (mut chunks, left, progress) = state?;
+            let late = || io::Error::new(io::ErrorKind::TimedOut, "request body is over-late");
             let chunk = timeout_at(until, chunks.next()).await;
-            let Some(chunk) =
-                chunk.map_err(|_| io::Error::new(io::ErrorKind::TimedOut, "request body is over-late"))?
-            else {
-                return Ok(None);
-            };
-            let chunk = chunk?;
-            let left = left
-                .checked_sub(chunk.len() as u64)
-                .ok_or_else(|| io::Error::other("request body is over the limit"))?;
-            Ok(Some((chunk, (chunks, left))))
+            match chunk.unwrap_or_else(|_| Some(Err(late()))) {
+                None => {
+                    progress.end();
+                    None
+                }
+                Some(Err(error)) => {
+                    progress.fail(BodyFault::Incomplete);
+                    Some((Err(error), None))
+                }
+                Some(Ok(chunk)) => {
+                    if let Some(left) = left.checked_sub(chunk.len() as u64) {
+                        return Some((Ok(chunk), Some((chunks, left, progress))));
+                    }
+                    *progress.rest.lock() = Some(chunks);
+                    progress.fail(BodyFault::TooLarge);
+                    Some((Err(io::Error::other("request body is over the limit")), None))
+                }
+            }
         },
     ))
 }
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -6,17 +6,21 @@
     self::slots::{QueueGuard, SlotGuard, SlotWaiter},
     super::{
         attempt::ForwardedRequest,
-        body::{AnswerBody, AnswerFault, RequestBody, TransferEnd},
+        body::{AnswerBody, AnswerFault, BodyProgress, RequestBody, TransferEnd, discard_arrived},
         dialect::{AnswerVerdict, CallContext},
         hop::{HopCall, header},
         peer_client::{PeerClients, SendFault, retire_connection},
-        relay::{add_close_header, end_to_end_headers, header_value, write_answer, write_refusal},
+        relay::{
+            add_close_header, end_to_end_headers, header_value, keep_connection_if, write_answer,
+            write_refusal,
+        },
     },
     crate::{
         call::CallOutcome,
         clock::TimePoint,
         daemon::{
-            refusals::log_word,
+            listeners::report_refusal,
+            refusals::{RequestFields, log_word},
             shared::{SharedState, TargetIdentity, TrafficEvent},
         },
         gate::{GateAdmission, GateArrival, GateRefusal},
@@ -49,7 +53,7 @@
     Open,
     Answered,
     Failed,
-    /// The call did not run and is not counted.
+    /// The call did not run, or the caller ended it, and is not counted.
     NotRun,
 }
 
@@ -85,6 +89,8 @@
     NotRun(GateRefusal),
     /// The request may have run; the text describes the failure.
     Unknown(&'static str),
+    /// The body of the request broke off after a part of it was sent to the target.
+    BodyBroken,
     BadRequest,
 }
 
@@ -99,17 +105,13 @@
     async fn handle_call(&self, req: &mut Request, res: &mut Response) {
         let Some(hop) = HopCall::read(req.headers(), self.shared.now()) else {
             let text = "only daemons call a gate; send the call to a daemon's listener for callers";
-            if let Some(suppressed) =
-                self.shared
-                    .record_refusal("gate", StatusCode::BAD_REQUEST, "no-hop-header")
-            {
-                log::info!(
-                    target: "calls",
-                    "event=gate-refused reason=no-hop-header status=400 method={} path={} suppressed={suppressed}",
-                    req.method(),
-                    log_word(req.uri().path())
-                );
-            }
+            report_refusal(
+                &self.shared,
+                "gate",
+                req,
+                (StatusCode::BAD_REQUEST, "no-hop-header"),
+                text,
+            );
             write_refusal(
                 res,
                 StatusCode::BAD_REQUEST,
@@ -122,10 +124,14 @@
         };
         let result = match self.wait_for_slot(&hop).await {
             Ok((slot, identity)) => self.run(req, res, &hop, &identity, slot).await,
-            Err(refusal) => Err(GateFailure::NotRun(refusal)),
+            Err(refusal) => {
+                let body = req.take_body();
+                keep_connection_if(discard_arrived(req.headers(), body).await, res);
+                Err(GateFailure::NotRun(refusal))
+            }
         };
         if let Err(failure) = result {
-            refuse(&self.shared, res, &hop, &failure);
+            refuse(&self.shared, req, res, &hop, &failure);
         }
         res.headers_mut().insert(header::CALL, header_value(&hop.id));
         self.add_load_and_clearance(res, &hop);
@@ -214,12 +220,18 @@
         slot: SlotGuard,
     ) -> Result<(), GateFailure> {
         let shared = &self.shared;
-        let limit = shared.settings.max_body_bytes;
         let end = TransferEnd::new(hop.deadline, shared.now(), ConnectionCloser::of(req));
         let body = req.take_body();
-        let body = RequestBody::read(req.headers(), body, limit, end.at).await;
-        let mut forwarded =
-            self.forwarded_request(req, hop, identity, body.map_err(|_| GateFailure::BadRequest)?);
+        let progress = Arc::new(BodyProgress::default());
+        // The proxy has checked the limit of its table, which may be newer than the one here.
+        let body = RequestBody::read(req.headers(), body, u64::MAX, end.at, &progress).await;
+        let mut forwarded = self.forwarded_request(
+            req,
+            hop,
+            identity,
+            body.map_err(|_| GateFailure::BadRequest)?,
+            progress,
+        );
         let mut recorder = CallRecorder {
             shared: Arc::clone(shared),
             route: Arc::clone(&hop.route),
@@ -240,6 +252,10 @@
                 shared.report_event(TrafficEvent::TargetRefuses);
                 return Err(GateFailure::NotRun(GateRefusal::Starting));
             }
+            Ok(Err(SendFault::Broken)) if forwarded.progress.fault().is_some() => {
+                recorder.outcome = RecordedOutcome::NotRun;
+                return Err(GateFailure::BodyBroken);
+            }
             Ok(Err(SendFault::Broken)) => {
                 recorder.outcome = RecordedOutcome::Failed;
                 return Err(GateFailure::Unknown("the connection to the target broke"));
@@ -321,6 +337,7 @@
         hop: &HopCall,
         identity: &TargetIdentity,
         body: RequestBody,
+        progress: Arc<BodyProgress>,
     ) -> ForwardedRequest {
         let mut headers = end_to_end_headers(req.headers());
         let call = CallContext {
@@ -336,6 +353,7 @@
             headers,
             host: req.headers().get(HOST).cloned(),
             body,
+            progress,
         }
     }
 
@@ -377,7 +395,7 @@
     headers.insert(header::REASON, header_value(reason));
 }
 
-fn refuse(shared: &SharedState, res: &mut Response, hop: &HopCall, failure: &GateFailure) {
+fn refuse(shared: &SharedState, req: &Request, res: &mut Response, hop: &HopCall, failure: &GateFailure) {
     let (status, outcome, reason, text) = match failure {
         GateFailure::NotRun(refusal) => (
             StatusCode::SERVICE_UNAVAILABLE,
@@ -391,19 +409,32 @@
             "target-broken",
             *text,
         ),
+        GateFailure::BodyBroken => (
+            StatusCode::GATEWAY_TIMEOUT,
+            CallOutcome::Unknown,
+            "body-incomplete",
+            "the body broke off on its way to the target",
+        ),
         GateFailure::BadRequest => (
             StatusCode::BAD_REQUEST,
             CallOutcome::NotRun,
             "bad-request",
-            "the body did not arrive whole or is over the limit; send it again",
+            "the body did not arrive whole; send it again",
         ),
     };
     if let Some(suppressed) = shared.record_refusal("gate", status, reason) {
         log::info!(
             target: "calls",
-            "event=gate-refused attempt={} route={} target={} caller={} priority={} status={} outcome={outcome} reason={reason} \
-             suppressed={suppressed} detail={text:?}",
-            hop.id, hop.route, hop.target, hop.caller, hop.priority, status.as_u16()
+            "event=gate-refused id={} attempt={} route={} target={} caller={} priority={} status={} outcome={outcome} \
+             reason={reason} {} suppressed={suppressed} detail={text:?}",
+            log_word(shared.dialect.call_id(req.headers()).unwrap_or("")),
+            hop.id,
+            log_word(&hop.route),
+            log_word(&hop.target),
+            log_word(&hop.caller),
+            hop.priority,
+            status.as_u16(),
+            RequestFields { shared, req }
         );
     }
     write_refusal(res, status, outcome, reason, text);
--- a/src/daemon/traffic/mod.rs
+++ b/src/daemon/traffic/mod.rs
@@ -11,10 +11,12 @@
 mod relay;
 
 pub use {
-    dialect::{AnswerVerdict, CallContext, CallDialect, CallOptions, OwnDialect},
+    dialect::{
+        AnswerVerdict, CallContext, CallDialect, CallOptions, NotANumber, OwnDialect, parse_time_left,
+    },
     hop::header,
     inbound::InboundHandler,
     outbound::OutboundHandler,
     peer_client::PeerClients,
-    relay::read_limited,
+    relay::{read_limited, request_host},
 };
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -7,11 +7,14 @@
     self::logging::{LoggedRefusal, log_failed_attempt, log_refusal, log_slow_or_failed},
     super::{
         attempt::{AttemptResult, CallAttempt, ForwardedRequest, InFlightGuard},
-        body::{AnswerBody, BodyFault, RequestBody, TransferEnd},
+        body::{AnswerBody, BodyFault, BodyProgress, RequestBody, TransferEnd, discard_arrived},
         dialect::{CallOptions, call_deadline},
         hop::HopCall,
         peer_client::PeerClients,
-        relay::{add_close_header, end_to_end_headers, refusal_status, write_answer, write_refusal},
+        relay::{
+            add_close_header, end_to_end_headers, keep_connection_if, refusal_status, request_host,
+            write_answer, write_refusal,
+        },
     },
     crate::{
         call::{CallOutcome, CallPlan, CallRules, CallStep, RefusalReason},
@@ -118,16 +121,22 @@
         let active = ActiveCall::start(&self.shared);
         let mut call = match self.route(req) {
             Ok(call) => call,
-            Err(refusal) => return self.refuse(req, None, &refusal, res),
+            Err(refusal) => {
+                self.refuse(req, None, &refusal, res);
+                let body = req.take_body();
+                return keep_connection_if(discard_arrived(req.headers(), body).await, res);
+            }
         };
         let limit = self.body_limit();
         let end = TransferEnd::new(call.deadline, self.shared.now(), ConnectionCloser::of(req));
         let body = req.take_body();
-        let body = match RequestBody::read(req.headers(), body, limit, end.at).await {
+        let progress = Arc::new(BodyProgress::default());
+        let body = match RequestBody::read(req.headers(), body, limit, end.at, &progress).await {
             Ok(body) => body,
             Err(fault) => {
                 let refusal = self.unless_stale(&self.shared.snapshot.load(), body_refusal(fault, limit));
-                return self.refuse(req, Some(&call), &refusal, res);
+                self.refuse(req, Some(&call), &refusal, res);
+                return keep_connection_if(progress.has_ended(), res);
             }
         };
         let mut request = ForwardedRequest {
@@ -136,10 +145,26 @@
             headers: end_to_end_headers(req.headers()),
             host: req.headers().get(HOST).cloned(),
             body,
+            progress,
         };
         match self.run_plan(&mut request, &mut call).await {
             Ok(answer) => self.respond(answer, &call, (active, end), res),
-            Err(refusal) => self.refuse(req, Some(&call), &refusal, res),
+            Err(refusal) => {
+                let refusal = match request.progress.fault() {
+                    // A part of the body was sent on, so the outcome is the one of the attempt.
+                    Some(BodyFault::TooLarge) => self.unless_stale(
+                        &self.shared.snapshot.load(),
+                        CallRefusal {
+                            outcome: refusal.outcome,
+                            ..body_refusal(BodyFault::TooLarge, limit)
+                        },
+                    ),
+                    _ => refusal,
+                };
+                request.progress.discard_rest().await;
+                self.refuse(req, Some(&call), &refusal, res);
+                keep_connection_if(request.progress.has_ended(), res);
+            }
         }
     }
 
@@ -242,7 +267,8 @@
                         }
                         plan.record_attempt(Arc::clone(&target.name), shared.now());
                         let forwarded = request.request_to(target.gate);
-                        in_flight.push(self.attempt(call, target).run(forwarded));
+                        let progress = Arc::clone(&request.progress);
+                        in_flight.push(self.attempt(call, target, progress).run(forwarded));
                         CallStep::Wait
                     }
                     None => plan.after_no_target(received.is_some()),
@@ -287,7 +313,12 @@
         }
     }
 
-    fn attempt(&self, call: &RoutedCall, target: ServingTarget) -> CallAttempt {
+    fn attempt(
+        &self,
+        call: &RoutedCall,
+        target: ServingTarget,
+        body_progress: Arc<BodyProgress>,
+    ) -> CallAttempt {
         let shared = &self.shared;
         CallAttempt {
             shared: Arc::clone(shared),
@@ -306,6 +337,7 @@
             },
             in_flight_guard: InFlightGuard::new(shared, &target, call.route.priority),
             target,
+            body_progress,
         }
     }
 
@@ -405,12 +437,7 @@
 
 fn find_route(snapshot: &TrafficSnapshot, req: &Request) -> Result<Arc<CompiledRoute>, RefusalReason> {
     let table = snapshot.table.as_ref().ok_or(RefusalReason::NoConfiguration)?;
-    let host = req
-        .headers()
-        .get(HOST)
-        .and_then(|host| host.to_str().ok())
-        .unwrap_or("");
-    match table.find(host, req.method().as_str(), req.uri().path()) {
+    match table.find(request_host(req), req.method().as_str(), req.uri().path()) {
         RouteMatch::Found(route) => Ok(route),
         RouteMatch::WrongMethod => Err(RefusalReason::WrongMethod),
         RouteMatch::None => Err(RefusalReason::NoRoute),
--- a/src/daemon/traffic/relay.rs
+++ b/src/daemon/traffic/relay.rs
@@ -13,13 +13,14 @@
     http_body_util::BodyExt,
     hyper::body::Body as _,
     salvo::{
-        Response,
+        Request, Response,
         http::{
             HeaderMap, HeaderName, HeaderValue, ReqBody, ResBody, StatusCode,
             header::{
-                CONNECTION, CONTENT_TYPE, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+                CONNECTION, CONTENT_TYPE, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
                 TRANSFER_ENCODING, UPGRADE,
             },
+            uri::Authority,
         },
     },
     std::time::Duration,
@@ -66,16 +67,20 @@
     kept
 }
 
-/// Returns a header parsed as a number; `None` if it is missing or malformed.
-pub fn number_header(headers: &HeaderMap, name: &str) -> Option<u64> {
-    headers.get(name)?.to_str().ok()?.trim().parse().ok()
-}
-
 /// Returns a header as text; `None` if it is missing or not visible ASCII.
 pub fn text_header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
 
+/// Returns the host of a request: the authority of its URI if that has one, otherwise the `host` header (RFC 9112, 3.2.2).
+/// It is empty if it is missing or not visible ASCII.
+pub fn request_host(req: &Request) -> &str {
+    let header = || req.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let authority = req.uri().authority().map(Authority::as_str);
+    let host = authority.or_else(header).unwrap_or("");
+    host.rsplit('@').next().unwrap_or(host)
+}
+
 /// Creates a header value from a text. The value is empty if the text has characters that a header can't contain.
 pub fn header_value(text: &str) -> HeaderValue {
     HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static(""))
@@ -137,6 +142,15 @@
     }
 }
 
+/// Adds `connection: close` unless the body of the refused request was read to its end: the server closes the connection
+/// then, and the client has to know that it can't send another request on it.
+pub fn keep_connection_if(has_ended: bool, res: &mut Response) {
+    if !has_ended {
+        res.headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+}
+
 /// Reads a whole body. Returns `None` if it exceeds `limit` bytes, breaks off, or is not complete after [`BODY_LIMIT`].
 pub async fn read_limited(mut body: ReqBody, limit: usize) -> Option<Bytes> {
     if body.size_hint().lower() > limit as u64 {
