The line of a refusal says if the table was never confirmed

What operators saw: `table_age_ms=`, the time since 1970, on the lines of a daemon whose table nobody has confirmed since its start. It reads like a number and says nothing.

Evidence: the traced failure of body_is_requested_from_a_client_that_waits_for_it (requests), where a daemon of a new fleet answers 503 stale-table; and table_that_was_never_confirmed_is_logged_as_such (refusals), which failed before the change.

Fix: the field is `never` then.

--- a/src/daemon/refusals.rs
+++ b/src/daemon/refusals.rs
@@ -79,14 +79,18 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
         let Self { shared, req } = self;
         let snapshot = shared.snapshot.load();
+        let now = shared.now();
+        let age = match shared.freshness.age_ms(now) {
+            ms if ms == now.0 => "never".to_owned(),
+            ms => ms.to_string(),
+        };
         write!(
             f,
-            "method={} host={} path={} table={} table_age_ms={} newest={}",
+            "method={} host={} path={} table={} table_age_ms={age} newest={}",
             req.method(),
             log_word(request_host(req)),
             log_word(req.uri().path()),
             snapshot.table.as_ref().map_or(0, |table| table.version),
-            shared.freshness.age_ms(shared.now()),
             shared.freshness.newest_version()
         )
     }
