A configuration that daemons can't use counts as newer than the one in force

What callers saw: nothing so far. Had the store accepted a document that every daemon refuses, for a limit or a rule of ours, each route that only this document has would have got 404 at every daemon, as with the tables over 4,000 entries.

Cause: a reader logged and counted such a value and went on. Its reading still confirmed the table in force, so that all daemons held it for the newest one. The store accepts only valid configurations; that a daemon can't use one says something about the daemon, not about the request.

Ruled out: a document whose version is not above the one in force. It says that the one in force is the newest, and unknown paths get 404 as before. A value that the built-in store's readers can't decode was a failed read already, and one that breaks a rule was heard of already.

Why the fix works: each reading names the newest accepted version. It reaches the other daemons with the confirmations. Requests that the table in force admits are served as before.

--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -112,6 +112,7 @@
                     let offer = self.spread.offer_stored(*head);
                     self.finish_offer(offer, "store", now);
                 }
+                self.spread.add_announced(reading.newest_version);
                 let effects = self.members.confirm_read(reading.confirmed_at, now);
                 self.apply_effects(effects, now);
             }
--- a/src/daemon/edges.rs
+++ b/src/daemon/edges.rs
@@ -46,6 +46,8 @@
 pub struct StoreReading {
     /// The accepted configuration; `None` if there is none or it has not changed.
     pub head: Option<Box<ConfigHead>>,
+    /// Version of the newest accepted configuration, also if it can't be used here.
+    pub newest_version: u64,
     /// When the store certainly had not accepted anything that this reading and the earlier ones lack: at the latest when
     /// it answered, which a suspended process can't know, and at the earliest when the call was sent.
     pub confirmed_at: TimePoint,
--- a/src/daemon/kv_store_edge.rs
+++ b/src/daemon/kv_store_edge.rs
@@ -186,6 +186,7 @@
             let head = value.map(|value| ConfigHead::open(&value.data)).transpose();
             let head = head.map_err(|error| StoreError::Refused(error.to_string()))?;
             Ok(StoreReading {
+                newest_version: head.as_ref().map_or(0, |head| head.version),
                 head: head.map(Box::new),
                 confirmed_at,
             })
