A confirmation is never seen before the newer version that came with it

What callers saw: possibly a 404 from the old table in the instant in which a daemon whose confirmation had expired, as after a suspension or an isolation, gets one that names a newer version. Not observed on a deployment.

Cause: the newest version and the end of the confirmation are two atomics. A traffic thread read the version first, so it could see the version of before and then the confirmation that came after it. Both accesses were relaxed, so the processor could also reorder them.

Why the fix works: the reader takes the confirmation first, with acquire ordering, and the writer stores it last, with release ordering. Whoever sees the confirmation therefore sees the version that was published with it, or a later one.

--- a/src/daemon/freshness.rs
+++ b/src/daemon/freshness.rs
@@ -22,7 +22,7 @@
     pub fn publish(&self, newest_version: u64, confirmed_at: TimePoint, current_until: TimePoint) {
         self.newest_version.store(newest_version, Ordering::Relaxed);
         self.confirmed_at.store(confirmed_at.0, Ordering::Relaxed);
-        self.current_until.store(current_until.0, Ordering::Relaxed);
+        self.current_until.store(current_until.0, Ordering::Release);
     }
 
     /// Returns the newest version that this daemon has heard of, which it may be unable to apply.
@@ -38,6 +38,7 @@
     /// Returns whether `version` is the newest one at `now` as far as this daemon can know. If not, the accepted
     /// configuration may have routes and limits that this version lacks.
     pub fn is_newest(&self, version: u64, now: TimePoint) -> bool {
-        version >= self.newest_version() && now.0 <= self.current_until.load(Ordering::Relaxed)
+        // This order, the reverse of that in `publish`: whoever sees a confirmation also sees the version that it names.
+        now.0 <= self.current_until.load(Ordering::Acquire) && version >= self.newest_version()
     }
 }
--- a/tests/table_freshness.rs
+++ b/tests/table_freshness.rs
@@ -11,10 +11,12 @@
         },
         spread::SpreadState,
     },
-    std::{net::SocketAddr, time::Duration},
+    std::{hint, net::SocketAddr, sync::Barrier, thread, time::Duration},
 };
 
 const NOW: TimePoint = TimePoint(1_000_000);
+/// Number of rounds of the race.
+const ROUNDS: usize = 50_000;
 
 fn address(number: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 7_000 + number))
@@ -178,3 +180,37 @@
     });
     inquiries.max().expect("an inquiry is due")
 }
+
+/// Guards against a 404 from the old table just as a confirmation arrives that names a newer version.
+#[test]
+fn confirmation_never_appears_before_the_newer_version_that_came_with_it() {
+    let freshness = TableFreshness::default();
+    let barrier = Barrier::new(2);
+    let count = thread::scope(|scope| {
+        let reader = scope.spawn(|| {
+            let rounds = 0..ROUNDS;
+            rounds
+                .filter(|_| {
+                    barrier.wait();
+                    let mut is_newest = false;
+                    while freshness.newest_version() == 5 {
+                        is_newest |= freshness.is_newest(5, NOW.after_ms(1));
+                    }
+                    barrier.wait();
+                    is_newest
+                })
+                .count()
+        });
+        for round in 0..ROUNDS {
+            // Version 5 is in force, and its confirmation has expired.
+            freshness.publish(5, NOW, NOW);
+            barrier.wait();
+            // The reader wakes up later.
+            (0..round % 2_000).for_each(|_| hint::spin_loop());
+            freshness.publish(6, NOW, NOW.after_ms(CONFIRMATION_TTL_MS));
+            barrier.wait();
+        }
+        reader.join().unwrap()
+    });
+    assert_eq!(count, 0, "version 5 counted as the newest");
+}
