A call may be silent for longer than an idle connection is kept

What callers saw: on a route with a timeout over 75 s, a closed connection at 75.0 s in place of the answer, while the target was at work, and a transfer that broke in the middle of a body of which no byte had come for 75 s.

Cause: the idle timeout of the listeners counts any time without a byte in either direction, also while a call runs; the caller's connection and the gate's both end by it.

Evidence: a target that is silent for 82 s, once before its head and once in its body: both broke after 75.00 s before the change.

Ruled out: the connection to the target, and the deadline (95 s).

The idle timeout goes. The wait for a head, also for the next one, keeps its own limit of 75 s, and a caller that leaves its answer unread for 75 s loses the connection.

--- a/src/http.rs
+++ b/src/http.rs
@@ -29,12 +29,11 @@
 
 /// Maximum number of connections waiting for `accept`; enough if all peers of a small service reconnect together.
 const LISTEN_BACKLOG: i32 = 1_024;
-/// Timeout for receiving a request head. The server also applies it to the wait for the next request, so it is longer
-/// than callers keep an idle connection.
+/// Timeout for receiving a request head. The server also applies it to the wait for the next request. All clients of this
+/// crate close an idle connection earlier, so no request is sent on one that the server is closing.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(75);
-/// Time after which an idle connection of a caller is closed. All clients of this crate close theirs earlier, so no
-/// request is sent on a connection that the server is closing.
-const SERVER_IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+/// Time after which the connection of a caller that does not read its answer is closed.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(75);
 /// Maximum size of a caller's request head, in bytes; the configuration may set a lower limit.
 pub const MAX_REQUEST_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum number of headers of a caller's request.
@@ -167,7 +166,8 @@
     let mut acceptor = TcpAcceptor::try_from(tokio::net::TcpListener::from_std(listener)?)?;
     let mut fuse = FuseConfig::default();
     fuse.http1_header_timeout = Some(HEAD_TIMEOUT);
-    fuse.connection_idle_timeout = Some(SERVER_IDLE_TIMEOUT);
+    // A call may be silent for longer, so only a caller that doesn't read counts, not one that waits.
+    fuse.write_stall_timeout = Some(WRITE_TIMEOUT);
     let policy: ArcFusePolicy = Arc::new(fuse);
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new())
