--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -21,8 +21,9 @@
 };
 
 impl ControlState {
-    /// Sets the watch on the store, and writes the seeds of the data centre when that is due. Both are jobs of the watchers
-    /// of the data centre, which rendezvous hashing selects, and of daemons that get no confirmation from these.
+    /// Sets the watch on the store, and writes the seeds of the data centre when that is due. Both are jobs of the
+    /// watchers of the data centre, which rendezvous hashing selects, and of daemons that get no confirmation from
+    /// these.
     pub(super) fn tick_store(&mut self, now: TimePoint) {
         let settings = &self.shared.settings;
         // A daemon that lists no others selects itself. It leaves the watch to daemons with a full member list until a
@@ -209,8 +210,8 @@
         self.moves.finish_verdict(pool, move_id, now);
     }
 
-    /// Publishes to the traffic threads whether the table in force is known to be the newest one. After a suspension others
-    /// have to be heard first, as they may know of a newer version.
+    /// Publishes to the traffic threads whether the table in force is known to be the newest one. After a suspension
+    /// others have to be heard first, as they may know of a newer version.
     pub(super) fn publish_freshness(&self) {
         let confirmed_at = self.members.confirmed_at();
         let current_until = if self.members.has_heard_since_resume() {
--- a/src/daemon/edges.rs
+++ b/src/daemon/edges.rs
@@ -46,14 +46,14 @@
 pub struct StoreReading {
     /// The accepted configuration; `None` if there is none or it has not changed.
     pub head: Option<Box<ConfigHead>>,
-    /// When the store certainly had not accepted anything that this reading and the earlier ones lack: at the latest when
-    /// it answered, which a suspended process can't know, and at the earliest when the call was sent.
+    /// When the store certainly had not accepted anything that this reading and the earlier ones lack: at the latest
+    /// when it answered, which a suspended process can't know, and at the earliest when the call was sent.
     pub confirmed_at: TimePoint,
 }
 
 impl StoreReading {
-    /// Returns the time that a linearizable call confirms which was sent at `sent_at`. A watch that ended without a change
-    /// was answered no earlier than its wait after that.
+    /// Returns the time that a linearizable call confirms which was sent at `sent_at`. A watch that ended without a
+    /// change was answered no earlier than its wait after that.
     pub fn confirmed_at(sent_at: TimePoint, wait: Duration, has_changed: bool, now: TimePoint) -> TimePoint {
         let wait_ms = wait.as_millis() as u64;
         if has_changed || now.ms_since(sent_at) < wait_ms {
@@ -65,7 +65,8 @@
 
 /// Store interface of a daemon. Methods return without waiting; results arrive through the [`ControlInbox`].
 pub trait StoreEdge: Debug + Send {
-    /// Sets how the accepted configuration is watched. A change ends the call in flight, whose result is not needed then.
+    /// Sets how the accepted configuration is watched. A change ends the call in flight, whose result is not needed
+    /// then.
     fn set_watch(&mut self, mode: WatchMode);
 
     /// Reads the seeds: addresses of daemons to join the mesh at. Registers `own`, at least if the data centre has no
--- a/src/daemon/freshness.rs
+++ b/src/daemon/freshness.rs
@@ -17,8 +17,8 @@
 }
 
 impl TableFreshness {
-    /// Publishes what the control thread knows: the newest version, when the table was last confirmed, and until when that
-    /// counts.
+    /// Publishes what the control thread knows: the newest version, when the table was last confirmed, and until when
+    /// that counts.
     pub fn publish(&self, newest_version: u64, confirmed_at: TimePoint, current_until: TimePoint) {
         self.newest_version.store(newest_version, Ordering::Relaxed);
         self.confirmed_at.store(confirmed_at.0, Ordering::Relaxed);
--- a/src/member/confirmation.rs
+++ b/src/member/confirmation.rs
@@ -151,8 +151,8 @@
         self.takeover == TakeoverPhase::Leading
     }
 
-    /// Notes a confirmation that was not asked for. It may have waited in the socket, so it confirms nothing; its sender
-    /// is asked at once if there is no better one.
+    /// Notes a confirmation that was not asked for. It may have waited in the socket, so it confirms nothing; its
+    /// sender is asked at once if there is no better one.
     pub(super) fn note_offer(&mut self, from: SocketAddr, now: TimePoint) {
         if now.ms_since(self.confirmed_at) > USEFUL_AGE_MS {
             self.offered_by = Some(from);
@@ -252,9 +252,9 @@
         });
     }
 
-    /// Handles an answer. It states an age, so it confirms the time that lies as long before the inquiry: an answer that
-    /// waited in the socket of a suspended daemon confirms nothing later. Returns the newest version that it names, or
-    /// `None` if nobody was asked.
+    /// Handles an answer. It states an age, so it confirms the time that lies as long before the inquiry: an answer
+    /// that waited in the socket of a suspended daemon confirms nothing later. Returns the newest version that it
+    /// names, or `None` if nobody was asked.
     pub(super) fn finish_inquiry(&mut self, seq: u64, known: &KnownVersion, now: TimePoint) -> Option<u64> {
         let at = self.inquiries.iter().position(|inquiry| inquiry.seq == seq)?;
         let inquiry = self.inquiries.swap_remove(at);
--- a/src/member/state/confirming.rs
+++ b/src/member/state/confirming.rs
@@ -24,14 +24,14 @@
         self.confirmation.confirmed_at()
     }
 
-    /// Returns whether a useful answer of the store or of another daemon has come to a call or inquiry that was sent since
-    /// this process started or continued after a suspension.
+    /// Returns whether a useful answer of the store or of another daemon has come to a call or inquiry that was sent
+    /// since this process started or continued after a suspension.
     pub fn has_heard_since_resume(&self) -> bool {
         self.confirmation.has_heard_since_resume()
     }
 
-    /// Records a read of the store by this daemon that showed every version accepted up to `confirmed_at`. A daemon that
-    /// others don't ask, as they rank higher, offers its confirmation to the first of each data centre.
+    /// Records a read of the store by this daemon that showed every version accepted up to `confirmed_at`. A daemon
+    /// that others don't ask, as they rank higher, offers its confirmation to the first of each data centre.
     pub fn confirm_read(&mut self, confirmed_at: TimePoint, now: TimePoint) -> Vec<MemberEffect> {
         self.confirmation.confirm_read(confirmed_at);
         if let Some(known) = self
@@ -69,7 +69,8 @@
             .watch_mode(rank == Some(0), is_watcher, now, pace, &mut self.rng)
     }
 
-    /// Starts anew after a suspension: a probe, an inquiry and, at a leading daemon, a read of the store are due at once.
+    /// Starts anew after a suspension: a probe, an inquiry and, at a leading daemon, a read of the store are due at
+    /// once.
     pub fn resume(&mut self, now: TimePoint) {
         self.probe_at(now);
         self.confirmation.resume(now);
--- a/tests/confirmation.rs
+++ b/tests/confirmation.rs
@@ -1,6 +1,7 @@
 //! Fleets of simulated daemons that learn from the store, or from each other, which version is the newest.
 //!
-//! Oracle of every run: a daemon knows of each version that was accepted up to the time at which it counts as confirmed.
+//! Oracle of every run: a daemon knows of each version that was accepted up to the time at which it counts as
+//! confirmed.
 
 use {
     fuchsiashore::{
