A body is refused as too large by the table that the limit is from

What callers saw: 413 for a body in chunks that the newest configuration allows, if its higher limit came into force during the transfer.

Cause: the limit came from the table at the start of the body, but whether a newer table might allow the request was asked of the one at its end, which was the newest.

Evidence: body_over_a_limit_that_was_raised_meanwhile_is_not_refused_as_too_large; 413 before the change. Found by the review, by reading.

--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -127,14 +127,16 @@
                 return keep_connection_if(discard_arrived(req.headers(), body).await, res);
             }
         };
-        let limit = self.body_limit();
+        // The body may take long, and the refusal must be judged by the table that the limit is from.
+        let snapshot = self.shared.snapshot.load_full();
+        let limit = self.body_limit(&snapshot);
         let end = TransferEnd::new(call.deadline, self.shared.now(), ConnectionCloser::of(req));
         let body = req.take_body();
         let progress = Arc::new(BodyProgress::default());
         let body = match RequestBody::read(req.headers(), body, limit, end.at, &progress).await {
             Ok(body) => body,
             Err(fault) => {
-                let refusal = self.unless_stale(&self.shared.snapshot.load(), body_refusal(fault, limit));
+                let refusal = self.unless_stale(&snapshot, body_refusal(fault, limit));
                 self.refuse(req, Some(&call), &refusal, res);
                 return keep_connection_if(progress.has_ended(), res);
             }
@@ -153,7 +155,7 @@
                 let refusal = match request.progress.fault() {
                     // A part of the body was sent on, so the outcome is the one of the attempt.
                     Some(BodyFault::TooLarge) => self.unless_stale(
-                        &self.shared.snapshot.load(),
+                        &snapshot,
                         CallRefusal {
                             outcome: refusal.outcome,
                             ..body_refusal(BodyFault::TooLarge, limit)
@@ -168,8 +170,7 @@
         }
     }
 
-    fn body_limit(&self) -> u64 {
-        let snapshot = self.shared.snapshot.load();
+    fn body_limit(&self, snapshot: &TrafficSnapshot) -> u64 {
         let configured = snapshot.table.as_ref().and_then(|table| table.limits.body_bytes);
         configured.unwrap_or(self.shared.settings.max_body_bytes)
     }
