--- a/src/daemon/traffic/body.rs
+++ b/src/daemon/traffic/body.rs
@@ -64,7 +64,7 @@
 #[derive(Default)]
 pub struct BodyProgress {
     has_ended: AtomicBool,
-    failed: Mutex<Option<BodyFault>>,
+    fault: Mutex<Option<BodyFault>>,
     /// What is left of a body over the limit.
     rest: Mutex<Option<ByteStream>>,
 }
@@ -77,7 +77,7 @@
 
     /// Returns the fault for which reading the body ended early.
     pub fn fault(&self) -> Option<BodyFault> {
-        *self.failed.lock()
+        *self.fault.lock()
     }
 
     /// Reads and drops the rest of a body over the limit, so that the caller, which may send its whole body first, gets to
@@ -96,7 +96,7 @@
     }
 
     fn fail(&self, fault: BodyFault) {
-        *self.failed.lock() = Some(fault);
+        *self.fault.lock() = Some(fault);
     }
 }
 
--- a/src/member/confirmation.rs
+++ b/src/member/confirmation.rs
@@ -13,8 +13,7 @@
 /// Time for which a confirmation lasts, in milliseconds. In a calm mesh it is at most [`LEAD_WAIT_MS`] and
 /// `INQUIRY_INTERVAL_MS` old, plus the answers; the rest is time for others to replace a leading daemon.
 pub const CONFIRMATION_TTL_MS: u64 = 4_500;
-/// Longest wait of a watch by a leading daemon, in milliseconds. Half of it would cost another call each two seconds
-/// and data centre.
+/// Longest wait of a watch by a leading daemon, in milliseconds. Each end of a wait confirms, and costs a call.
 pub const LEAD_WAIT_MS: u64 = 2_000;
 /// Time between two inquiries while they are answered, in milliseconds.
 const INQUIRY_INTERVAL_MS: u64 = 1_000;
@@ -29,7 +28,7 @@
 /// Age from which a daemon reads the store itself, in milliseconds: more than in a calm mesh, and less than
 /// [`CONFIRMATION_TTL_MS`], so that the first takeovers come in time.
 const TAKEOVER_AGE_MS: u64 = 3_500;
-/// Takeovers a second that all daemons together attempt.
+/// Takeovers per second that all daemons together attempt.
 const TAKEOVERS_PER_S: u64 = 8;
 /// Shortest mean time between two attempts of a daemon that does not watch the store, in milliseconds.
 const MIN_TAKEOVER_INTERVAL_MS: u64 = 1_000;
@@ -205,11 +204,11 @@
         &mut self,
         is_watcher: bool,
         now: TimePoint,
-        attempts: TakeoverPace,
+        pace: TakeoverPace,
         rng: &mut SmallRng,
     ) {
         if self.takeover == TakeoverPhase::Leading && !is_watcher {
-            let interval_ms = attempts.interval_ms(false);
+            let interval_ms = pace.interval_ms(false);
             self.takeover =
                 TakeoverPhase::DueAt(now.after_ms(interval_ms / 2 + rng.random_range(0..=interval_ms)));
         }
@@ -287,7 +286,7 @@
         is_first: bool,
         is_watcher: bool,
         now: TimePoint,
-        attempts: TakeoverPace,
+        pace: TakeoverPace,
         rng: &mut SmallRng,
     ) -> WatchMode {
         let is_confirmed = now.ms_since(self.confirmed_at.max(self.resumed_at)) <= TAKEOVER_AGE_MS;
@@ -295,7 +294,7 @@
             TakeoverPhase::Leading => TakeoverPhase::Leading,
             _ if is_confirmed => TakeoverPhase::Idle,
             TakeoverPhase::Idle => {
-                let interval_ms = attempts.interval_ms(is_watcher);
+                let interval_ms = pace.interval_ms(is_watcher);
                 TakeoverPhase::DueAt(now.after_ms(rng.random_range(0..=interval_ms)))
             }
             TakeoverPhase::DueAt(due_at) if now >= due_at => TakeoverPhase::Leading,
