The top of a short move is looked at within a window

Cause: the gates are polled every 500 ms. At the top the version gets 95 % of the calls, so the first window there and the wait for its reports cost 100 to 200 calls of an allowance of 314, whatever its evidence.

Change: at the top of a move under a minute the gates are polled every 250 ms. Halfway, the part of the window that has been reported is judged on a copy; only evidence over the policy's strong threshold ends the window there.

Not compared: windows of 250 ms in place of 500 ms; each would be a further look at the weak threshold.

--- a/src/daemon/move_runner.rs
+++ b/src/daemon/move_runner.rs
@@ -14,7 +14,7 @@
         member::{MemberState, TargetStatus, best_ranked},
         moves::{
             Clearance, GateReport, MoveController, MoveEffect, PollReply, PollRequest, TakeoverState,
-            WINDOW_MS, may_check_takeover,
+            may_check_takeover,
         },
         timeline::{EventKind, EventRing},
     },
@@ -300,7 +300,7 @@
         }
         if is_poll_due {
             controller.on_poll(now);
-            open_move.next_poll_at = now.after_ms(WINDOW_MS);
+            open_move.next_poll_at = now.after_ms(controller.poll_ms());
             let clearance = controller.clearance().clone();
             self.poll_gates(pool, Some(&clearance), context.members, context.ring, now);
         }
--- a/src/lab/figures/trial.rs
+++ b/src/lab/figures/trial.rs
@@ -13,7 +13,9 @@
     crate::{
         clock::TimePoint,
         config::{MoveOrder, MovePolicy, MoveVerdict},
-        moves::{Clearance, GateLease, GateReport, MoveController, MoveEffect, MoveSchedule, PollReply},
+        moves::{
+            Clearance, GateLease, GateReport, MoveController, MoveEffect, MoveSchedule, PollReply, WINDOW_MS,
+        },
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     rand_distr::{Distribution, LogNormal},
@@ -22,8 +24,6 @@
 
 /// Time step of the simulation, in milliseconds.
 const STEP_MS: u64 = 50;
-/// Interval of the controller's polls, in milliseconds.
-const POLL_MS: u64 = 500;
 /// Time from the death of a controller to the start of the next one, for failure detection and a takeover check, in
 /// milliseconds.
 const TAKEOVER_MS: u64 = 8_000;
@@ -319,7 +319,7 @@
     }
 
     fn run_controller(&mut self) {
-        if self.elapsed_ms().is_multiple_of(POLL_MS) {
+        if self.elapsed_ms().is_multiple_of(WINDOW_MS) {
             self.old.end_window();
             self.new.end_window();
         }
@@ -339,7 +339,7 @@
                 MoveEffect::AtRisk { .. } => {}
             }
         }
-        if self.elapsed_ms().is_multiple_of(POLL_MS) {
+        if self.elapsed_ms().is_multiple_of(controller.poll_ms()) {
             controller.on_poll(self.now);
             self.apply_clearance(controller.clearance().clone());
             for report in self.reports() {
--- a/src/moves/controller/evaluation.rs
+++ b/src/moves/controller/evaluation.rs
@@ -65,6 +65,13 @@
         overall
     }
 
+    /// Returns whether the part of the current window that has been reported already makes the evidence strong.
+    pub(super) fn has_strong_evidence_early(&self) -> bool {
+        let mut early = self.clone();
+        early.close_window();
+        early.strongest_finding().evidence >= self.thresholds.strong
+    }
+
     /// Returns the tests of a route, created with the memory of the schedule.
     pub(super) fn tests_of(&mut self, route: &Arc<str>) -> &mut RouteTests {
         let memory = self.schedule.memory();
--- a/src/moves/controller/mod.rs
+++ b/src/moves/controller/mod.rs
@@ -26,8 +26,11 @@
     },
 };
 
-/// Interval of polls to the gates, which is also the length of a window, in milliseconds.
+/// Usual interval of polls to the gates, which is also the length of a window, in milliseconds.
 pub const WINDOW_MS: u64 = 500;
+/// The same interval at the top of a short move, where the window is evaluated early as well, in milliseconds: a version
+/// that fails only there gets most of its calls until it is paused.
+const TOP_POLL_MS: u64 = 250;
 /// Time from a poll to the evaluation of the window, in which the gates reply, in milliseconds.
 const REPLY_WAIT_MS: u64 = 100;
 /// Time in a pause after which the long-term rate of the old version is used, if it has too few calls for a recent
@@ -157,6 +160,8 @@
     /// When the share first exceeded [`SHORT_SAFE_SHARE`], or the takeover if it did so before.
     rise_started_at: Option<TimePoint>,
     evaluate_at: TimePoint,
+    /// When the current window has its full length.
+    window_full_at: TimePoint,
     decided: Option<(MoveVerdict, Arc<str>)>,
     has_warned: bool,
 }
@@ -194,6 +199,7 @@
             has_replayed_windows: false,
             rise_started_at: None,
             evaluate_at: now.after_ms(REPLY_WAIT_MS),
+            window_full_at: now,
             decided: None,
             has_warned: false,
         };
@@ -343,6 +349,20 @@
         ((total_ms as f64 * SHORT_WARM_UP_FRACTION) as u64).min(WARM_UP_MS)
     }
 
+    /// Returns the interval to the next poll of the gates, in milliseconds.
+    pub fn poll_ms(&self) -> u64 {
+        if self.is_at_top_of_short() {
+            TOP_POLL_MS
+        } else {
+            WINDOW_MS
+        }
+    }
+
+    /// Returns whether a short move is at the top of its share, where evidence is also looked at within a window.
+    fn is_at_top_of_short(&self) -> bool {
+        self.schedule.is_short() && self.clearance.share >= TOP_SHARE
+    }
+
     /// Schedules the evaluation of the window for when the gates polled at `now` have had time to reply.
     pub fn on_poll(&mut self, now: TimePoint) {
         self.evaluate_at = now.after_ms(REPLY_WAIT_MS);
@@ -362,7 +382,12 @@
             self.pause_after_gap(self.clearance.share, now);
         }
         // Evaluation continues at this interval even without calls of `on_poll`.
-        self.evaluate_at = now.after_ms(WINDOW_MS);
+        self.evaluate_at = now.after_ms(self.poll_ms());
+        if self.is_at_top_of_short() && now < self.window_full_at && !self.has_strong_evidence_early() {
+            return Vec::new();
+        }
+        // The one after a late evaluation comes sooner, and must not count as an early one.
+        self.window_full_at = now.after_ms(WINDOW_MS - TOP_POLL_MS / 2);
         let window = self.close_window();
         self.log_window(&window);
         let finding = self.strongest_finding();
