An answer to the process before a restart confirms nothing

A daemon that restarted could take an answer to an inquiry of its earlier process for one to its own: both count their inquiries from 0, at the same address. The answer states an age, which is subtracted from the time at which the inquiry with this number was sent, by now a later one. The table then counted as confirmed after the answer was given, and a request for a route of a version accepted in between could get a 404.

The test, on the code before:

answer_to_the_process_before_a_restart_confirms_nothing left: TimePoint(1010700), right: TimePoint(0)

The numbers of a process now start at its incarnation, the time of its start in milliseconds. A process sends a few numbered datagrams a second, so they never reach those of the next one. Acknowledgements of probes are numbered by the same counter. Datagrams get up to 8 bytes longer.

Ruled out: a check of the sender's address, as the sender is the same.

--- a/src/member/state/mod.rs
+++ b/src/member/state/mod.rs
@@ -129,6 +129,7 @@
     next_probe_at: TimePoint,
     confirmation: ConfirmationState,
     probe_count: u64,
+    /// Sequence number of the latest probe or inquiry.
     seq: u64,
     rng: SmallRng,
     effects: Vec<MemberEffect>,
@@ -139,6 +140,8 @@
     pub fn new(own: MemberRecord, seed: u64, now: TimePoint) -> Self {
         Self {
             confirmation: ConfirmationState::new(own.control, now),
+            // Starts at the time of the start, so that no answer to an earlier process matches.
+            seq: own.incarnation,
             own,
             entries: IndexMap::new(),
             updates: IndexMap::new(),
@@ -148,7 +151,6 @@
             dead_probe_order: Vec::new(),
             next_probe_at: now,
             probe_count: 0,
-            seq: 0,
             rng: SmallRng::seed_from_u64(seed),
             effects: Vec::new(),
         }
--- a/tests/table_freshness.rs
+++ b/tests/table_freshness.rs
@@ -134,6 +134,31 @@
     insta::assert_debug_snapshot!(seen);
 }
 
+/// Guards against an answer to an inquiry of the process before a restart that confirms an old table: it was on its way
+/// while the new process, at the same address, sent inquiries of its own.
+#[test]
+fn answer_to_the_process_before_a_restart_confirms_nothing() {
+    let started = |incarnation: u64, now: TimePoint| {
+        let own = MemberRecord {
+            incarnation,
+            ..record(0)
+        };
+        let mut members = MemberState::new(own, incarnation, now);
+        members.receive(address(1), message(1, ProbeKind::Notice), now);
+        let seqs: Vec<u64> = (0..3)
+            .map(|second| inquiry_of(&members.tick(now.after_ms(second * 1_000))))
+            .collect();
+        (members, seqs)
+    };
+    let (_, seqs) = started(NOW.0, NOW);
+    let restarted_at = NOW.after_ms(9_000);
+    let (mut members, _) = started(restarted_at.0, restarted_at);
+    for seq in seqs {
+        members.receive(address(1), confirmation(seq), restarted_at.after_ms(2_100));
+    }
+    assert_eq!(members.confirmed_at(), TimePoint::default());
+}
+
 /// A watch whose answer waited in the socket of a suspended daemon must not confirm the present.
 #[test]
 fn reading_confirms_no_later_than_the_store_answered() {
