Refuse a request with several host headers

What callers saw: a request with two 'host' headers was routed by the first and passed on with the first alone, so that the answer was 200, or 404 with the two the other way round. Whoever stands before or behind the daemon may go by the other one.

Cause: the first value of the header was read and nothing looked for a second one. RFC 9112, 3.2 asks for 400. Evidence: request_with_several_hosts_is_refused, sent to a real daemon, fails before the change (200 where 400 is expected for 'shop.example' and 'elsewhere.example'); a probe of the other order got a 404. Ruled out: the HTTP library, which passes both on to the handler.

The check comes before the route is looked for and depends on no table, so the 400 is true of every daemon. It has the line and the count of 'bad-request', and the connection serves the next request. The checks of a head are in a module of their own.

Result: the test passes with the other 15 of the file.

--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -1,10 +1,14 @@
 //! The outbound proxy: finds the route of a caller's request, chooses a target and forwards the request to its gate.
 
+mod checks;
 mod choosing;
 mod logging;
 
 use {
-    self::logging::{LoggedRefusal, log_failed_attempt, log_refusal, log_slow_or_failed},
+    self::{
+        checks::{check_form, check_head},
+        logging::{LoggedRefusal, log_failed_attempt, log_refusal, log_slow_or_failed},
+    },
     super::{
         attempt::{AttemptResult, CallAttempt, ForwardedRequest, InFlightGuard},
         body::{AnswerBody, BodyFault, BodyProgress, RequestBody, TransferEnd, discard_arrived},
@@ -24,7 +28,7 @@
             shared::{ActiveCall, SharedState},
             snapshot::{ServingTarget, TrafficSnapshot},
         },
-        http::{ConnectionCloser, MAX_HEADERS, MAX_REQUEST_HEAD_BYTES},
+        http::ConnectionCloser,
     },
     futures_util::{StreamExt, stream::FuturesUnordered},
     hyper::{header::HOST, http::uri::PathAndQuery},
@@ -47,9 +51,6 @@
 /// milliseconds.
 const RETRY_AFTER_UNREADY_MS: u64 = 500;
 
-/// Size of a request line without its path, in bytes: the longest method in use, version and separators.
-const REQUEST_LINE_BYTES: usize = 32;
-
 /// Handler of the listener for callers on one traffic thread.
 #[derive(Debug)]
 pub struct OutboundHandler {
@@ -181,6 +182,7 @@
         if shared.is_closed.load(Ordering::Acquire) {
             return Err(CallRefusal::not_run(RefusalReason::Leaving, ""));
         }
+        check_form(req)?;
         let snapshot = shared.snapshot.load();
         let route = find_route(&snapshot, req)
             .map_err(|reason| self.unless_stale(&snapshot, CallRefusal::not_run(reason, req.uri().path())))?;
@@ -450,31 +452,6 @@
     path.cloned().unwrap_or_else(|| PathAndQuery::from_static("/"))
 }
 
-/// Refuses a head over the limit of the configuration, which counts the headers, or over the daemon's own, which count
-/// the whole head and the number of headers.
-fn check_head(req: &Request, limit: Option<u64>) -> Result<(), CallRefusal> {
-    let (count, bytes) = (req.headers().len(), header_bytes(req.headers()));
-    let path_bytes = req.uri().path_and_query().map_or(0, |path| path.as_str().len());
-    let limit = limit.unwrap_or(MAX_REQUEST_HEAD_BYTES as u64);
-    let is_over = bytes as u64 > limit
-        || bytes + path_bytes + REQUEST_LINE_BYTES > MAX_REQUEST_HEAD_BYTES
-        || count > MAX_HEADERS;
-    if is_over {
-        let detail = format!("{count} headers of {bytes} bytes and a path of {path_bytes}, limit {limit}");
-        return Err(CallRefusal::not_run(RefusalReason::HeadTooLarge, &detail));
-    }
-    Ok(())
-}
-
-/// Returns the size of headers in bytes, as the `head_bytes` limit counts it: with 4 bytes for the separators of each
-/// header, and without the request line.
-fn header_bytes(headers: &HeaderMap) -> usize {
-    let fields = headers.iter();
-    fields
-        .map(|(name, value)| name.as_str().len() + value.len() + 4)
-        .sum()
-}
-
 fn body_refusal(fault: BodyFault, limit: u64) -> CallRefusal {
     match fault {
         BodyFault::TooLarge => CallRefusal::not_run(
--- /dev/null
+++ b/src/daemon/traffic/outbound/checks.rs
@@ -0,0 +1,49 @@
+//! Checks of a caller's request head.
+
+use {
+    super::CallRefusal,
+    crate::{
+        call::RefusalReason,
+        http::{MAX_HEADERS, MAX_REQUEST_HEAD_BYTES},
+    },
+    hyper::header::HOST,
+    salvo::{Request, http::HeaderMap},
+};
+
+/// Size of a request line without its path, in bytes: the longest method in use, version and separators.
+const REQUEST_LINE_BYTES: usize = 32;
+
+/// Refuses a request with several `host` headers (RFC 9112, 3.2): this daemon and the target could go by different ones.
+pub(super) fn check_form(req: &Request) -> Result<(), CallRefusal> {
+    let hosts = req.headers().get_all(HOST).iter().count();
+    if hosts > 1 {
+        let detail = format!("{hosts} host headers; send one");
+        return Err(CallRefusal::not_run(RefusalReason::BadRequest, &detail));
+    }
+    Ok(())
+}
+
+/// Refuses a head over the limit of the configuration, which counts the headers, or over the daemon's own, which count
+/// the whole head and the number of headers.
+pub(super) fn check_head(req: &Request, limit: Option<u64>) -> Result<(), CallRefusal> {
+    let (count, bytes) = (req.headers().len(), header_bytes(req.headers()));
+    let path_bytes = req.uri().path_and_query().map_or(0, |path| path.as_str().len());
+    let limit = limit.unwrap_or(MAX_REQUEST_HEAD_BYTES as u64);
+    let is_over = bytes as u64 > limit
+        || bytes + path_bytes + REQUEST_LINE_BYTES > MAX_REQUEST_HEAD_BYTES
+        || count > MAX_HEADERS;
+    if is_over {
+        let detail = format!("{count} headers of {bytes} bytes and a path of {path_bytes}, limit {limit}");
+        return Err(CallRefusal::not_run(RefusalReason::HeadTooLarge, &detail));
+    }
+    Ok(())
+}
+
+/// Returns the size of headers in bytes, as the `head_bytes` limit counts it: with 4 bytes for the separators of each
+/// header, and without the request line.
+fn header_bytes(headers: &HeaderMap) -> usize {
+    let fields = headers.iter();
+    fields
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum()
+}
