Refuse CONNECT instead of opening a tunnel to the target

What callers saw: 'CONNECT /stock/x' got an empty 200 and a closed connection; the gate saw its own address as the target of the request (method=CONNECT host=127.0.0.1:28002 path=), so another path than the caller's ran. 'CONNECT shop.example:80' got a 404 that spoke of a path.

Cause: a route takes every method, and the HTTP client writes CONNECT with the address of the next hop and hands the connection over after a 2xx. Evidence: connect_is_refused_and_never_reaches_a_target fails before the change ('/stock/x: left: 200 right: 400'). Ruled out: TRACE, OPTIONS *, lower-case and unknown methods, which pass unchanged or find no route (probe of a real daemon).

The daemon has no tunnels, so the request is refused as malformed before the route is looked for, whatever the table. Line and count are those of 'bad-request'.

--- a/src/daemon/traffic/outbound/checks.rs
+++ b/src/daemon/traffic/outbound/checks.rs
@@ -7,19 +7,27 @@
         http::{MAX_HEADERS, MAX_REQUEST_HEAD_BYTES},
     },
     hyper::header::HOST,
-    salvo::{Request, http::HeaderMap},
+    salvo::{
+        Request,
+        http::{HeaderMap, Method},
+    },
 };
 
 /// Size of a request line without its path, in bytes: the longest method in use, version and separators.
 const REQUEST_LINE_BYTES: usize = 32;
 
-/// Refuses a request with several `host` headers (RFC 9112, 3.2): this daemon and the target could go by different ones.
+/// Refuses a request with several `host` headers (RFC 9112, 3.2), as this daemon and the target could go by different
+/// ones, and one for a tunnel, which would end at the gate.
 pub(super) fn check_form(req: &Request) -> Result<(), CallRefusal> {
     let hosts = req.headers().get_all(HOST).iter().count();
     if hosts > 1 {
         let detail = format!("{hosts} host headers; send one");
         return Err(CallRefusal::not_run(RefusalReason::BadRequest, &detail));
     }
+    if req.method() == Method::CONNECT {
+        let detail = "CONNECT is not served; send the request itself";
+        return Err(CallRefusal::not_run(RefusalReason::BadRequest, detail));
+    }
     Ok(())
 }
 
