A flood of refusals hides no rare one

What operators saw: after 500 refusals of one reason, such as 404s for a host that is gone, the next hundreds had no line, among them the only 404 for a route that exists.

Cause: the lines were limited per listener and reason only. Ruled out: the writer of the log, which lost no lines (event=log-lines-lost is absent).

The limit is now per listener, status and reason. When it is used up, each subject (host, first segment and route; route and target at a gate; peer and fault for what the library refused) still has 5 lines at once and 1 a second. Subjects share 64 buckets by a seeded hash, so lines and memory stay bounded: 64 more lines a second and about 1.5 kB for each reason. A flood over many made-up hosts can still use up the bucket of a rare one; the counters stay exact.

--- a/src/daemon/listeners.rs
+++ b/src/daemon/listeners.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        refusals::{RequestFields, log_word},
+        refusals::{RequestFields, log_word, request_subject},
         shared::SharedState,
     },
     crate::http::{HeadLimits, UnreadRequest, serve_observed},
@@ -39,13 +39,14 @@
             StatusCode::URI_TOO_LONG => "unread-uri-too-long",
             _ => "unread-malformed",
         };
-        if let Some(suppressed) = shared.record_refusal(listener, unread.status, reason) {
+        let detail = unread.to_string();
+        let subject = (unread.peer.ip(), &detail);
+        if let Some(suppressed) = shared.record_refusal(listener, unread.status, reason, subject) {
             log::info!(
                 target: "calls",
-                "event=request-unread listener={listener} status={} reason={reason} peer={} suppressed={suppressed} detail={:?}",
+                "event=request-unread listener={listener} status={} reason={reason} peer={} suppressed={suppressed} detail={detail:?}",
                 unread.status.as_u16(),
-                unread.peer,
-                unread.to_string()
+                unread.peer
             );
         }
     }
@@ -59,8 +60,9 @@
     (status, reason): (StatusCode, &'static str),
     detail: &str,
 ) {
-    if let Some(suppressed) = shared.record_refusal(listener, status, reason) {
-        let peer = req.remote_addr().clone().into_std();
+    let peer = req.remote_addr().clone().into_std();
+    let subject = (peer.map(|peer| peer.ip()), request_subject(req));
+    if let Some(suppressed) = shared.record_refusal(listener, status, reason, subject) {
         log::info!(
             target: "calls",
             "event=request-refused id={} listener={listener} status={} reason={reason} peer={} {} suppressed={suppressed} detail={:?}",
--- a/src/daemon/refusals.rs
+++ b/src/daemon/refusals.rs
@@ -4,57 +4,122 @@
     super::{shared::SharedState, traffic::request_host},
     crate::clock::TimePoint,
     parking_lot::Mutex,
-    salvo::Request,
+    salvo::{Request, http::StatusCode},
     std::{
         collections::HashMap,
         fmt::{Display, Formatter},
+        hash::{BuildHasher, Hash, RandomState},
     },
 };
 
-/// Refusals of one reason that are logged per second.
-const LINES_PER_S: f64 = 50.0;
-/// Refusals of one reason that are logged at once after a quiet time.
-const LINE_BURST: f64 = 500.0;
+/// Lines of one listener, status and reason.
+const REASON_RATE: LineRate = LineRate {
+    per_s: 50.0,
+    burst: 500.0,
+};
+/// Lines of one subject when those of its reason are used up.
+const SUBJECT_RATE: LineRate = LineRate {
+    per_s: 1.0,
+    burst: 5.0,
+};
+/// Number of buckets that the subjects of a reason share by their hash.
+const SUBJECT_BUCKETS: usize = 64;
 /// Longest text of a request in a log line, in bytes.
 const MAX_TEXT_BYTES: usize = 200;
 
-/// Token bucket of the lines of one reason.
-#[derive(Debug)]
+/// Rate of a token bucket.
+#[derive(Debug, Clone, Copy)]
+struct LineRate {
+    /// Lines per second.
+    per_s: f64,
+    /// Lines at once after a quiet time.
+    burst: f64,
+}
+
+/// Token bucket of log lines.
+#[derive(Debug, Clone)]
 struct LineBucket {
     tokens: f64,
     refilled_at: TimePoint,
-    /// Refusals since the last line that were not logged.
+}
+
+impl LineBucket {
+    fn new(rate: LineRate, now: TimePoint) -> Self {
+        Self {
+            tokens: rate.burst,
+            refilled_at: now,
+        }
+    }
+
+    fn take(&mut self, rate: LineRate, now: TimePoint) -> bool {
+        let refill = now.ms_since(self.refilled_at) as f64 / 1e3 * rate.per_s;
+        self.tokens = (self.tokens + refill).min(rate.burst);
+        self.refilled_at = now;
+        let has_token = self.tokens >= 1.0;
+        if has_token {
+            self.tokens -= 1.0;
+        }
+        has_token
+    }
+}
+
+/// Buckets of one listener, status and reason.
+#[derive(Debug)]
+struct ReasonLines {
+    common: LineBucket,
+    subjects: Vec<LineBucket>,
+    /// Requests since the last line that were not logged.
     suppressed: u64,
 }
 
-/// Limits the number of log lines for each listener and reason.
+impl ReasonLines {
+    fn new(now: TimePoint) -> Self {
+        Self {
+            common: LineBucket::new(REASON_RATE, now),
+            subjects: vec![LineBucket::new(SUBJECT_RATE, now); SUBJECT_BUCKETS],
+            suppressed: 0,
+        }
+    }
+}
+
+/// Limits the number of log lines for each listener, status and reason. A few lines a second are kept for each subject, so
+/// that many requests of one kind don't hide a rare one.
 #[derive(Debug, Default)]
 pub struct RefusalLines {
-    buckets: Mutex<HashMap<(&'static str, &'static str), LineBucket>>,
+    reasons: Mutex<HashMap<(&'static str, StatusCode, &'static str), ReasonLines>>,
+    hasher: RandomState,
 }
 
 impl RefusalLines {
-    /// Returns the number of refusals that were not logged since the last line if this one is to be logged, otherwise
-    /// `None`.
-    pub fn admit(&self, listener: &'static str, reason: &'static str, now: TimePoint) -> Option<u64> {
-        let mut buckets = self.buckets.lock();
-        let bucket = buckets.entry((listener, reason)).or_insert(LineBucket {
-            tokens: LINE_BURST,
-            refilled_at: now,
-            suppressed: 0,
-        });
-        let refill = now.ms_since(bucket.refilled_at) as f64 / 1e3 * LINES_PER_S;
-        bucket.tokens = (bucket.tokens + refill).min(LINE_BURST);
-        bucket.refilled_at = now;
-        if bucket.tokens < 1.0 {
-            bucket.suppressed += 1;
-            return None;
+    /// Returns the number of requests that were not logged since the last line if this one is to be logged, otherwise
+    /// `None`. `subject` is what requests of one kind have in common, such as the host and the route.
+    pub fn admit(
+        &self,
+        listener: &'static str,
+        status: StatusCode,
+        reason: &'static str,
+        subject: impl Hash,
+        now: TimePoint,
+    ) -> Option<u64> {
+        let bucket = self.hasher.hash_one(subject) as usize % SUBJECT_BUCKETS;
+        let mut reasons = self.reasons.lock();
+        let lines = reasons
+            .entry((listener, status, reason))
+            .or_insert_with(|| ReasonLines::new(now));
+        if lines.common.take(REASON_RATE, now) || lines.subjects[bucket].take(SUBJECT_RATE, now) {
+            return Some(std::mem::take(&mut lines.suppressed));
         }
-        bucket.tokens -= 1.0;
-        Some(std::mem::take(&mut bucket.suppressed))
+        lines.suppressed += 1;
+        None
     }
 }
 
+/// Returns the host and the first segment of the path of a request, which requests of one kind have in common.
+pub fn request_subject(req: &Request) -> (&str, &str) {
+    let segment = req.uri().path().split('/').nth(1);
+    (request_host(req), segment.unwrap_or(""))
+}
+
 /// Returns the beginning of a text of a request as one word for a log line.
 pub fn log_word(text: &str) -> String {
     let mut word = String::new();
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -17,6 +17,7 @@
     salvo::http::StatusCode,
     std::{
         collections::HashMap,
+        hash::Hash,
         net::SocketAddr,
         sync::{
             Arc,
@@ -207,16 +208,18 @@
         self.clock.now()
     }
 
-    /// Counts a refused request. Returns the number of refusals of this reason that were not logged before if this one
-    /// is to be logged, otherwise `None`.
+    /// Counts a refused request. Returns the number of refusals of this status and reason that were not logged before if
+    /// this one is to be logged, otherwise `None`.
     pub fn record_refusal(
         &self,
         listener: &'static str,
         status: StatusCode,
         reason: &'static str,
+        subject: impl Hash,
     ) -> Option<u64> {
         self.metrics.count_refused_request(listener, status, reason);
-        self.refusal_lines.admit(listener, reason, self.now())
+        self.refusal_lines
+            .admit(listener, status, reason, subject, self.now())
     }
 
     /// Sends an event to the control thread; drops it if the channel is full.
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -422,7 +422,8 @@
             "the body did not arrive whole; send it again",
         ),
     };
-    if let Some(suppressed) = shared.record_refusal("gate", status, reason) {
+    let subject = (&hop.route, &hop.target);
+    if let Some(suppressed) = shared.record_refusal("gate", status, reason, subject) {
         log::info!(
             target: "calls",
             "event=gate-refused id={} attempt={} route={} target={} caller={} priority={} status={} outcome={outcome} \
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -25,6 +25,7 @@
         clock::TimePoint,
         config::{CompiledPool, CompiledRoute, RouteMatch},
         daemon::{
+            refusals::request_subject,
             shared::{ActiveCall, SharedState},
             snapshot::{ServingTarget, TrafficSnapshot},
         },
@@ -389,7 +390,11 @@
         let (route, pool) = call.map_or(("", ""), |call| (&*call.route.name, &*call.pool.name));
         self.shared.metrics.count_refusal(route, pool, *outcome);
         let status = refusal_status(*outcome, *reason);
-        if let Some(suppressed) = self.shared.record_refusal("calls", status, reason.as_str()) {
+        let subject = (route, request_subject(req));
+        let recorded = self
+            .shared
+            .record_refusal("calls", status, reason.as_str(), subject);
+        if let Some(suppressed) = recorded {
             let refusal = LoggedRefusal {
                 route,
                 pool,
