An answer in a transfer coding other than chunked is a failure

What callers saw: a 200 whose body is not the target's.

Cause: the HTTP library decodes `chunked` if it is the last coding and otherwise reads up to the end of the connection. Both hops dropped the `Transfer-Encoding` header and passed on what was left: compressed bytes as the plain body, or chunk headers as a part of the body, framed as whole. A body that ends with its connection can be cut as well.

Evidence: a real daemon and a target with `gzip, chunked`, `gzip` and `chunked` in two headers, `chunked, gzip`, `gzip`, `xchunked` and `chunked, chunked`, with 4 and 90,000 bytes. Before: "4 bytes, \"Transfer-Encoding: gzip, chunked\r\n\": Some(200)", and so for all 12 cases; the same through a proxy from the address of a gate: a body of Some(90000) bytes.

Ruled out, by tests that pass before and after: a length beside chunks (it is dropped, in either order, for small and streamed bodies), chunk sizes and lengths that overflow, on the hop from a gate to a proxy.

Why this works: nobody here decodes such codings, and requests name none, so such an answer is not one to the request; each hop checks it by itself before it reads the body.

--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -218,7 +218,7 @@
             None => {}
         }
         let until = tokio::time::Instant::now() + deadline.remaining_from(shared.now());
-        match AnswerBody::read(method, status, body, until).await {
+        match AnswerBody::read(method, status, &headers, body, until).await {
             Ok(body) => AttemptResult::Answer {
                 outcome: if status.is_server_error() {
                     AttemptOutcome::Failed
@@ -231,6 +231,9 @@
             },
             Err(AnswerFault::Cut) => AttemptResult::failure(AttemptOutcome::Broken, "answer broke off"),
             Err(AnswerFault::Late) => AttemptResult::failure(AttemptOutcome::Stalled, "answer was over-late"),
+            Err(AnswerFault::Coded) => {
+                AttemptResult::failure(AttemptOutcome::Broken, "answer in an unknown transfer coding")
+            }
         }
     }
 
--- a/src/daemon/traffic/body.rs
+++ b/src/daemon/traffic/body.rs
@@ -9,7 +9,7 @@
     parking_lot::Mutex,
     salvo::http::{
         HeaderMap, Method, ReqBody, StatusCode,
-        header::{CONTENT_LENGTH, EXPECT},
+        header::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING},
     },
     std::{
         io,
@@ -191,6 +191,15 @@
     Box::pin(body.try_filter_map(|frame| async move { Ok(frame.into_data().ok()) }))
 }
 
+/// Returns whether a body has no transfer coding or `chunked` alone.
+fn is_plain_or_chunked(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let is_chunked = codings
+        .next()
+        .is_none_or(|coding| coding.as_bytes().eq_ignore_ascii_case(b"chunked"));
+    is_chunked && codings.next().is_none()
+}
+
 fn declared_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
@@ -266,14 +275,20 @@
     Cut,
     /// The deadline passed before the end of the body.
     Late,
+    /// The body is in a transfer coding other than `chunked`, which nobody here decodes.
+    Coded,
 }
 
 impl AnswerBody {
     /// Buffers a body of up to [`MAX_BUFFERED_BYTES`] that is complete by `until`, so that a truncated one is detected
     /// before any of the answer is returned. A larger one is streamed.
+    ///
+    /// Fails with [`AnswerFault::Cut`] if the body breaks off, with [`AnswerFault::Late`] if `until` passes while it is
+    /// buffered, and with [`AnswerFault::Coded`] if `headers` name a transfer coding other than `chunked`.
     pub async fn read(
         method: &Method,
         status: StatusCode,
+        headers: &HeaderMap,
         body: Incoming,
         until: Instant,
     ) -> Result<Self, AnswerFault> {
@@ -282,6 +297,9 @@
         if is_bodiless {
             return Ok(Self::None);
         }
+        if !is_plain_or_chunked(headers) {
+            return Err(AnswerFault::Coded);
+        }
         let frames = TryStreamExt::map_err(BodyStream::new(body), io::Error::other);
         let chunks = frames.try_filter_map(|frame| async move { Ok(frame.into_data().ok()) });
         match timeout_at(until, buffer(Box::pin(chunks))).await {
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -305,7 +305,7 @@
                 ));
             }
         }
-        match AnswerBody::read(method, head.status, body, end.at).await {
+        match AnswerBody::read(method, head.status, &head.headers, body, end.at).await {
             Ok(body) => {
                 let failed = head.status.is_server_error();
                 recorder.outcome = if failed {
@@ -328,6 +328,12 @@
                 recorder.outcome = RecordedOutcome::Failed;
                 Err(GateFailure::Unknown("the target's answer was over-late"))
             }
+            Err(AnswerFault::Coded) => {
+                recorder.outcome = RecordedOutcome::Failed;
+                Err(GateFailure::Unknown(
+                    "the target's answer is in a transfer coding other than chunked",
+                ))
+            }
         }
     }
 
