A streamed answer that states its length twice is passed on

What callers saw: 504 for an answer of over 64 kB with `Content-Length: 90000, 90000`, which RFC 9112 (6.3) lets a recipient take; small answers of this form were passed on.

Cause: the header was copied as it came, and the library that writes the answer reads one number only.

Evidence, before: equal_lengths_count_as_one: "Content-Length: 90000, 90000\r\n": Some(504).

Why this works: the length of a streamed answer is the one by which its body is read.

--- a/src/daemon/traffic/body.rs
+++ b/src/daemon/traffic/body.rs
@@ -263,7 +263,12 @@
     /// Fully buffered, so known to be complete.
     Buffered(Bytes),
     /// Streamed from the previous hop.
-    Streaming(ByteStream),
+    Streaming {
+        /// Chunks of the body.
+        chunks: ByteStream,
+        /// Size of the whole body in bytes; `None` if it is known only at its end.
+        length: Option<u64>,
+    },
     /// No body: the answer to a HEAD request, or one with status 204 or 304.
     None,
 }
@@ -300,11 +305,12 @@
         if !is_plain_or_chunked(headers) {
             return Err(AnswerFault::Coded);
         }
+        let length = body.size_hint().exact();
         let frames = TryStreamExt::map_err(BodyStream::new(body), io::Error::other);
         let chunks = frames.try_filter_map(|frame| async move { Ok(frame.into_data().ok()) });
         match timeout_at(until, buffer(Box::pin(chunks))).await {
             Ok(Ok(BufferedBody::Complete(bytes))) => Ok(Self::Buffered(bytes)),
-            Ok(Ok(BufferedBody::Oversized(chunks))) => Ok(Self::Streaming(chunks)),
+            Ok(Ok(BufferedBody::Oversized(chunks))) => Ok(Self::Streaming { chunks, length }),
             Ok(Err(_)) => Err(AnswerFault::Cut),
             Err(_) => Err(AnswerFault::Late),
         }
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -315,7 +315,7 @@
                 };
                 slot.is_successful = !failed;
                 let headers = end_to_end_headers(&head.headers);
-                let is_streaming = matches!(body, AnswerBody::Streaming(_));
+                let is_streaming = matches!(body, AnswerBody::Streaming { .. });
                 let slot = is_streaming.then_some(slot);
                 write_answer(res, head.status, headers, body, end, slot);
                 Ok(())
--- a/src/daemon/traffic/relay.rs
+++ b/src/daemon/traffic/relay.rs
@@ -17,8 +17,8 @@
         http::{
             HeaderMap, HeaderName, HeaderValue, ReqBody, ResBody, StatusCode,
             header::{
-                CONNECTION, CONTENT_TYPE, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
-                TRANSFER_ENCODING, UPGRADE,
+                CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HOST, PROXY_AUTHENTICATE,
+                PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
             },
             uri::Authority,
         },
@@ -104,7 +104,14 @@
             drop(guard);
         }
         AnswerBody::None => drop(guard),
-        AnswerBody::Streaming(chunks) => res.stream(stream_until(chunks, end, guard)),
+        AnswerBody::Streaming { chunks, length } => {
+            // The sender may have stated the length in another form.
+            match length {
+                Some(length) => drop(res.headers_mut().insert(CONTENT_LENGTH, length.into())),
+                None => drop(res.headers_mut().remove(CONTENT_LENGTH)),
+            }
+            res.stream(stream_until(chunks, end, guard));
+        }
     }
 }
 
