An answer is judged by the headers that are passed on

What callers saw: a 200 without the target's signature, if the target names that header in `Connection`, and with it as one of the connection alone.

Cause: the answer was judged by its head as received, and the named headers were removed afterwards.

Evidence, before: signature_of_one_connection_signs_no_answer: Response-Stamp: ReceivedAnswer { status: Some(200), headers: {"attempt-id": "nominated", "content-length": "4", ...}, body: Some("good") }.

Why this works: what callers get is what is judged.

--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -285,9 +285,9 @@
     ) -> Result<(), GateFailure> {
         let shared = &self.shared;
         let (head, body) = answer.into_parts();
-        let verdict = shared
-            .dialect
-            .classify_answer(request, head.status, &head.headers);
+        // Judged is what is passed on, as the target may name any header as one of its connection.
+        let headers = end_to_end_headers(&head.headers);
+        let verdict = shared.dialect.classify_answer(request, head.status, &headers);
         match verdict {
             AnswerVerdict::Ran => {}
             AnswerVerdict::NotRun => {
@@ -314,7 +314,6 @@
                     RecordedOutcome::Answered
                 };
                 slot.is_successful = !failed;
-                let headers = end_to_end_headers(&head.headers);
                 let is_streaming = matches!(body, AnswerBody::Streaming { .. });
                 let slot = is_streaming.then_some(slot);
                 write_answer(res, head.status, headers, body, end, slot);
