An answer that is cut ends with a reset of the caller's connection

What callers saw: over HTTP/1.0, where a streamed answer without a length ends with its connection, an answer that was cut looked like a whole short one: the connection was closed in order.

Cause: the server closes a connection on which an answer fails as it closes every other one.

Evidence, before: cut_answers_end_with_a_reset_without_a_length: closed: closed in order after Ok(90099) bytes, for an answer whose target had closed its connection in the middle of the chunks. The test also has a target that resets and one that is silent until the deadline.

Ruled out: callers with HTTP/1.1, who see the end of a length or of chunks, and got no end; they get a reset as well now.

Why this works: whoever gives up a transfer sets the mark that the connection is reset; the stream of the connection reads it when it is dropped, and closes without lingering. The library's acceptor hides its socket, so connections are accepted here.

--- a/src/daemon/traffic/body.rs
+++ b/src/daemon/traffic/body.rs
@@ -322,7 +322,7 @@
 pub struct TransferEnd {
     /// Time at which the transfer is given up.
     pub at: Instant,
-    /// Closes the connection of the caller, which may have stopped reading.
+    /// Resets the connection of the caller, which may have stopped reading, or to whom the answer is cut.
     closer: ConnectionCloser,
 }
 
@@ -348,19 +348,19 @@
     guard: K,
 ) -> impl Stream<Item = io::Result<Bytes>> + Send {
     let (sender, receiver) = mpsc::channel(1);
+    let closer = end.closer.clone();
     // The server asks for no chunk while the caller doesn't read, so the source has a task of its own.
     tokio::spawn(pump(chunks, sender, end, guard));
-    stream::unfold(Some(receiver), |receiver| async {
-        let mut receiver = receiver?;
-        match receiver.recv().await {
-            Some(Some(Ok(chunk))) => Some((Ok(chunk), Some(receiver))),
-            Some(Some(Err(error))) => Some((Err(error), None)),
-            Some(None) => None,
-            None => Some((
-                Err(io::Error::new(io::ErrorKind::TimedOut, "answer is over-late")),
-                None,
-            )),
-        }
+    stream::unfold(Some((receiver, closer)), |state| async {
+        let (mut receiver, closer) = state?;
+        let error = match receiver.recv().await {
+            Some(Some(Ok(chunk))) => return Some((Ok(chunk), Some((receiver, closer)))),
+            Some(None) => return None,
+            Some(Some(Err(error))) => error,
+            None => io::Error::new(io::ErrorKind::TimedOut, "answer is over-late"),
+        };
+        closer.close();
+        Some((Err(error), None))
     })
 }
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,7 +1,7 @@
 //! Listening sockets, HTTP servers and HTTP clients. Options of the libraries that matter are set explicitly.
 
 use {
-    crate::paced_stream::PacedStream,
+    crate::{paced_stream::PacedStream, reset_stream::ResetStream},
     bytes::{Bytes, BytesMut},
     hyper::{
         body::Incoming,
@@ -11,16 +11,19 @@
     hyper_util::rt::{TokioIo, TokioTimer},
     salvo::{
         Handler, Request, Response, Router, Service,
-        conn::{Accepted, Acceptor, tcp::TcpAcceptor},
-        fuse::{ArcFusePolicy, FuseConfig},
-        http::{ResBody, StatusCode},
+        conn::{ConnCtrl, StraightStream},
+        fuse::FuseConfig,
+        http::{ResBody, StatusCode, uri::Scheme},
     },
     socket2::{Domain, Protocol, Socket, Type},
     std::{
         fmt::{Display, Formatter},
         io,
         net::{SocketAddr, TcpListener},
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
         time::Duration,
     },
     thiserror::Error,
@@ -129,9 +132,16 @@
     }
 }
 
-/// Closes the connection of a request, whether or not the sender reads.
+/// Resets the connection of a request, whether or not the sender reads. A sender to whom an answer without a length or
+/// chunks ends with its connection would take an orderly close for the end of a whole answer.
 #[derive(Debug, Clone, Default)]
-pub struct ConnectionCloser(Arc<Notify>);
+pub struct ConnectionCloser(Arc<CloserState>);
+
+#[derive(Debug, Default)]
+struct CloserState {
+    closing: Notify,
+    is_closing: AtomicBool,
+}
 
 impl ConnectionCloser {
     /// Returns the closer of a request's connection; it has no effect if no listener of this crate serves the request.
@@ -139,13 +149,19 @@
         req.extensions().get().cloned().unwrap_or_default()
     }
 
-    /// Closes the connection.
+    /// Resets the connection.
     pub fn close(&self) {
-        self.0.notify_one();
+        self.0.is_closing.store(true, Ordering::Release);
+        self.0.closing.notify_one();
+    }
+
+    /// Returns whether the connection is reset.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.0.is_closing.load(Ordering::Acquire)
     }
 
     async fn closed(&self) {
-        self.0.notified().await;
+        self.0.closing.notified().await;
     }
 }
 
@@ -163,12 +179,12 @@
     on_unread: impl Fn(&UnreadRequest) + Send + Sync + 'static,
 ) -> io::Result<()> {
     let service = Service::new(Router::with_path("{**rest}").goal(handler));
-    let mut acceptor = TcpAcceptor::try_from(tokio::net::TcpListener::from_std(listener)?)?;
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let address = listener.local_addr()?;
     let mut fuse = FuseConfig::default();
     fuse.http1_header_timeout = Some(HEAD_TIMEOUT);
     // A call may be silent for longer, so only a caller that doesn't read counts, not one that waits.
     fuse.write_stall_timeout = Some(WRITE_TIMEOUT);
-    let policy: ArcFusePolicy = Arc::new(fuse);
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
@@ -177,7 +193,7 @@
         .half_close(false);
     let on_unread = Arc::new(on_unread);
     loop {
-        let accepted = match acceptor.accept(Some(Arc::clone(&policy))).await {
+        let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
             Err(error) => {
                 log::error!("event=accept-failed error={error:?}");
@@ -186,19 +202,18 @@
                 continue;
             }
         };
-        let Accepted {
-            stream,
-            fuse_config,
-            conn_ctrl,
-            local_addr,
-            remote_addr,
-            http_scheme,
-            ..
-        } = accepted;
-        let peer = remote_addr.clone().into_std();
-        let handler =
-            service.hyper_handler(local_addr, remote_addr, http_scheme, fuse_config, conn_ctrl, None);
         let closer = ConnectionCloser::default();
+        let control = ConnCtrl::new();
+        let stream = ResetStream::new(stream, closer.clone());
+        let stream = StraightStream::new(stream, Some(fuse), control.clone(), None);
+        let handler = service.hyper_handler(
+            address.into(),
+            peer.into(),
+            Scheme::HTTP,
+            Some(fuse),
+            control,
+            None,
+        );
         let request_closer = closer.clone();
         let handler = service_fn(move |mut request: hyper::Request<Incoming>| {
             request.extensions_mut().insert(request_closer.clone());
@@ -212,8 +227,7 @@
                 () = closer.closed() => return,
             };
             let Err(error) = ended else { return };
-            let unread = peer.and_then(|peer| UnreadRequest::from_error(peer, error));
-            if let Some(unread) = unread {
+            if let Some(unread) = UnreadRequest::from_error(peer, error) {
                 on_unread(&unread);
             }
         });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod member;
 pub mod moves;
 mod paced_stream;
+mod reset_stream;
 pub mod settings;
 pub mod spread;
 pub mod store;
