A request without an id has a connection of its own to the target

What callers saw: nothing reported for such requests; other operators reported earlier refusals, written once more on a kept connection, that were taken for the answer to the next request. Answers are told apart by the id that the target repeats, and a request without an id can't be told from another one.

Ruled out: the same attempt at the same target, which would have the same id on the hop: a plan never chooses a target twice, hedged or not, and numbers each attempt; a connection on which a target refused is not used again.

Why this works: on a connection that carries one request, a refusal without an id can only be the answer to it. Refusing such an answer instead would count failures of the target that a faulty caller makes.

--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -4,7 +4,7 @@
     super::{
         body::{AnswerBody, AnswerFault, BodyFault, BodyProgress, ForwardedBody, RequestBody},
         hop::{HopCall, header},
-        peer_client::{PeerClients, SendFault},
+        peer_client::{ConnectionReuse, PeerClients, SendFault},
         relay::text_header,
     },
     crate::{
@@ -172,7 +172,8 @@
         let deadline = self.hop.deadline;
         self.hop.write(request.headers_mut(), shared.now());
         let method = request.method().clone();
-        let send = self.clients.send(self.target.gate, self.hop.repeatable, request);
+        let reuse = ConnectionReuse::for_request(self.hop.repeatable);
+        let send = self.clients.send(self.target.gate, reuse, request);
         let result = match timeout(deadline.remaining_from(shared.now()), send).await {
             Ok(Ok(answer)) if text_header(answer.headers(), header::CALL) == Some(&self.hop.id) => {
                 self.read_answer(&method, answer, deadline).await
--- a/src/daemon/traffic/dialect.rs
+++ b/src/daemon/traffic/dialect.rs
@@ -65,6 +65,10 @@
     /// Adds the properties of the call to the headers of a request to the target.
     fn add_request_headers(&self, call: &CallContext<'_>, headers: &mut HeaderMap);
 
+    /// Returns whether [`Self::classify_answer`] can tell the answer to this request from one to another request. If not,
+    /// the request gets a connection of its own.
+    fn can_match_answer(&self, request: &HeaderMap) -> bool;
+
     /// Decides from the head of the target's answer whether it belongs to the request, and whether the request ran.
     fn classify_answer(&self, request: &HeaderMap, status: StatusCode, answer: &HeaderMap) -> AnswerVerdict;
 }
@@ -100,6 +104,11 @@
         headers.insert(header::TIMEOUT_MS, call.left_ms.into());
     }
 
+    fn can_match_answer(&self, _request: &HeaderMap) -> bool {
+        // No answer has an id, so targets must not send more than one.
+        true
+    }
+
     fn classify_answer(
         &self,
         _request: &HeaderMap,
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -9,7 +9,7 @@
         body::{AnswerBody, AnswerFault, BodyProgress, RequestBody, TransferEnd, discard_arrived},
         dialect::{AnswerVerdict, CallContext},
         hop::{HopCall, header},
-        peer_client::{PeerClients, SendFault, retire_connection},
+        peer_client::{ConnectionReuse, PeerClients, SendFault, retire_connection},
         relay::{
             add_close_header, end_to_end_headers, header_value, keep_connection_if, write_answer,
             write_refusal,
@@ -244,7 +244,12 @@
             .ok_or(GateFailure::BadRequest)?;
         recorder.outcome = RecordedOutcome::Open;
         let is_resendable = forwarded.body.is_buffered() && hop.repeatable;
-        let send = self.clients.send(identity.address, is_resendable, request);
+        let reuse = if shared.dialect.can_match_answer(&forwarded.headers) {
+            ConnectionReuse::for_request(is_resendable)
+        } else {
+            ConnectionReuse::Never
+        };
+        let send = self.clients.send(identity.address, reuse, request);
         let answer = match timeout(hop.deadline.remaining_from(shared.now()), send).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(SendFault::NotSent)) => {
--- a/src/daemon/traffic/peer_client.rs
+++ b/src/daemon/traffic/peer_client.rs
@@ -61,25 +61,46 @@
 }
 
 #[derive(Debug)]
-struct ClientPair {
+struct ClientSet {
     /// Client for repeatable requests: reuses idle connections.
     for_repeatable: PeerClient,
     /// Client for requests that must not run twice: uses new connections, or ones that were used a moment ago, as the
     /// peer may be closing an older one.
     for_non_repeatable: PeerClient,
+    /// Client that uses a new connection for each request, and closes it afterwards.
+    for_single: PeerClient,
     used_at: Instant,
 }
 
-impl ClientPair {
+impl ClientSet {
     fn new() -> Self {
         Self {
-            for_repeatable: new_client(REPEATABLE_IDLE_TIMEOUT),
-            for_non_repeatable: new_client(NON_REPEATABLE_IDLE_TIMEOUT),
+            for_repeatable: new_client(REPEATABLE_IDLE_TIMEOUT, usize::MAX),
+            for_non_repeatable: new_client(NON_REPEATABLE_IDLE_TIMEOUT, usize::MAX),
+            for_single: new_client(NON_REPEATABLE_IDLE_TIMEOUT, 0),
             used_at: Instant::now(),
         }
     }
 }
 
+/// Connections that a request may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionReuse {
+    /// New ones and idle ones: the request may run twice.
+    Idle,
+    /// New ones and ones that were used a moment ago: the request must not run twice.
+    Recent,
+    /// A new one that no other request uses: its answer can't be told from that to another request.
+    Never,
+}
+
+impl ConnectionReuse {
+    /// Returns the connections for a request whose answer can be told from others.
+    pub fn for_request(repeatable: bool) -> Self {
+        if repeatable { Self::Idle } else { Self::Recent }
+    }
+}
+
 /// Error of a request that got no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendFault {
@@ -92,19 +113,18 @@
 /// HTTP clients of one traffic thread, by the peer's address.
 #[derive(Debug, Default)]
 pub struct PeerClients {
-    pairs: Mutex<HashMap<SocketAddr, ClientPair>>,
+    sets: Mutex<HashMap<SocketAddr, ClientSet>>,
 }
 
 impl PeerClients {
     /// Sends a request, whose URI names `peer` as authority, and returns the answer with its body still to be read.
-    /// `repeatable` states whether the request may run twice, and thereby which connections may be reused.
     pub async fn send(
         &self,
         peer: SocketAddr,
-        repeatable: bool,
+        reuse: ConnectionReuse,
         mut request: Request<ForwardedBody>,
     ) -> Result<Response<Incoming>, SendFault> {
-        let client = self.client(peer, repeatable);
+        let client = self.client(peer, reuse);
         let connection = capture_connection(&mut request);
         let mut answer = client
             .request(request)
@@ -114,28 +134,28 @@
         Ok(answer)
     }
 
-    fn client(&self, peer: SocketAddr, repeatable: bool) -> PeerClient {
-        let mut pairs = self.pairs.lock();
-        let pair = pairs.entry(peer).or_insert_with(ClientPair::new);
-        pair.used_at = Instant::now();
-        if repeatable {
-            pair.for_repeatable.clone()
-        } else {
-            pair.for_non_repeatable.clone()
+    fn client(&self, peer: SocketAddr, reuse: ConnectionReuse) -> PeerClient {
+        let mut sets = self.sets.lock();
+        let set = sets.entry(peer).or_insert_with(ClientSet::new);
+        set.used_at = Instant::now();
+        match reuse {
+            ConnectionReuse::Idle => set.for_repeatable.clone(),
+            ConnectionReuse::Recent => set.for_non_repeatable.clone(),
+            ConnectionReuse::Never => set.for_single.clone(),
         }
     }
 
     /// Discards all connections to a peer, after a call to it broke, stalled or got an answer to another call. Calls in
     /// flight continue on their connections.
     pub fn discard_connections(&self, peer: SocketAddr) {
-        self.pairs.lock().remove(&peer);
+        self.sets.lock().remove(&peer);
     }
 
     /// Drops the clients that were not used for [`UNUSED_TTL`].
     pub fn drop_unused(&self) {
-        self.pairs
+        self.sets
             .lock()
-            .retain(|_, pair| pair.used_at.elapsed() < UNUSED_TTL);
+            .retain(|_, set| set.used_at.elapsed() < UNUSED_TTL);
     }
 }
 
@@ -150,8 +170,8 @@
 }
 
 /// Creates a client that neither retries requests nor changes them: it sends path and headers as given, and adds no
-/// `host` header.
-fn new_client(idle_timeout: Duration) -> PeerClient {
+/// `host` header. It keeps at most `max_idle` idle connections.
+fn new_client(idle_timeout: Duration, max_idle: usize) -> PeerClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -162,6 +182,7 @@
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(idle_timeout)
+        .pool_max_idle_per_host(max_idle)
         .retry_canceled_requests(false)
         .set_host(false)
         .http1_max_buf_size(HeadLimits::GATE.bytes)
