A caller that stalls in the middle of a large body does not count against the target

What callers saw: three callers that stall eject a sound target for 2 s and longer, and other calls get fewer targets.

Cause: at the deadline of a call the daemon could not tell a body that has not come from a target that does not answer; whichever timer fired first decided. The gate counted a failed run as well.

Evidence, before: with eight callers that send 100 kB of 300 kB and stop, each hop logs outcome=Stalled reason="no answer in time" for five, reason="target-broken" for one, and "the caller's body broke off" for two; the timeline has two events "kind":"Ejected". The test fails on the first of them.

Ruled out: a target that does not read a large body, for which the same test of the timeline expects an ejection (target_that_does_not_read_a_large_body_is_ejected, passes before and after).

Why this works: the body says if its next part has been asked for and has not come. That is so while its sender stalls, and not while its receiver does not read. A connection that breaks still counts.

--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         body::{AnswerBody, AnswerFault, BodyFault, BodyProgress, ForwardedBody, RequestBody},
-        hop::{HopCall, header},
+        hop::{BODY_INCOMPLETE, HopCall, header},
         peer_client::{ConnectionReuse, PeerClients, SendFault},
         relay::text_header,
     },
@@ -273,9 +273,8 @@
     /// with their cause before. Discards the connections to the gate after a broken or stalled attempt.
     fn record_result(&self, result: &AttemptResult, started: Instant) {
         let shared = &self.shared;
-        let is_failure = matches!(result, AttemptResult::Failure { .. });
-        if is_failure && self.body_progress.fault().is_some() {
-            // The caller's fault says nothing about the target or the connections to it.
+        if self.is_callers_fault(result) {
+            // It says nothing about the target or the connections to it.
             return;
         }
         match result {
@@ -309,6 +308,15 @@
         }
     }
 
+    /// Returns whether the attempt failed because the caller's body broke off, was too large, or did not come in time.
+    fn is_callers_fault(&self, result: &AttemptResult) -> bool {
+        let AttemptResult::Failure { outcome, reason } = result else {
+            return false;
+        };
+        let is_late = *outcome == AttemptOutcome::Stalled || &**reason == BODY_INCOMPLETE;
+        self.body_progress.fault().is_some() || is_late && self.body_progress.is_awaited()
+    }
+
     fn report_failure(&self) {
         let shared = &self.shared;
         let is_ejected = shared
--- a/src/daemon/traffic/body.rs
+++ b/src/daemon/traffic/body.rs
@@ -64,6 +64,7 @@
 #[derive(Default)]
 pub struct BodyProgress {
     has_ended: AtomicBool,
+    is_awaited: AtomicBool,
     fault: Mutex<Option<BodyFault>>,
     /// What is left of a body over the limit.
     rest: Mutex<Option<ByteStream>>,
@@ -75,6 +76,12 @@
         self.has_ended.load(Ordering::Acquire)
     }
 
+    /// Returns whether the next part has been asked for and has not come. If not, whoever is to receive the body does not
+    /// read it.
+    pub fn is_awaited(&self) -> bool {
+        self.is_awaited.load(Ordering::Acquire)
+    }
+
     /// Returns the fault for which reading the body ended early.
     pub fn fault(&self) -> Option<BodyFault> {
         *self.fault.lock()
@@ -235,7 +242,9 @@
         move |state| async move {
             let (mut chunks, left, progress) = state?;
             let late = || io::Error::new(io::ErrorKind::TimedOut, "request body is over-late");
+            progress.is_awaited.store(true, Ordering::Release);
             let chunk = timeout_at(until, chunks.next()).await;
+            progress.is_awaited.store(false, Ordering::Release);
             match chunk.unwrap_or_else(|_| Some(Err(late()))) {
                 None => {
                     progress.end();
--- a/src/daemon/traffic/hop.rs
+++ b/src/daemon/traffic/hop.rs
@@ -27,6 +27,9 @@
     pub const PREFIX: &str = "fuchsiashore-";
 }
 
+/// Reason of a gate for which the body of a request did not arrive whole.
+pub const BODY_INCOMPLETE: &str = "body-incomplete";
+
 /// Properties of one attempt of a call, sent from an outbound proxy to a gate.
 #[derive(Debug, Clone)]
 pub struct HopCall {
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -8,7 +8,7 @@
         attempt::ForwardedRequest,
         body::{AnswerBody, AnswerFault, BodyProgress, RequestBody, TransferEnd, discard_arrived},
         dialect::{AnswerVerdict, CallContext},
-        hop::{HopCall, header},
+        hop::{BODY_INCOMPLETE, HopCall, header},
         peer_client::{ConnectionReuse, PeerClients, SendFault, retire_connection},
         relay::{
             add_close_header, end_to_end_headers, header_value, keep_connection_if, write_answer,
@@ -89,7 +89,7 @@
     NotRun(GateRefusal),
     /// The request may have run; the text describes the failure.
     Unknown(&'static str),
-    /// The body of the request broke off after a part of it was sent to the target.
+    /// The body of the request broke off or came late after a part of it was sent to the target.
     BodyBroken,
     BadRequest,
 }
@@ -265,6 +265,10 @@
                 recorder.outcome = RecordedOutcome::Failed;
                 return Err(GateFailure::Unknown("the connection to the target broke"));
             }
+            Err(_) if forwarded.progress.is_awaited() || forwarded.progress.fault().is_some() => {
+                recorder.outcome = RecordedOutcome::NotRun;
+                return Err(GateFailure::BodyBroken);
+            }
             Err(_) => {
                 recorder.outcome = RecordedOutcome::Failed;
                 self.clients.discard_connections(identity.address);
@@ -422,8 +426,8 @@
         GateFailure::BodyBroken => (
             StatusCode::GATEWAY_TIMEOUT,
             CallOutcome::Unknown,
-            "body-incomplete",
-            "the body broke off on its way to the target",
+            BODY_INCOMPLETE,
+            "the body broke off or came late on its way to the target",
         ),
         GateFailure::BadRequest => (
             StatusCode::BAD_REQUEST,
