Every head of an answer that a gate takes passes the proxy

What callers saw: 504 for an answer whose head the gate had taken and the proxy refused, as the gate's own headers made it larger; the connections to the gate were dropped.

Cause: the clients of both hops had one limit of 96 KiB.

Evidence, before: heads_that_a_gate_takes_pass_the_proxy: 98300: the proxy refused the head of its gate.

Why this works: the limit of a proxy on answers is the one of a gate plus the margin for the headers of a hop, as it is for requests in the other direction. Each hop has clients of its own for that.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -221,16 +221,18 @@
     gate: TcpListener,
 ) -> io::Result<()> {
     let runtime = new_runtime()?;
-    let clients = Arc::new(PeerClients::default());
-    let outbound = OutboundHandler::new(Arc::clone(shared), Arc::clone(&clients), worker);
-    let inbound = InboundHandler::new(Arc::clone(shared), Arc::clone(&clients));
+    let gate_clients = Arc::new(PeerClients::new(HeadLimits::ANSWERS));
+    let target_clients = Arc::new(PeerClients::new(HeadLimits::GATE));
+    let outbound = OutboundHandler::new(Arc::clone(shared), Arc::clone(&gate_clients), worker);
+    let inbound = InboundHandler::new(Arc::clone(shared), Arc::clone(&target_clients));
     let (on_unread_calls, on_unread_gate) = (
         report_unread(Arc::clone(shared), "calls"),
         report_unread(Arc::clone(shared), "gate"),
     );
     let body = move || {
         runtime.block_on(async move {
-            tokio::spawn(clean_clients(clients));
+            tokio::spawn(clean_clients(gate_clients));
+            tokio::spawn(clean_clients(target_clients));
             let (outbound, inbound) = tokio::join!(
                 serve_observed(calls, outbound, HeadLimits::CALLS, on_unread_calls),
                 serve_observed(gate, inbound, HeadLimits::GATE, on_unread_gate)
--- a/src/daemon/traffic/peer_client.rs
+++ b/src/daemon/traffic/peer_client.rs
@@ -73,11 +73,11 @@
 }
 
 impl ClientSet {
-    fn new() -> Self {
+    fn new(limits: HeadLimits) -> Self {
         Self {
-            for_repeatable: new_client(REPEATABLE_IDLE_TIMEOUT, usize::MAX),
-            for_non_repeatable: new_client(NON_REPEATABLE_IDLE_TIMEOUT, usize::MAX),
-            for_single: new_client(NON_REPEATABLE_IDLE_TIMEOUT, 0),
+            for_repeatable: new_client(limits, REPEATABLE_IDLE_TIMEOUT, usize::MAX),
+            for_non_repeatable: new_client(limits, NON_REPEATABLE_IDLE_TIMEOUT, usize::MAX),
+            for_single: new_client(limits, NON_REPEATABLE_IDLE_TIMEOUT, 0),
             used_at: Instant::now(),
         }
     }
@@ -111,12 +111,22 @@
 }
 
 /// HTTP clients of one traffic thread, by the peer's address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerClients {
+    /// Limits on the heads of answers.
+    limits: HeadLimits,
     sets: Mutex<HashMap<SocketAddr, ClientSet>>,
 }
 
 impl PeerClients {
+    /// Creates clients that take answers with heads up to these limits.
+    pub fn new(limits: HeadLimits) -> Self {
+        Self {
+            limits,
+            sets: Mutex::default(),
+        }
+    }
+
     /// Sends a request, whose URI names `peer` as authority, and returns the answer with its body still to be read.
     pub async fn send(
         &self,
@@ -136,7 +146,7 @@
 
     fn client(&self, peer: SocketAddr, reuse: ConnectionReuse) -> PeerClient {
         let mut sets = self.sets.lock();
-        let set = sets.entry(peer).or_insert_with(ClientSet::new);
+        let set = sets.entry(peer).or_insert_with(|| ClientSet::new(self.limits));
         set.used_at = Instant::now();
         match reuse {
             ConnectionReuse::Idle => set.for_repeatable.clone(),
@@ -171,7 +181,7 @@
 
 /// Creates a client that neither retries requests nor changes them: it sends path and headers as given, and adds no
 /// `host` header. It keeps at most `max_idle` idle connections.
-fn new_client(idle_timeout: Duration, max_idle: usize) -> PeerClient {
+fn new_client(limits: HeadLimits, idle_timeout: Duration, max_idle: usize) -> PeerClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -185,8 +195,8 @@
         .pool_max_idle_per_host(max_idle)
         .retry_canceled_requests(false)
         .set_host(false)
-        .http1_max_buf_size(HeadLimits::GATE.bytes)
-        .http1_max_headers(HeadLimits::GATE.headers)
+        .http1_max_buf_size(limits.bytes)
+        .http1_max_headers(limits.headers)
         .build(PacedConnector(connector))
 }
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -73,7 +73,7 @@
     Ok(socket.into())
 }
 
-/// Limits of a listener on request heads.
+/// Limits on the heads of requests or answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HeadLimits {
     /// Maximum size of a head, in bytes.
@@ -93,11 +93,17 @@
         bytes: MAX_REQUEST_HEAD_BYTES + HEAD_MARGIN_BYTES,
         headers: MAX_HEADERS + HEAD_MARGIN_HEADERS,
     };
-    /// Limits of a gate, which takes every head that a proxy has accepted, with the headers that the proxy adds.
+    /// Limits of a gate on requests, which takes every head that a proxy has accepted with the headers that the proxy adds,
+    /// and on its target's answers.
     pub const GATE: Self = Self {
         bytes: Self::CALLS.bytes + HEAD_MARGIN_BYTES,
         headers: Self::CALLS.headers + HEAD_MARGIN_HEADERS,
     };
+    /// Limits of a proxy on answers, which takes every head that a gate has accepted with the headers that the gate adds.
+    pub const ANSWERS: Self = Self {
+        bytes: Self::GATE.bytes + HEAD_MARGIN_BYTES,
+        headers: Self::GATE.headers + HEAD_MARGIN_HEADERS,
+    };
 }
 
 /// Request that the HTTP library refused before a handler got it.
