--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         body::{AnswerBody, AnswerFault, BodyFault, BodyProgress, ForwardedBody, RequestBody},
-        hop::{HopCall, header},
-        peer_client::{PeerClients, SendFault},
+        hop::{BODY_INCOMPLETE, HopCall, header},
+        peer_client::{ConnectionReuse, PeerClients, SendFault},
         relay::text_header,
     },
     crate::{
@@ -172,7 +172,8 @@
         let deadline = self.hop.deadline;
         self.hop.write(request.headers_mut(), shared.now());
         let method = request.method().clone();
-        let send = self.clients.send(self.target.gate, self.hop.repeatable, request);
+        let reuse = ConnectionReuse::for_request(self.hop.repeatable);
+        let send = self.clients.send(self.target.gate, reuse, request);
         let result = match timeout(deadline.remaining_from(shared.now()), send).await {
             Ok(Ok(answer)) if text_header(answer.headers(), header::CALL) == Some(&self.hop.id) => {
                 self.read_answer(&method, answer, deadline).await
@@ -218,7 +219,7 @@
             None => {}
         }
         let until = tokio::time::Instant::now() + deadline.remaining_from(shared.now());
-        match AnswerBody::read(method, status, body, until).await {
+        match AnswerBody::read(method, status, &headers, body, until).await {
             Ok(body) => AttemptResult::Answer {
                 outcome: if status.is_server_error() {
                     AttemptOutcome::Failed
@@ -231,6 +232,9 @@
             },
             Err(AnswerFault::Cut) => AttemptResult::failure(AttemptOutcome::Broken, "answer broke off"),
             Err(AnswerFault::Late) => AttemptResult::failure(AttemptOutcome::Stalled, "answer was over-late"),
+            Err(AnswerFault::Coded) => {
+                AttemptResult::failure(AttemptOutcome::Broken, "answer in an unknown transfer coding")
+            }
         }
     }
 
@@ -269,9 +273,8 @@
     /// with their cause before. Discards the connections to the gate after a broken or stalled attempt.
     fn record_result(&self, result: &AttemptResult, started: Instant) {
         let shared = &self.shared;
-        let is_failure = matches!(result, AttemptResult::Failure { .. });
-        if is_failure && self.body_progress.fault().is_some() {
-            // The caller's fault says nothing about the target or the connections to it.
+        if self.is_callers_fault(result) {
+            // It says nothing about the target or the connections to it.
             return;
         }
         match result {
@@ -305,6 +308,15 @@
         }
     }
 
+    /// Returns whether the attempt failed because the caller's body broke off, was too large, or did not come in time.
+    fn is_callers_fault(&self, result: &AttemptResult) -> bool {
+        let AttemptResult::Failure { outcome, reason } = result else {
+            return false;
+        };
+        let is_late = *outcome == AttemptOutcome::Stalled || &**reason == BODY_INCOMPLETE;
+        self.body_progress.fault().is_some() || is_late && self.body_progress.is_awaited()
+    }
+
     fn report_failure(&self) {
         let shared = &self.shared;
         let is_ejected = shared
--- a/src/daemon/traffic/body.rs
+++ b/src/daemon/traffic/body.rs
@@ -9,7 +9,7 @@
     parking_lot::Mutex,
     salvo::http::{
         HeaderMap, Method, ReqBody, StatusCode,
-        header::{CONTENT_LENGTH, EXPECT},
+        header::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING},
     },
     std::{
         io,
@@ -64,6 +64,7 @@
 #[derive(Default)]
 pub struct BodyProgress {
     has_ended: AtomicBool,
+    is_awaited: AtomicBool,
     fault: Mutex<Option<BodyFault>>,
     /// What is left of a body over the limit.
     rest: Mutex<Option<ByteStream>>,
@@ -75,6 +76,12 @@
         self.has_ended.load(Ordering::Acquire)
     }
 
+    /// Returns whether the next part has been asked for and has not come. If not, whoever is to receive the body does not
+    /// read it.
+    pub fn is_awaited(&self) -> bool {
+        self.is_awaited.load(Ordering::Acquire)
+    }
+
     /// Returns the fault for which reading the body ended early.
     pub fn fault(&self) -> Option<BodyFault> {
         *self.fault.lock()
@@ -191,6 +198,15 @@
     Box::pin(body.try_filter_map(|frame| async move { Ok(frame.into_data().ok()) }))
 }
 
+/// Returns whether a body has no transfer coding or `chunked` alone.
+fn is_plain_or_chunked(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let is_chunked = codings
+        .next()
+        .is_none_or(|coding| coding.as_bytes().eq_ignore_ascii_case(b"chunked"));
+    is_chunked && codings.next().is_none()
+}
+
 fn declared_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
@@ -226,7 +242,9 @@
         move |state| async move {
             let (mut chunks, left, progress) = state?;
             let late = || io::Error::new(io::ErrorKind::TimedOut, "request body is over-late");
+            progress.is_awaited.store(true, Ordering::Release);
             let chunk = timeout_at(until, chunks.next()).await;
+            progress.is_awaited.store(false, Ordering::Release);
             match chunk.unwrap_or_else(|_| Some(Err(late()))) {
                 None => {
                     progress.end();
@@ -254,7 +272,12 @@
     /// Fully buffered, so known to be complete.
     Buffered(Bytes),
     /// Streamed from the previous hop.
-    Streaming(ByteStream),
+    Streaming {
+        /// Chunks of the body.
+        chunks: ByteStream,
+        /// Size of the whole body in bytes; `None` if it is known only at its end.
+        length: Option<u64>,
+    },
     /// No body: the answer to a HEAD request, or one with status 204 or 304.
     None,
 }
@@ -266,14 +289,20 @@
     Cut,
     /// The deadline passed before the end of the body.
     Late,
+    /// The body is in a transfer coding other than `chunked`, which nobody here decodes.
+    Coded,
 }
 
 impl AnswerBody {
     /// Buffers a body of up to [`MAX_BUFFERED_BYTES`] that is complete by `until`, so that a truncated one is detected
     /// before any of the answer is returned. A larger one is streamed.
+    ///
+    /// Fails with [`AnswerFault::Cut`] if the body breaks off, with [`AnswerFault::Late`] if `until` passes while it is
+    /// buffered, and with [`AnswerFault::Coded`] if `headers` name a transfer coding other than `chunked`.
     pub async fn read(
         method: &Method,
         status: StatusCode,
+        headers: &HeaderMap,
         body: Incoming,
         until: Instant,
     ) -> Result<Self, AnswerFault> {
@@ -282,11 +311,15 @@
         if is_bodiless {
             return Ok(Self::None);
         }
+        if !is_plain_or_chunked(headers) {
+            return Err(AnswerFault::Coded);
+        }
+        let length = body.size_hint().exact();
         let frames = TryStreamExt::map_err(BodyStream::new(body), io::Error::other);
         let chunks = frames.try_filter_map(|frame| async move { Ok(frame.into_data().ok()) });
         match timeout_at(until, buffer(Box::pin(chunks))).await {
             Ok(Ok(BufferedBody::Complete(bytes))) => Ok(Self::Buffered(bytes)),
-            Ok(Ok(BufferedBody::Oversized(chunks))) => Ok(Self::Streaming(chunks)),
+            Ok(Ok(BufferedBody::Oversized(chunks))) => Ok(Self::Streaming { chunks, length }),
             Ok(Err(_)) => Err(AnswerFault::Cut),
             Err(_) => Err(AnswerFault::Late),
         }
@@ -298,7 +331,7 @@
 pub struct TransferEnd {
     /// Time at which the transfer is given up.
     pub at: Instant,
-    /// Closes the connection of the caller, which may have stopped reading.
+    /// Resets the connection of the caller, which may have stopped reading, or to whom the answer is cut.
     closer: ConnectionCloser,
 }
 
@@ -324,19 +357,19 @@
     guard: K,
 ) -> impl Stream<Item = io::Result<Bytes>> + Send {
     let (sender, receiver) = mpsc::channel(1);
+    let closer = end.closer.clone();
     // The server asks for no chunk while the caller doesn't read, so the source has a task of its own.
     tokio::spawn(pump(chunks, sender, end, guard));
-    stream::unfold(Some(receiver), |receiver| async {
-        let mut receiver = receiver?;
-        match receiver.recv().await {
-            Some(Some(Ok(chunk))) => Some((Ok(chunk), Some(receiver))),
-            Some(Some(Err(error))) => Some((Err(error), None)),
-            Some(None) => None,
-            None => Some((
-                Err(io::Error::new(io::ErrorKind::TimedOut, "answer is over-late")),
-                None,
-            )),
-        }
+    stream::unfold(Some((receiver, closer)), |state| async {
+        let (mut receiver, closer) = state?;
+        let error = match receiver.recv().await {
+            Some(Some(Ok(chunk))) => return Some((Ok(chunk), Some((receiver, closer)))),
+            Some(None) => return None,
+            Some(Some(Err(error))) => error,
+            None => io::Error::new(io::ErrorKind::TimedOut, "answer is over-late"),
+        };
+        closer.close();
+        Some((Err(error), None))
     })
 }
 
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -8,8 +8,8 @@
         attempt::ForwardedRequest,
         body::{AnswerBody, AnswerFault, BodyProgress, RequestBody, TransferEnd, discard_arrived},
         dialect::{AnswerVerdict, CallContext},
-        hop::{HopCall, header},
-        peer_client::{PeerClients, SendFault, retire_connection},
+        hop::{BODY_INCOMPLETE, HopCall, header},
+        peer_client::{ConnectionReuse, PeerClients, SendFault, retire_connection},
         relay::{
             add_close_header, end_to_end_headers, header_value, keep_connection_if, write_answer,
             write_refusal,
@@ -89,7 +89,7 @@
     NotRun(GateRefusal),
     /// The request may have run; the text describes the failure.
     Unknown(&'static str),
-    /// The body of the request broke off after a part of it was sent to the target.
+    /// The body of the request broke off or came late after a part of it was sent to the target.
     BodyBroken,
     BadRequest,
 }
@@ -244,7 +244,12 @@
             .ok_or(GateFailure::BadRequest)?;
         recorder.outcome = RecordedOutcome::Open;
         let is_resendable = forwarded.body.is_buffered() && hop.repeatable;
-        let send = self.clients.send(identity.address, is_resendable, request);
+        let reuse = if shared.dialect.can_match_answer(&forwarded.headers) {
+            ConnectionReuse::for_request(is_resendable)
+        } else {
+            ConnectionReuse::Never
+        };
+        let send = self.clients.send(identity.address, reuse, request);
         let answer = match timeout(hop.deadline.remaining_from(shared.now()), send).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(SendFault::NotSent)) => {
@@ -260,6 +265,10 @@
                 recorder.outcome = RecordedOutcome::Failed;
                 return Err(GateFailure::Unknown("the connection to the target broke"));
             }
+            Err(_) if forwarded.progress.is_awaited() || forwarded.progress.fault().is_some() => {
+                recorder.outcome = RecordedOutcome::NotRun;
+                return Err(GateFailure::BodyBroken);
+            }
             Err(_) => {
                 recorder.outcome = RecordedOutcome::Failed;
                 self.clients.discard_connections(identity.address);
@@ -285,9 +294,9 @@
     ) -> Result<(), GateFailure> {
         let shared = &self.shared;
         let (head, body) = answer.into_parts();
-        let verdict = shared
-            .dialect
-            .classify_answer(request, head.status, &head.headers);
+        // Judged is what is passed on, as the target may name any header as one of its connection.
+        let headers = end_to_end_headers(&head.headers);
+        let verdict = shared.dialect.classify_answer(request, head.status, &headers);
         match verdict {
             AnswerVerdict::Ran => {}
             AnswerVerdict::NotRun => {
@@ -305,7 +314,7 @@
                 ));
             }
         }
-        match AnswerBody::read(method, head.status, body, end.at).await {
+        match AnswerBody::read(method, head.status, &head.headers, body, end.at).await {
             Ok(body) => {
                 let failed = head.status.is_server_error();
                 recorder.outcome = if failed {
@@ -314,8 +323,7 @@
                     RecordedOutcome::Answered
                 };
                 slot.is_successful = !failed;
-                let headers = end_to_end_headers(&head.headers);
-                let is_streaming = matches!(body, AnswerBody::Streaming(_));
+                let is_streaming = matches!(body, AnswerBody::Streaming { .. });
                 let slot = is_streaming.then_some(slot);
                 write_answer(res, head.status, headers, body, end, slot);
                 Ok(())
@@ -328,6 +336,12 @@
                 recorder.outcome = RecordedOutcome::Failed;
                 Err(GateFailure::Unknown("the target's answer was over-late"))
             }
+            Err(AnswerFault::Coded) => {
+                recorder.outcome = RecordedOutcome::Failed;
+                Err(GateFailure::Unknown(
+                    "the target's answer is in a transfer coding other than chunked",
+                ))
+            }
         }
     }
 
@@ -412,8 +426,8 @@
         GateFailure::BodyBroken => (
             StatusCode::GATEWAY_TIMEOUT,
             CallOutcome::Unknown,
-            "body-incomplete",
-            "the body broke off on its way to the target",
+            BODY_INCOMPLETE,
+            "the body broke off or came late on its way to the target",
         ),
         GateFailure::BadRequest => (
             StatusCode::BAD_REQUEST,
