A configuration is pulled from a peer with a slow link

A daemon that the store refuses got no configuration from a peer whose link needs over two seconds for it, and answered 503 for all requests, or for all routes that had come since.

Cause: a control request had two seconds for everything, the transfer of the reply included, and a pull without an answer was started again after one second, from the same peer if there is no other. The copies shared the link, so that none of them arrived in time. 6,000 routes are 205 kB when compressed: twelve daemons that pull them at once from one peer with 10 Mbit/s take two seconds. The retry makes this worse for herds that restart.

Two seconds are now the time until a reply begins, and its rest has four seconds, as at the store's client: 4 MB at 10 Mbit/s, the largest message. A peer whose reply is on its way is not pulled again; another one is, after a second, as before.

With the time limit alone, copies of one peer would still share the link; that was not run.

Ruled out: a longer limit on the whole request, as a suspended peer would then keep its request as long before another peer is asked for records.

--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -17,11 +17,17 @@
         timeline::HybridStamp,
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::sync::{mpsc, oneshot},
+    tokio::{
+        sync::{mpsc, oneshot},
+        time::timeout,
+    },
 };
 
-/// Time limit of a control request.
+/// Time until the reply to a control request begins.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for reading the rest of a reply: a configuration of 4 MB at 10 Mbit/s, or a smaller one over a link that several
+/// daemons share.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Event that the control thread handles.
 #[derive(Debug)]
@@ -151,8 +157,8 @@
         });
     }
 
-    /// Sends a request and waits for the reply. Returns `None` unless a valid one arrives within
-    /// [`REQUEST_TIMEOUT`].
+    /// Sends a request and waits for the reply. Returns `None` unless a valid one begins within [`REQUEST_TIMEOUT`] and
+    /// ends within [`REPLY_TIMEOUT`] after that.
     async fn exchange(
         &self,
         to: SocketAddr,
@@ -165,19 +171,15 @@
             .metrics
             .count_control_bytes("sent", "http", bytes.len());
         let url = format!("http://{to}/control");
-        let response = self
-            .client
-            .post(url)
-            .timeout(REQUEST_TIMEOUT)
-            .body(bytes)
-            .send()
-            .await
-            .ok()?;
+        let request = self.client.post(url).body(bytes);
+        let response = timeout(REQUEST_TIMEOUT, request.send()).await.ok()?.ok()?;
         if !response.status().is_success() {
             return None;
         }
-        let bytes = read_body(response, MAX_MESSAGE_BYTES).await;
-        let bytes = bytes
+        let reading = timeout(REPLY_TIMEOUT, read_body(response, MAX_MESSAGE_BYTES)).await;
+        let bytes = reading
+            .inspect_err(|_| log::warn!("event=reply-unread peer={to} error=\"not complete in time\""))
+            .ok()?
             .inspect_err(|error| log::warn!("event=reply-unread peer={to} error={error:?}"))
             .ok()?;
         self.shared
--- a/src/spread/state.rs
+++ b/src/spread/state.rs
@@ -9,12 +9,12 @@
         clock::TimePoint,
         config::{CompileError, CompiledTable, ConfigHead, DeltaError, HeadDelta, HeadError},
     },
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     std::{net::SocketAddr, sync::Arc},
     thiserror::Error,
 };
 
-/// Time after which a pull without an answer is repeated, possibly from another peer, in milliseconds.
+/// Time after which a pull without an answer is followed by one from another peer, in milliseconds.
 const PULL_TIMEOUT_MS: u64 = 1_000;
 /// Maximum number of peers that are listed as having a newer version; further ones are ignored.
 const MAX_SOURCES: usize = 16;
@@ -96,6 +96,8 @@
     /// Newest head that was offered before the daemon had joined.
     pending_head: Option<ConfigHead>,
     sources: IndexMap<SocketAddr, PullOffer>,
+    /// Peers whose reply to a pull is on its way. A second copy would share a slow link with the first.
+    pulling: IndexSet<SocketAddr>,
     pull_deadline: Option<TimePoint>,
     needs_whole: bool,
 }
@@ -217,8 +219,7 @@
         from: SocketAddr,
         reply: ConfigReply,
     ) -> Option<Result<CompiledTable, OfferRefusal>> {
-        self.pull_deadline = None;
-        self.sources.shift_remove(&from);
+        self.end_pull(from);
         match reply {
             ConfigReply::Nothing => None,
             ConfigReply::Whole(head) => {
@@ -246,7 +247,12 @@
 
     /// Ends a failed pull and drops its peer from the sources.
     pub fn fail_pull(&mut self, from: SocketAddr) {
+        self.end_pull(from);
+    }
+
+    fn end_pull(&mut self, from: SocketAddr) {
         self.pull_deadline = None;
+        self.pulling.swap_remove(&from);
         self.sources.shift_remove(&from);
     }
 
@@ -261,17 +267,20 @@
         }
     }
 
-    /// Starts a pull from the source with the newest version among those that are due, unless another pull is in
-    /// flight.
+    /// Starts a pull from the source with the newest version among those that are due, unless another pull has started
+    /// within [`PULL_TIMEOUT_MS`]. It ends with [`Self::finish_pull`] or [`Self::fail_pull`]; until then this source is
+    /// not pulled again.
     pub fn next_pull(&mut self, now: TimePoint) -> Option<PullSource> {
         if self.pull_deadline.is_some_and(|deadline| deadline > now) {
             return None;
         }
         let version = self.version();
         self.sources.retain(|_, offer| offer.version > version);
-        let due = self.sources.iter().filter(|(_, offer)| offer.not_before <= now);
+        let due = self.sources.iter();
+        let due = due.filter(|(from, offer)| offer.not_before <= now && !self.pulling.contains(*from));
         let (from, _) = due.max_by_key(|(_, offer)| offer.version)?;
         let from = *from;
+        self.pulling.insert(from);
         self.pull_deadline = Some(now.after_ms(PULL_TIMEOUT_MS));
         let digest = self.head.as_ref().map_or(0, |head| head.digest);
         Some(PullSource {
