Count and log a target's redirects and client errors

What operators saw: of a caller's 404 neither the metrics nor a line said that it came from a target, so 'no line of a refusal' could mean a target's answer or a line that was left out.

Cause: only late and 5xx answers were logged, and calls_total has no status. Ruled out: a line of the gate, which logs only what it refuses itself.

answers_total counts the answers of targets by status, so a status is in refusals_total, in answers_total, or from another process. A target's 3xx and 4xx have the line call-answered within the limits of refusals, with 'suppressed'; a target that answers many requests with 404 does not fill the log.

Result: the new test passes; so do the tests of operators and explain.

--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -45,6 +45,13 @@
     pub reason: &'static str,
 }
 
+/// Labels of the counter of targets' answers.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StatusLabels {
+    /// Status of the answer.
+    pub status: u16,
+}
+
 /// Labels of the control traffic counter.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ControlLabels {
@@ -93,6 +100,8 @@
     pub convergence: Histogram,
     /// Requests that this process refused itself, by listener, status and reason.
     refusals: Family<RefusalLabels, Counter>,
+    /// Answers of targets that were passed on to callers, by status.
+    answers: Family<StatusLabels, Counter>,
     /// Bytes of control traffic, by direction and kind.
     pub control_bytes: Family<ControlLabels, Counter>,
     /// Calls to the store by kind.
@@ -122,6 +131,7 @@
             call_labels: Mutex::default(),
             convergence: Histogram::new(exponential_buckets(0.01, 2.0, 14)),
             refusals: Family::default(),
+            answers: Family::default(),
             control_bytes: Family::default(),
             store_calls: Family::default(),
             closed_moves: Family::default(),
@@ -142,6 +152,11 @@
             "Requests that this process refused itself, by listener, status and reason",
             metrics.refusals.clone(),
         );
+        registry.register(
+            "answers",
+            "Answers of targets that were passed on to callers, by status",
+            metrics.answers.clone(),
+        );
         registry.register(
             "convergence_seconds",
             "Time from an accepted change until it was in force here",
@@ -211,6 +226,14 @@
         self.refusals.get_or_create(&labels).inc();
     }
 
+    /// Counts a target's answer that is passed on to the caller.
+    pub fn count_status(&self, status: StatusCode) {
+        let labels = StatusLabels {
+            status: status.as_u16(),
+        };
+        self.answers.get_or_create(&labels).inc();
+    }
+
     /// Observes the latency of an answered call. The pools of the configuration bound the number of label sets.
     pub fn observe_latency(&self, pool: &Arc<str>, took_ms: u64) {
         let labels = PoolLabels {
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -7,7 +7,7 @@
 use {
     self::{
         checks::{check_form, check_head},
-        logging::{LoggedRefusal, log_failed_attempt, log_refusal, log_slow_or_failed},
+        logging::{LoggedRefusal, admit_answer, log_answer, log_failed_attempt, log_refusal},
     },
     super::{
         attempt::{AttemptResult, CallAttempt, ForwardedRequest, InFlightGuard},
@@ -358,8 +358,10 @@
         let now = shared.now();
         let took_ms = now.ms_since(call.arrived_at);
         shared.metrics.observe_latency(&call.pool.name, took_ms);
-        if failed || now > call.useful_until {
-            log_slow_or_failed(call, &answer, took_ms);
+        shared.metrics.count_status(answer.status);
+        let is_late = now > call.useful_until;
+        if let Some(suppressed) = admit_answer(shared, call, &answer, is_late) {
+            log_answer(call, &answer, took_ms, suppressed);
         }
         if let AnswerBody::Buffered(bytes) = &answer.body {
             shared
--- a/src/daemon/traffic/outbound/logging.rs
+++ b/src/daemon/traffic/outbound/logging.rs
@@ -45,11 +45,34 @@
     );
 }
 
-/// Logs an answer that is late or has a 5xx status; other answers are counted in the metrics only.
-pub(super) fn log_slow_or_failed(call: &RoutedCall, answer: &ReceivedAnswer, took_ms: u64) {
+/// Returns the number of answers that were not logged since the last line if this one is to be logged, otherwise `None`.
+/// Late answers and those with a 5xx status are logged, and some of the redirects and client errors, which a caller could
+/// take for the daemon's own. Others are counted in the metrics only.
+pub(super) fn admit_answer(
+    shared: &SharedState,
+    call: &RoutedCall,
+    answer: &ReceivedAnswer,
+    is_late: bool,
+) -> Option<u64> {
+    let status = answer.status;
+    if is_late || status.is_server_error() {
+        return Some(0);
+    }
+    if !status.is_redirection() && !status.is_client_error() {
+        return None;
+    }
+    let subject = (&call.route.name, &answer.target);
+    shared
+        .refusal_lines
+        .admit("target", status, "answered", subject, shared.now())
+}
+
+/// Logs an answer that is passed on to the caller.
+pub(super) fn log_answer(call: &RoutedCall, answer: &ReceivedAnswer, took_ms: u64, suppressed: u64) {
     log::info!(
         target: "calls",
-        "event=call-answered id={} attempt={} route={} pool={} target={} version={} status={} took_ms={took_ms} useful_ms={}",
+        "event=call-answered id={} attempt={} route={} pool={} target={} version={} status={} took_ms={took_ms} useful_ms={} \
+         suppressed={suppressed}",
         call.options.id.as_deref().unwrap_or(""),
         answer.attempt,
         log_word(&call.route.name),
