Every line names the id of a call as one word

Lines of answers and attempts had such an id as it was sent, which splits the fields of a line, so a caller could also write fields of its own into them; lines of refusals had it as one word or, outside ASCII, not at all.

Cause: two of four lines did not pass the id through log_word, the id was read as visible ASCII only, and explain compared the id as it was given. Evidence: every_line_names_the_call_id_as_one_word fails before the change: 'no line has all of [event=call-answered, id=late?id=1]', the line has 'id=late<tab>id=1 attempt=...'.

All lines now have the id as log_word writes it, and explain looks for the same word. The id that is passed on is unchanged.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{error::CmdError, options::OperatorOptions},
+    crate::daemon::log_word,
     std::{
         collections::{BTreeSet, HashSet},
         fs,
@@ -26,7 +27,8 @@
         })?;
         lines.extend(text.lines().map(str::to_owned));
     }
-    let found = lines_of(&lines, id);
+    // Lines have the id as one word, whatever the caller sent.
+    let found = lines_of(&lines, &log_word(id));
     if found.is_empty() {
         println!("no line names {id}: the call was answered in time, or its log is not among the files");
     }
--- a/src/daemon/traffic/outbound/logging.rs
+++ b/src/daemon/traffic/outbound/logging.rs
@@ -73,7 +73,7 @@
         target: "calls",
         "event=call-answered id={} attempt={} route={} pool={} target={} version={} status={} took_ms={took_ms} useful_ms={} \
          suppressed={suppressed}",
-        call.options.id.as_deref().unwrap_or(""),
+        log_word(call.options.id.as_deref().unwrap_or("")),
         answer.attempt,
         log_word(&call.route.name),
         log_word(&call.pool.name),
@@ -95,7 +95,7 @@
     log::info!(
         target: "calls",
         "event=attempt-failed id={} attempt={} route={} target={} outcome={outcome:?} reason={reason:?}",
-        call.options.id.as_deref().unwrap_or(""),
+        log_word(call.options.id.as_deref().unwrap_or("")),
         hop.id,
         log_word(&call.route.name),
         target.name
