Pass on the host by which the route was found

What callers saw: 'GET http://shop.example/stock/x' with another, an empty or no Host was routed by the URI, and the target got the header as it was sent. The target could take the request for one of another host.

Cause: the request to the gate is in origin form, which drops the authority, and the header was copied. Evidence: host_of_the_uri_is_the_host_that_the_target_reads fails before the change (left: "elsewhere.example", right: "shop.example"). RFC 9112, 3.2.2 asks a proxy to replace the header. Ruled out: requests in origin form, whose header is passed on byte for byte as before.

--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -37,7 +37,7 @@
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     salvo::{
         Depot, FlowCtrl, Handler, Request, Response, async_trait,
-        http::{HeaderMap, StatusCode},
+        http::{HeaderMap, HeaderValue, StatusCode},
     },
     std::sync::{
         Arc,
@@ -147,7 +147,7 @@
             method: req.method().clone(),
             path: forwarded_path(req),
             headers: end_to_end_headers(req.headers()),
-            host: req.headers().get(HOST).cloned(),
+            host: forwarded_host(req),
             body,
             progress,
         };
@@ -459,6 +459,14 @@
     path.cloned().unwrap_or_else(|| PathAndQuery::from_static("/"))
 }
 
+/// Returns the `host` header for the next hop: the host by which the route was found (RFC 9112, 3.2.2).
+fn forwarded_host(req: &Request) -> Option<HeaderValue> {
+    if req.uri().authority().is_none() {
+        return req.headers().get(HOST).cloned();
+    }
+    HeaderValue::from_str(request_host(req)).ok()
+}
+
 fn body_refusal(fault: BodyFault, limit: u64) -> CallRefusal {
     match fault {
         BodyFault::TooLarge => CallRefusal::not_run(
