explain says which lines can't be found by an id

A request that the HTTP library refused has a line without an id (request-unread), and a line over the limit is only counted on the next one (suppressed=). Both look like an answer in time.

The test of explain asks for both words, which the former text does not have (read, not run on it). Reading the id from a head that can't be parsed is no alternative: the library hands over its error only.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -30,7 +30,10 @@
     // Lines have the id as one word, whatever the caller sent.
     let found = lines_of(&lines, &log_word(id));
     if found.is_empty() {
-        println!("no line names {id}: the call was answered in time, or its log is not among the files");
+        println!(
+            "no line names {id}: the call was answered in time, its lines were over the limit (see suppressed=), its head could \
+             not be read (see request-unread), or its log is not among the files"
+        );
     }
     for line in found {
         println!("{line}");
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -50,5 +50,11 @@
     insta::assert_snapshot!("refused_by_the_target", explain("f6"));
     assert_eq!(explain("e 5"), explain("e?5"));
     assert!(explain("e 5").contains("path=/new/5"));
-    assert!(explain("nobody").starts_with("no line names nobody"));
+    let unknown = explain("nobody");
+    assert!(unknown.starts_with("no line names nobody"), "{unknown}");
+    // The library's refusals and lines over the limit have no id.
+    assert!(
+        unknown.contains("request-unread") && unknown.contains("suppressed="),
+        "{unknown}"
+    );
 }
