--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -7,7 +7,7 @@
 use {
     self::{
         checks::{check_form, check_head},
-        logging::{LoggedRefusal, log_failed_attempt, log_refusal, log_slow_or_failed},
+        logging::{LoggedRefusal, admit_answer, log_answer, log_failed_attempt, log_refusal},
     },
     super::{
         attempt::{AttemptResult, CallAttempt, ForwardedRequest, InFlightGuard},
@@ -37,7 +37,7 @@
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     salvo::{
         Depot, FlowCtrl, Handler, Request, Response, async_trait,
-        http::{HeaderMap, StatusCode},
+        http::{HeaderMap, HeaderValue, StatusCode},
     },
     std::sync::{
         Arc,
@@ -147,7 +147,7 @@
             method: req.method().clone(),
             path: forwarded_path(req),
             headers: end_to_end_headers(req.headers()),
-            host: req.headers().get(HOST).cloned(),
+            host: forwarded_host(req),
             body,
             progress,
         };
@@ -358,8 +358,10 @@
         let now = shared.now();
         let took_ms = now.ms_since(call.arrived_at);
         shared.metrics.observe_latency(&call.pool.name, took_ms);
-        if failed || now > call.useful_until {
-            log_slow_or_failed(call, &answer, took_ms);
+        shared.metrics.count_status(answer.status);
+        let is_late = now > call.useful_until;
+        if let Some(suppressed) = admit_answer(shared, call, &answer, is_late) {
+            log_answer(call, &answer, took_ms, suppressed);
         }
         if let AnswerBody::Buffered(bytes) = &answer.body {
             shared
@@ -457,6 +459,14 @@
     path.cloned().unwrap_or_else(|| PathAndQuery::from_static("/"))
 }
 
+/// Returns the `host` header for the next hop: the host by which the route was found (RFC 9112, 3.2.2).
+fn forwarded_host(req: &Request) -> Option<HeaderValue> {
+    if req.uri().authority().is_none() {
+        return req.headers().get(HOST).cloned();
+    }
+    HeaderValue::from_str(request_host(req)).ok()
+}
+
 fn body_refusal(fault: BodyFault, limit: u64) -> CallRefusal {
     match fault {
         BodyFault::TooLarge => CallRefusal::not_run(
