A retry allowance with a fraction no longer keeps a daemon from starting

Callers saw: nothing served.

The settings took whole numbers only.

Ruled out: a change of deploy/daemon.ini; templates copy values and compute nothing. Rounding up would pass the allowance.

Why it works: digits after the point are checked and dropped, so the allowance is kept; all other texts are refused as before, with the same limits.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,6 +15,9 @@
     thiserror::Error,
 };
 
+/// Highest value of the `extra_retries` setting.
+const MAX_EXTRA_RETRIES: u32 = 1_000_000;
+
 /// Settings that can't be loaded.
 #[derive(Debug, Error, miette::Diagnostic)]
 pub enum SettingsError {
@@ -173,13 +176,7 @@
         max_body_bytes: take_number(section, "max_body_bytes", (1, 1 << 40), 64 << 20, faults),
         store_calls_per_s: take_number(section, "store_calls_per_s", (1, 1_000), 2, faults) as u32,
         watchers: take_number(section, "watchers", (1, 1_000), 2, faults) as usize,
-        extra_retries: take_number(
-            section,
-            "extra_retries",
-            (0, 1_000_000),
-            u64::from(DEFAULT_EXTRA_RETRIES),
-            faults,
-        ) as u32,
+        extra_retries: take_extra_retries(section, faults),
         leave_ms: take_number(section, "leave_ms", (0, 3_600_000), 1_000, faults),
         drain_limit_ms: take_number(section, "drain_limit_ms", (1, 3_600_000), 60_000, faults),
         target,
@@ -223,6 +220,20 @@
     number.unwrap_or(default)
 }
 
+/// Reads the `extra_retries` key. Whoever computes it from the size of the mesh may write a fraction; it is rounded
+/// down, so that the budget is kept.
+fn take_extra_retries(section: &mut IniSection, faults: &mut Vec<ParseFault>) -> u32 {
+    let remedy = format!("write a number from 0 to {MAX_EXTRA_RETRIES}");
+    let number = section.take_parsed("extra_retries", &remedy, faults, |text| {
+        let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
+        if fraction.is_empty() || !fraction.bytes().all(|byte| byte.is_ascii_digit()) {
+            return None;
+        }
+        whole.parse().ok().filter(|number| *number <= MAX_EXTRA_RETRIES)
+    });
+    number.unwrap_or(DEFAULT_EXTRA_RETRIES)
+}
+
 fn take_address(section: &mut IniSection, key: &str, faults: &mut Vec<ParseFault>) -> SocketAddr {
     let placeholder = SocketAddr::from(([0, 0, 0, 0], 0));
     if !section.has(key) {
--- a/tests/settings_and_tables.rs
+++ b/tests/settings_and_tables.rs
@@ -45,6 +45,29 @@
     insta::assert_snapshot!(faults.to_string());
 }
 
+// Guards against daemons that don't start because a budget computed by the platform has a fraction.
+#[test]
+fn extra_retries_with_a_fraction_are_rounded_down() {
+    let read = |number: &str| {
+        let text = example("daemon.ini").replace("extra_retries = 240", &format!("extra_retries = {number}"));
+        DaemonSettings::parse("daemon.ini", &text).map(|settings| settings.extra_retries)
+    };
+    for (number, expected) in [
+        ("36.07843137254902", 36),
+        ("29.9", 29),
+        ("0.5", 0),
+        ("216", 216),
+        ("1000000", 1_000_000),
+    ] {
+        assert_eq!(read(number), Ok(expected), "{number}");
+    }
+    for number in [
+        "-1", "-0.5", "1000001", "NaN", "inf", "1e3", ".5", "5.", "many", "1.2.3", "1,5",
+    ] {
+        assert!(read(number).is_err(), "{number}");
+    }
+}
+
 #[test]
 fn all_faults_of_tables_are_named_at_once() {
     let text = "key = 1\n[route a]\npath = stock\npool = none\ntimeout_ms = 0\nmethods = GET\n\
