Heads and idle connections of callers end at the configuration's limits

What callers saw: a connection without a request, or with a head that never ends, was kept for 75 s whatever the accepted configuration said; with an idle limit over 94 s, callers that reuse connections for four fifths of it would have met a closed one.

Cause: the limit was a constant of the HTTP library's server, one timer for the idle time and the head together.

Ruled out, by a test that passes before and after (sound_exchanges_are_longer_than_the_limits): a limit that ends a sound exchange. Requests after four fifths of the idle time, a call of twice the idle time, an answer that pauses for as long, and an upload of twice the idle time that goes on after the target's early answer are all served.

Why this works: each connection knows if it is idle, if a head is coming, or if an exchange runs, which ends with the later of the bodies of its request and answer. Its stream waits for the client with a timer that follows the limits in force, also on connections that were opened before. Bytes that have arrived are read before the timer is looked at, so that a suspended daemon ends no request. A connection that is given up closes without a byte of an answer, which tells callers that nothing was read.

--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -117,13 +117,17 @@
 }
 
 key_type! {
-    /// Limits on requests from callers; where one is missing, the daemon's own limit applies.
+    /// Limits on requests and connections from callers; where one is missing, the daemon's own limit applies.
     #[derive(Default)]
     pub struct TrafficLimits {
         /// Largest request head, in bytes.
         pub head_bytes: Option<u64>,
         /// Largest request body, in bytes.
         pub body_bytes: Option<u64>,
+        /// Time from the first byte of a request to the end of its head, in milliseconds.
+        pub head_timeout_ms: Option<u64>,
+        /// Time for which a connection may be idle, in milliseconds.
+        pub idle_timeout_ms: Option<u64>,
     }
 }
 
--- /dev/null
+++ b/src/connection_phase.rs
@@ -0,0 +1,137 @@
+//! What an accepted connection waits for, and the time limits on that.
+
+use {
+    bytes::Bytes,
+    hyper::body::{Body, Frame, SizeHint},
+    parking_lot::Mutex,
+    std::{
+        fmt::{Debug, Formatter},
+        pin::Pin,
+        sync::Arc,
+        task::{Context, Poll},
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// Time limits on what a client of a listener sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClientTimeouts {
+    /// Time from the first byte of a request to the end of its head.
+    pub head: Duration,
+    /// Time from the end of an answer, or from the start of a connection, to the first byte of the next request.
+    pub idle: Duration,
+}
+
+/// Returns the limits in force.
+pub type TimeoutSource = Arc<dyn Fn() -> ClientTimeouts + Send + Sync>;
+
+#[derive(Debug, Clone, Copy)]
+enum Phase {
+    /// No byte of a request has come since this time.
+    Idle(Instant),
+    /// The head of a request has been coming since this time.
+    Head(Instant),
+    /// A request is handled.
+    Exchange,
+}
+
+/// Phase of a connection. Shared by its stream, which waits for the client, and by the requests on it.
+pub struct ConnectionPhase {
+    timeouts: TimeoutSource,
+    phase: Mutex<Phase>,
+}
+
+impl Debug for ConnectionPhase {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("ConnectionPhase")
+            .field("phase", &self.phase)
+            .finish_non_exhaustive()
+    }
+}
+
+impl ConnectionPhase {
+    /// Creates the phase of a new connection.
+    pub fn new(timeouts: TimeoutSource) -> Self {
+        Self {
+            timeouts,
+            phase: Mutex::new(Phase::Idle(Instant::now())),
+        }
+    }
+
+    /// Records that bytes have arrived.
+    pub fn record_read(&self) {
+        let mut phase = self.phase.lock();
+        if matches!(*phase, Phase::Idle(_)) {
+            *phase = Phase::Head(Instant::now());
+        }
+    }
+
+    /// Records that bytes were sent. The end of an answer may leave long after the answer was handed over.
+    pub fn record_write(&self) {
+        let mut phase = self.phase.lock();
+        if matches!(*phase, Phase::Idle(_)) {
+            *phase = Phase::Idle(Instant::now());
+        }
+    }
+
+    /// Returns the time at which the client is given up; `None` while a request is handled.
+    pub fn deadline(&self) -> Option<Instant> {
+        let timeouts = (self.timeouts)();
+        match *self.phase.lock() {
+            Phase::Idle(since) => Some(since + timeouts.idle),
+            Phase::Head(since) => Some(since + timeouts.head),
+            Phase::Exchange => None,
+        }
+    }
+
+    /// Records that the head of a request has been read. The exchange lasts until its guard is dropped.
+    pub fn begin_exchange(self: &Arc<Self>) -> Arc<ExchangeGuard> {
+        *self.phase.lock() = Phase::Exchange;
+        Arc::new(ExchangeGuard(Arc::clone(self)))
+    }
+}
+
+/// Marks an exchange as running until dropped.
+#[derive(Debug)]
+pub struct ExchangeGuard(Arc<ConnectionPhase>);
+
+impl Drop for ExchangeGuard {
+    fn drop(&mut self) {
+        *self.0.phase.lock() = Phase::Idle(Instant::now());
+    }
+}
+
+/// Body of a request or an answer, during which the exchange lasts.
+#[derive(Debug)]
+pub struct ExchangeBody<B> {
+    body: B,
+    _guard: Arc<ExchangeGuard>,
+}
+
+impl<B> ExchangeBody<B> {
+    /// Wraps a body.
+    pub fn new(body: B, guard: Arc<ExchangeGuard>) -> Self {
+        Self { body, _guard: guard }
+    }
+}
+
+impl<B: Body<Data = Bytes> + Unpin> Body for ExchangeBody<B> {
+    type Data = Bytes;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/daemon/listeners.rs
+++ b/src/daemon/listeners.rs
@@ -5,7 +5,7 @@
         refusals::{RequestFields, log_word},
         shared::SharedState,
     },
-    crate::http::{HeadLimits, UnreadRequest, serve_observed},
+    crate::http::{CLIENT_TIMEOUTS, HeadLimits, UnreadRequest, serve_observed},
     salvo::{
         Depot, FlowCtrl, Handler, Request, Response, async_trait,
         http::{ResBody, StatusCode},
@@ -27,7 +27,8 @@
         listener: name,
         handler,
     };
-    serve_observed(listener, handler, HeadLimits::CONTROL, on_unread).await
+    let timeouts = Arc::new(|| CLIENT_TIMEOUTS);
+    serve_observed(listener, handler, HeadLimits::CONTROL, timeouts, on_unread).await
 }
 
 /// Returns a function that counts and logs a request which the HTTP library refused. Its head could not be read, so the
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -19,7 +19,7 @@
         call::PoolBudgets,
         clock::ProcessClock,
         gate::GateState,
-        http::{HeadLimits, bind, serve_observed},
+        http::{CLIENT_TIMEOUTS, ClientTimeouts, HeadLimits, bind, serve_observed},
         member::ProbeMessage,
         settings::DaemonSettings,
     },
@@ -229,13 +229,18 @@
         report_unread(Arc::clone(shared), "calls"),
         report_unread(Arc::clone(shared), "gate"),
     );
+    let call_timeouts = {
+        let shared = Arc::clone(shared);
+        Arc::new(move || client_timeouts(&shared))
+    };
+    let gate_timeouts = Arc::new(|| CLIENT_TIMEOUTS);
     let body = move || {
         runtime.block_on(async move {
             tokio::spawn(clean_clients(gate_clients));
             tokio::spawn(clean_clients(target_clients));
             let (outbound, inbound) = tokio::join!(
-                serve_observed(calls, outbound, HeadLimits::CALLS, on_unread_calls),
-                serve_observed(gate, inbound, HeadLimits::GATE, on_unread_gate)
+                serve_observed(calls, outbound, HeadLimits::CALLS, call_timeouts, on_unread_calls),
+                serve_observed(gate, inbound, HeadLimits::GATE, gate_timeouts, on_unread_gate)
             );
             for error in [outbound.err(), inbound.err()].into_iter().flatten() {
                 log::error!("event=traffic-ended worker={worker} error={error}");
@@ -248,6 +253,21 @@
         .map(drop)
 }
 
+/// Returns the time limits on callers in the configuration in force.
+fn client_timeouts(shared: &SharedState) -> ClientTimeouts {
+    let snapshot = shared.snapshot.load();
+    let limits = snapshot.table.as_ref().map(|table| table.limits);
+    let limits = limits.unwrap_or_default();
+    ClientTimeouts {
+        head: limits
+            .head_timeout_ms
+            .map_or(CLIENT_TIMEOUTS.head, Duration::from_millis),
+        idle: limits
+            .idle_timeout_ms
+            .map_or(CLIENT_TIMEOUTS.idle, Duration::from_millis),
+    }
+}
+
 async fn clean_clients(clients: Arc<PeerClients>) {
     let mut ticks = interval(CLIENT_CLEANUP_INTERVAL);
     loop {
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,10 +1,15 @@
 //! Listening sockets, HTTP servers and HTTP clients. Options of the libraries that matter are set explicitly.
 
 use {
-    crate::{paced_stream::PacedStream, reset_stream::ResetStream},
+    crate::{
+        connection_phase::{ConnectionPhase, ExchangeBody, ExchangeGuard},
+        paced_stream::PacedStream,
+        reset_stream::ResetStream,
+    },
     bytes::{Bytes, BytesMut},
+    http_body_util::BodyExt,
     hyper::{
-        body::Incoming,
+        body::{Body, Incoming},
         server::conn::http1,
         service::{Service as _, service_fn},
     },
@@ -13,7 +18,7 @@
         Handler, Request, Response, Router, Service,
         conn::{ConnCtrl, StraightStream},
         fuse::FuseConfig,
-        http::{ResBody, StatusCode, uri::Scheme},
+        http::{ReqBody, ResBody, StatusCode, uri::Scheme},
     },
     socket2::{Domain, Protocol, Socket, Type},
     std::{
@@ -30,11 +35,16 @@
     tokio::{sync::Notify, time::sleep},
 };
 
+pub use crate::connection_phase::{ClientTimeouts, TimeoutSource};
+
 /// Maximum number of connections waiting for `accept`; enough if all peers of a small service reconnect together.
 const LISTEN_BACKLOG: i32 = 1_024;
-/// Timeout for receiving a request head. The server also applies it to the wait for the next request. All clients of this
-/// crate close an idle connection earlier, so no request is sent on one that the server is closing.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(75);
+/// Time limits on clients unless the configuration sets others. All clients of this crate close an idle connection earlier,
+/// so no request is sent on one that the server is closing.
+pub const CLIENT_TIMEOUTS: ClientTimeouts = ClientTimeouts {
+    head: Duration::from_secs(75),
+    idle: Duration::from_secs(75),
+};
 /// Time after which the connection of a caller that does not read its answer is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(75);
 /// Maximum size of a caller's request head, in bytes; the configuration may set a lower limit.
@@ -173,7 +183,8 @@
 
 /// Serves all requests of a listener with one handler until the runtime stops.
 pub async fn serve<H: Handler>(listener: TcpListener, handler: H) -> io::Result<()> {
-    serve_observed(listener, handler, HeadLimits::CONTROL, |_| {}).await
+    let timeouts = Arc::new(|| CLIENT_TIMEOUTS);
+    serve_observed(listener, handler, HeadLimits::CONTROL, timeouts, |_| {}).await
 }
 
 /// Serves all requests of a listener with one handler until the runtime stops, and reports those that the HTTP library
@@ -182,18 +193,19 @@
     listener: TcpListener,
     handler: H,
     limits: HeadLimits,
+    timeouts: TimeoutSource,
     on_unread: impl Fn(&UnreadRequest) + Send + Sync + 'static,
 ) -> io::Result<()> {
     let service = Service::new(Router::with_path("{**rest}").goal(handler));
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let address = listener.local_addr()?;
     let mut fuse = FuseConfig::default();
-    fuse.http1_header_timeout = Some(HEAD_TIMEOUT);
     // A call may be silent for longer, so only a caller that doesn't read counts, not one that waits.
     fuse.write_stall_timeout = Some(WRITE_TIMEOUT);
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
+        // The library's limit includes the idle time before a head.
+        .header_read_timeout(None)
         .max_buf_size(limits.bytes)
         .max_headers(limits.headers)
         .half_close(false);
@@ -210,7 +222,8 @@
         };
         let closer = ConnectionCloser::default();
         let control = ConnCtrl::new();
-        let stream = ResetStream::new(stream, closer.clone());
+        let phase = Arc::new(ConnectionPhase::new(Arc::clone(&timeouts)));
+        let stream = ResetStream::new(stream, closer.clone(), Arc::clone(&phase));
         let stream = StraightStream::new(stream, Some(fuse), control.clone(), None);
         let handler = service.hyper_handler(
             address.into(),
@@ -221,9 +234,12 @@
             None,
         );
         let request_closer = closer.clone();
-        let handler = service_fn(move |mut request: hyper::Request<Incoming>| {
+        let handler = service_fn(move |request: hyper::Request<Incoming>| {
+            let exchange = phase.begin_exchange();
+            let mut request = request.map(|body| observed_body(body, &exchange));
             request.extensions_mut().insert(request_closer.clone());
-            handler.call(request)
+            let answer = handler.call(request);
+            async move { Ok::<_, hyper::Error>(answer.await?.map(|body| ExchangeBody::new(body, exchange))) }
         });
         let connection = http.serve_connection(TokioIo::new(PacedStream::new(stream)), handler);
         let on_unread = Arc::clone(&on_unread);
@@ -240,6 +256,18 @@
     }
 }
 
+/// Returns the body of a request, during which the exchange lasts.
+fn observed_body(body: Incoming, exchange: &Arc<ExchangeGuard>) -> ReqBody {
+    if body.is_end_stream() {
+        return ReqBody::None;
+    }
+    let body = ExchangeBody::new(body, Arc::clone(exchange));
+    ReqBody::Boxed {
+        inner: Box::pin(body.map_err(Into::into)),
+        fuse_config: None,
+    }
+}
+
 /// Creates a client that takes no action of its own: no retries, redirects, proxies or decompression.
 ///
 /// # Panics
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! configuration to its peers, proxies calls, and moves pools to new target versions step by step while it monitors
 //! the outcomes of calls.
 
+mod connection_phase;
 mod macros;
 
 pub mod call;
--- a/src/reset_stream.rs
+++ b/src/reset_stream.rs
@@ -1,15 +1,18 @@
-//! A connection that is reset instead of closed in order once its closer says so.
+//! An accepted connection, which ends if its client is too slow, and is reset instead of closed in order once its closer
+//! says so.
 
 use {
-    crate::http::ConnectionCloser,
+    crate::{connection_phase::ConnectionPhase, http::ConnectionCloser},
     std::{
         io::{self, IoSlice},
         pin::Pin,
-        task::{Context, Poll},
+        sync::Arc,
+        task::{Context, Poll, ready},
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
         net::TcpStream,
+        time::{Sleep, sleep_until},
     },
 };
 
@@ -18,12 +21,33 @@
 pub struct ResetStream {
     stream: TcpStream,
     closer: ConnectionCloser,
+    phase: Arc<ConnectionPhase>,
+    timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl ResetStream {
     /// Wraps a stream.
-    pub fn new(stream: TcpStream, closer: ConnectionCloser) -> Self {
-        Self { stream, closer }
+    pub fn new(stream: TcpStream, closer: ConnectionCloser, phase: Arc<ConnectionPhase>) -> Self {
+        Self {
+            stream,
+            closer,
+            phase,
+            timer: None,
+        }
+    }
+
+    /// Waits for the time at which the client is given up.
+    fn poll_timeout(&mut self, cx: &mut Context<'_>) -> Poll<io::Error> {
+        // The limits may have changed since the last poll.
+        let Some(deadline) = self.phase.deadline() else {
+            return Poll::Pending;
+        };
+        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(deadline)));
+        if timer.deadline() != deadline {
+            timer.as_mut().reset(deadline);
+        }
+        ready!(timer.as_mut().poll(cx));
+        Poll::Ready(io::Error::new(io::ErrorKind::TimedOut, "no request came in time"))
     }
 }
 
@@ -43,12 +67,21 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if result.is_pending() {
+            return self.poll_timeout(cx).map(Err);
+        }
+        if buf.filled().len() > before {
+            self.phase.record_read();
+        }
+        result
     }
 }
 
 impl AsyncWrite for ResetStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.phase.record_write();
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -69,6 +102,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.phase.record_write();
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 }
