A table counts as the newest for no longer than a change takes to be in force

And a daemon took its table for the newest one for 4.5 s after its confirmation, though a change must be in force 2 s after its acknowledgement (2.5 s in the tests of fleets). In between it could answer 404 for a route that had to be served.

Cause: leading daemons confirmed every 2 s only, others asked at any time of that and took over after 3.5 s, 8 attempts a second by all together, of which one in ten succeeds. A 4.5 s confirmation followed from these times, not from a promise.

Ruled out: a leading daemon that says that its read is overdue. A silent store shows only after the wait, so shorter waits are needed in any case. Takeovers of 100 attempts a second without end: a store that is down would cost as many calls.

The fix: the confirmation lasts 2 s. Leading daemons wait 1 s and call again at once after a change or a failure, which confirm no time after the call was sent. Others ask just after the next read should have ended. Takeovers start at 1.5 s (daemons that watch) and 1.8 s, at 100 first attempts a second, one of each daemon, then 8 as before. A daemon that could not help tells those that asked it once it can. A daemon that is asked and reads gives way only within its data centre.

Why it works: what a daemon says rests on a read at most 2 s old, so it holds every version accepted more than 2 s ago.

--- a/src/daemon/kv_store_edge.rs
+++ b/src/daemon/kv_store_edge.rs
@@ -21,8 +21,6 @@
 const STANDBY_WAIT: Duration = Duration::from_secs(20);
 /// The same for a leading daemon.
 const LEAD_WAIT: Duration = Duration::from_millis(LEAD_WAIT_MS);
-/// Wait of a leading daemon after a change, so that the time that the change's answer confirmed gets no older.
-const CHANGED_WAIT: Duration = Duration::from_millis(500);
 /// Backoff after the first failed call, in milliseconds; doubled with each further failure.
 const INITIAL_BACKOFF_MS: u64 = 250;
 /// Maximum backoff before jitter, in milliseconds.
@@ -146,8 +144,8 @@
     {
         let mode = *mode_changes.borrow();
         let wait = match mode {
-            WatchMode::Leading { .. } if mode != answered_mode => Duration::ZERO,
-            WatchMode::Leading { .. } if has_changed => CHANGED_WAIT,
+            // A change or a failure has confirmed no time after the call was sent.
+            WatchMode::Leading { .. } if mode != answered_mode || has_changed => Duration::ZERO,
             WatchMode::Leading { .. } => LEAD_WAIT,
             WatchMode::Off | WatchMode::Standby => STANDBY_WAIT,
         };
@@ -178,6 +176,7 @@
         } else {
             let pause_ms = (INITIAL_BACKOFF_MS << failures.min(8)).min(MAX_BACKOFF_MS);
             failures += 1;
+            answered_mode = WatchMode::Off;
             jittered(pause_ms)
         };
         let confirmed_at =
--- a/src/member/confirmation.rs
+++ b/src/member/confirmation.rs
@@ -6,34 +6,48 @@
 
 use {
     crate::{clock::TimePoint, macros::value_type},
+    indexmap::IndexSet,
     rand::{RngExt, rngs::SmallRng},
     std::net::SocketAddr,
 };
 
-/// Time for which a confirmation lasts, in milliseconds. In a calm mesh it is at most [`LEAD_WAIT_MS`] and
-/// `INQUIRY_INTERVAL_MS` old, plus the answers; the rest is time for others to replace a leading daemon.
-pub const CONFIRMATION_TTL_MS: u64 = 4_500;
+/// Time for which a confirmation lasts, in milliseconds: that from the acknowledgement of a change until it must be in
+/// force. So a daemon that has missed a change never takes its table for the newest one after that time.
+pub const CONFIRMATION_TTL_MS: u64 = 2_000;
 /// Longest wait of a watch by a leading daemon, in milliseconds. Each end of a wait confirms, and costs a call.
-pub const LEAD_WAIT_MS: u64 = 2_000;
-/// Time between two inquiries while they are answered, in milliseconds.
-const INQUIRY_INTERVAL_MS: u64 = 1_000;
+pub const LEAD_WAIT_MS: u64 = 1_000;
+/// Time from the moment at which a leading daemon's next read is expected to end until it is asked, in milliseconds.
+const INQUIRY_DELAY_MS: u64 = 200;
+/// Shortest time between two inquiries while they are answered, in milliseconds.
+const MIN_INQUIRY_INTERVAL_MS: u64 = 300;
+/// Time between two looks for a daemon to ask, in milliseconds.
+const SEARCH_INTERVAL_MS: u64 = 1_000;
 /// Time after which the next daemon is asked, in milliseconds.
-const INQUIRY_TIMEOUT_MS: u64 = 300;
-/// The same once the confirmation has expired.
+const INQUIRY_TIMEOUT_MS: u64 = 200;
+/// The same once the confirmation has expired for long.
 const LATE_INQUIRY_TIMEOUT_MS: u64 = 600;
 /// Time after which an answer to an inquiry is ignored, in milliseconds.
 const ANSWER_TIMEOUT_MS: u64 = 3_000;
 /// Oldest confirmation that ends the search for a better one, in milliseconds: as old as that of a leading daemon gets.
-const USEFUL_AGE_MS: u64 = LEAD_WAIT_MS + 500;
+const USEFUL_AGE_MS: u64 = LEAD_WAIT_MS + 300;
 /// Age from which a daemon reads the store itself, in milliseconds: more than in a calm mesh, and less than
 /// [`CONFIRMATION_TTL_MS`], so that the first takeovers come in time.
-const TAKEOVER_AGE_MS: u64 = 3_500;
-/// Takeovers per second that all daemons together attempt.
+const TAKEOVER_AGE_MS: u64 = 1_500;
+/// Time in which a daemon that watches the store reads it from that age on, in milliseconds, as its watch is paid for
+/// already.
+const WATCHER_TAKEOVER_INTERVAL_MS: u64 = 200;
+/// Time for which other daemons leave it to these, in milliseconds.
+const FIRST_TAKEOVER_DELAY_MS: u64 = 300;
+/// Rate of the first attempts of all daemons together, one of each, in calls per second.
+const FIRST_TAKEOVERS_PER_S: u64 = 100;
+/// Rate of their later attempts, in calls per second.
 const TAKEOVERS_PER_S: u64 = 8;
 /// Shortest mean time between two attempts of a daemon that does not watch the store, in milliseconds.
 const MIN_TAKEOVER_INTERVAL_MS: u64 = 1_000;
-/// The same for a daemon that does, as its watch is paid for already.
-const WATCHER_TAKEOVER_INTERVAL_MS: u64 = 300;
+/// Number of daemons that are told of a confirmation after they asked for it in vain.
+const MAX_WAITING: usize = 64;
+/// Time after an attempt in which the next one does not count as the first, in milliseconds.
+const TAKEOVER_MEMORY_MS: u64 = 10_000;
 /// Time after which the daemons that are asked first are tried again, in milliseconds.
 const FIRST_TURN_MS: u64 = 5_000;
 
@@ -93,6 +107,8 @@
     reader: Option<SocketAddr>,
     newest_version: u64,
     inquiries: Vec<PendingInquiry>,
+    /// Daemons that asked for a recent confirmation in vain.
+    waiting: IndexSet<SocketAddr>,
     next_inquiry_at: TimePoint,
     /// Whether the latest inquiry has had no useful answer.
     is_searching: bool,
@@ -103,6 +119,8 @@
     /// When the daemons that are asked first are tried again.
     first_turn_at: TimePoint,
     takeover: TakeoverPhase,
+    /// From when on an attempt to take over counts as the first one.
+    first_takeover_at: TimePoint,
     /// When this process started or continued after a suspension; others had no time to confirm before.
     resumed_at: TimePoint,
     mode: WatchMode,
@@ -117,12 +135,14 @@
             reader: None,
             newest_version: 0,
             inquiries: Vec::new(),
+            waiting: IndexSet::new(),
             next_inquiry_at: now,
             is_searching: false,
             offered_by: None,
             turn: 0,
             first_turn_at: TimePoint::FAR_FUTURE,
             takeover: TakeoverPhase::Idle,
+            first_takeover_at: now,
             resumed_at: now,
             mode: WatchMode::Off,
         }
@@ -193,6 +213,21 @@
         })
     }
 
+    /// Notes who gets an answer that may be of no use.
+    pub(super) fn note_asker(&mut self, from: SocketAddr, now: TimePoint) {
+        if now.ms_since(self.confirmed_at) > USEFUL_AGE_MS && self.waiting.len() < MAX_WAITING {
+            self.waiting.insert(from);
+        }
+    }
+
+    /// Returns the daemons that asked in vain, once there is a recent confirmation.
+    pub(super) fn take_waiting(&mut self, now: TimePoint) -> IndexSet<SocketAddr> {
+        if now.ms_since(self.confirmed_at) > USEFUL_AGE_MS {
+            return IndexSet::new();
+        }
+        std::mem::take(&mut self.waiting)
+    }
+
     /// Records a read of the store by this daemon that showed every version accepted up to `confirmed_at`.
     pub(super) fn confirm_read(&mut self, confirmed_at: TimePoint) {
         self.learn(confirmed_at, self.own);
@@ -239,7 +274,7 @@
     /// Records that an inquiry was sent, or that nobody could be asked.
     pub(super) fn start_inquiry(&mut self, seq: Option<u64>, now: TimePoint) {
         let Some(seq) = seq else {
-            self.next_inquiry_at = now.after_ms(INQUIRY_INTERVAL_MS);
+            self.next_inquiry_at = now.after_ms(SEARCH_INTERVAL_MS);
             return;
         };
         self.is_searching = true;
@@ -262,15 +297,18 @@
         if is_recent && inquiry.sent_at >= self.resumed_at {
             self.heard_at = self.heard_at.max(inquiry.sent_at);
             self.is_searching = false;
-            self.next_inquiry_at = inquiry.sent_at.after_ms(INQUIRY_INTERVAL_MS);
+            let next_read_at = self.confirmed_at.after_ms(LEAD_WAIT_MS);
+            let earliest = inquiry.sent_at.after_ms(MIN_INQUIRY_INTERVAL_MS);
+            self.next_inquiry_at = next_read_at.after_ms(INQUIRY_DELAY_MS).max(earliest);
         }
         Some(known.version)
     }
 
     /// Ends a takeover, as `known` shows that another daemon leads. Of two takeovers, the one with the lower address
-    /// lasts.
-    pub(super) fn yield_to(&mut self, known: &KnownVersion, is_reader_first: bool) {
-        let is_useful = known.age_ms <= USEFUL_AGE_MS && known.reader != self.own;
+    /// lasts. A slow store confirms nothing recent: there it shows the same if `known` is newer than the own read.
+    pub(super) fn yield_to(&mut self, known: &KnownVersion, is_reader_first: bool, had_read_itself: bool) {
+        let is_newer = had_read_itself && self.reader == Some(known.reader);
+        let is_useful = (known.age_ms <= USEFUL_AGE_MS || is_newer) && known.reader != self.own;
         if is_useful
             && self.takeover == TakeoverPhase::Leading
             && (is_reader_first || known.reader < self.own)
@@ -294,10 +332,14 @@
             TakeoverPhase::Leading => TakeoverPhase::Leading,
             _ if is_confirmed => TakeoverPhase::Idle,
             TakeoverPhase::Idle => {
-                let interval_ms = pace.interval_ms(is_watcher);
-                TakeoverPhase::DueAt(now.after_ms(rng.random_range(0..=interval_ms)))
+                let is_first_attempt = now >= self.first_takeover_at;
+                let (delay_ms, spread_ms) = pace.first_delay_ms(is_watcher, is_first_attempt);
+                TakeoverPhase::DueAt(now.after_ms(delay_ms + rng.random_range(0..=spread_ms)))
+            }
+            TakeoverPhase::DueAt(due_at) if now >= due_at => {
+                self.first_takeover_at = now.after_ms(TAKEOVER_MEMORY_MS);
+                TakeoverPhase::Leading
             }
-            TakeoverPhase::DueAt(due_at) if now >= due_at => TakeoverPhase::Leading,
             waiting @ TakeoverPhase::DueAt(_) => waiting,
         };
         let leads = is_first || self.takeover == TakeoverPhase::Leading;
@@ -318,7 +360,7 @@
     }
 
     fn retry_ms(&self, now: TimePoint) -> u64 {
-        if now.ms_since(self.confirmed_at) <= CONFIRMATION_TTL_MS {
+        if now.ms_since(self.confirmed_at) <= 2 * CONFIRMATION_TTL_MS {
             INQUIRY_TIMEOUT_MS
         } else {
             LATE_INQUIRY_TIMEOUT_MS
@@ -334,6 +376,18 @@
 }
 
 impl TakeoverPace {
+    /// Returns the least time until the first attempt after a confirmation, and the time over which the daemons spread
+    /// theirs from then on.
+    fn first_delay_ms(self, is_watcher: bool, is_first_attempt: bool) -> (u64, u64) {
+        if is_watcher || !is_first_attempt {
+            return (0, self.interval_ms(is_watcher));
+        }
+        (
+            FIRST_TAKEOVER_DELAY_MS,
+            self.daemons * 1_000 / FIRST_TAKEOVERS_PER_S,
+        )
+    }
+
     /// Returns the mean time between two attempts of a daemon.
     fn interval_ms(self, is_watcher: bool) -> u64 {
         if is_watcher {
--- a/src/member/state/confirming.rs
+++ b/src/member/state/confirming.rs
@@ -31,19 +31,15 @@
     }
 
     /// Records a read of the store by this daemon that showed every version accepted up to `confirmed_at`. A daemon
-    /// that others don't ask, as they rank higher, offers its confirmation to the first of each data centre.
+    /// that others don't ask, as they rank higher, offers its confirmation to the first of each data centre; every
+    /// daemon offers it to those that asked in vain before.
     pub fn confirm_read(&mut self, confirmed_at: TimePoint, now: TimePoint) -> Vec<MemberEffect> {
         self.confirmation.confirm_read(confirmed_at);
-        if let Some(known) = self
-            .confirmation
-            .known(now)
-            .filter(|_| self.confirmation.has_taken_over())
-        {
-            for address in self.first_of_each_centre() {
-                let known = known.clone();
-                self.send_with(address, ProbeKind::Confirmation { seq: 0, known }, Vec::new());
-            }
+        let mut offered_to = self.confirmation.take_waiting(now);
+        if self.confirmation.has_taken_over() {
+            offered_to.extend(self.first_of_each_centre());
         }
+        self.offer_confirmation(offered_to, now);
         std::mem::take(&mut self.effects)
     }
 
@@ -96,8 +92,19 @@
         }
     }
 
+    fn offer_confirmation(&mut self, offered_to: IndexSet<SocketAddr>, now: TimePoint) {
+        let Some(known) = self.confirmation.known(now) else {
+            return;
+        };
+        for address in offered_to {
+            let known = known.clone();
+            self.send_with(address, ProbeKind::Confirmation { seq: 0, known }, Vec::new());
+        }
+    }
+
     /// Answers an inquiry.
     pub(super) fn answer_inquiry(&mut self, from: SocketAddr, seq: u64, now: TimePoint) {
+        self.confirmation.note_asker(from, now);
         if let Some(known) = self.confirmation.known(now) {
             self.send_with(from, ProbeKind::Confirmation { seq, known }, Vec::new());
         }
@@ -111,13 +118,23 @@
         known: &KnownVersion,
         now: TimePoint,
     ) {
+        let had_read_itself = self.confirmation.reader() == Some(self.own.control);
+        let reads_itself = self.confirmation.reads_itself(now);
         let Some(version) = self.confirmation.finish_inquiry(seq, known, now) else {
             self.confirmation.note_offer(from, now);
             return;
         };
         self.effects.push(MemberEffect::Announced { version });
+        let waiting = self.confirmation.take_waiting(now);
+        self.offer_confirmation(waiting, now);
+        // A data centre keeps a daemon that reads the store, if one of those that are asked can.
+        let is_asked = self.own_rank().is_some_and(|rank| rank < ASKED_WATCHERS);
+        if reads_itself && is_asked && !self.is_local(known.reader) {
+            return;
+        }
         let is_reader_first = self.is_first(known.reader);
-        self.confirmation.yield_to(known, is_reader_first);
+        self.confirmation
+            .yield_to(known, is_reader_first, had_read_itself);
     }
 
     /// Returns the daemon to ask next: those that rank highest in the own data centre in turn, then the one whose read
@@ -153,10 +170,20 @@
 
     /// Returns whether the daemon with this control address ranks highest in its data centre.
     fn is_first(&self, control: SocketAddr) -> bool {
-        let record = self.others().find(|record| record.control == control);
+        let record = self.other_at(control);
         record.is_some_and(|record| self.ranked(&record.data_centre, 1) == [&*record.name])
     }
 
+    /// Returns whether the daemon with this control address is in the own data centre.
+    fn is_local(&self, control: SocketAddr) -> bool {
+        let record = self.other_at(control);
+        record.is_some_and(|record| record.data_centre == self.own.data_centre)
+    }
+
+    fn other_at(&self, control: SocketAddr) -> Option<&MemberRecord> {
+        self.others().find(|record| record.control == control)
+    }
+
     /// Returns the place of this daemon among those of its data centre that rank for the watch of the store.
     fn own_rank(&self) -> Option<usize> {
         let ranked = self.ranked(&self.own.data_centre, usize::MAX);
