A small body that does not reach a gate whole does not count against the target

What callers saw: three requests whose small bodies are cut or late between proxy and gate eject a target that has seen none of them.

Cause: the gate gave the same reason, `bad-request`, for a body that did not arrive and for a request that it can't write, and the proxy recorded a failure of the target for every reason that it does not know.

Evidence, before: bodies_cut_on_the_hop_do_not_count_against_the_target: left: (Some("not-run"), Some("bad-request")), right: (Some("not-run"), Some("body-incomplete")).

Why this works: the gate names the reason, and the proxy records nothing for it; the request is sent elsewhere as before, since no part of it was sent to the target. A link that breaks still counts, as a connection that breaks.

--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -258,6 +258,8 @@
                 }
             }
             Some(GateRefusal::Stopped) => {}
+            // The target has not seen the request.
+            None if reason == BODY_INCOMPLETE => {}
             Some(GateRefusal::Shed) => selector.record_shed(&self.target.name),
             _ => drop(selector.record_failure(&self.target.name, now)),
         }
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -91,6 +91,9 @@
     Unknown(&'static str),
     /// The body of the request broke off or came late after a part of it was sent to the target.
     BodyBroken,
+    /// The body of the request did not arrive whole, and no part of it was sent to the target.
+    BodyIncomplete,
+    /// The path has no form for the target.
     BadRequest,
 }
 
@@ -229,7 +232,7 @@
             req,
             hop,
             identity,
-            body.map_err(|_| GateFailure::BadRequest)?,
+            body.map_err(|_| GateFailure::BodyIncomplete)?,
             progress,
         );
         let mut recorder = CallRecorder {
@@ -429,11 +432,17 @@
             BODY_INCOMPLETE,
             "the body broke off or came late on its way to the target",
         ),
+        GateFailure::BodyIncomplete => (
+            StatusCode::BAD_REQUEST,
+            CallOutcome::NotRun,
+            BODY_INCOMPLETE,
+            "the body did not arrive whole; send it again",
+        ),
         GateFailure::BadRequest => (
             StatusCode::BAD_REQUEST,
             CallOutcome::NotRun,
             "bad-request",
-            "the body did not arrive whole; send it again",
+            "the path has no form for the target; check it",
         ),
     };
     if let Some(suppressed) = shared.record_refusal("gate", status, reason) {
