The limit of idle connections holds after an answer, too

What callers saw: a connection on which nothing comes after an answer was kept past the idle limit of the configuration, most of the time.

Cause: the server reads again after an answer only if bytes come, so the timer of the connection, which is set when a read finds nothing, was not set again when the exchange ended.

Why this works: the end of an exchange wakes the task that serves the connection, which reads and sets the timer.

--- a/src/connection_phase.rs
+++ b/src/connection_phase.rs
@@ -2,13 +2,14 @@
 
 use {
     bytes::Bytes,
+    futures_util::task::AtomicWaker,
     hyper::body::{Body, Frame, SizeHint},
     parking_lot::Mutex,
     std::{
         fmt::{Debug, Formatter},
         pin::Pin,
         sync::Arc,
-        task::{Context, Poll},
+        task::{Context, Poll, Waker},
         time::Duration,
     },
     tokio::time::Instant,
@@ -40,6 +41,8 @@
 pub struct ConnectionPhase {
     timeouts: TimeoutSource,
     phase: Mutex<Phase>,
+    /// Wakes the task that serves the connection.
+    waker: AtomicWaker,
 }
 
 impl Debug for ConnectionPhase {
@@ -56,6 +59,7 @@
         Self {
             timeouts,
             phase: Mutex::new(Phase::Idle(Instant::now())),
+            waker: AtomicWaker::new(),
         }
     }
 
@@ -75,8 +79,9 @@
         }
     }
 
-    /// Returns the time at which the client is given up; `None` while a request is handled.
-    pub fn deadline(&self) -> Option<Instant> {
+    /// Returns the time at which the client is given up; `None` while a request is handled. `waker` is woken when that ends.
+    pub fn deadline(&self, waker: &Waker) -> Option<Instant> {
+        self.waker.register(waker);
         let timeouts = (self.timeouts)();
         match *self.phase.lock() {
             Phase::Idle(since) => Some(since + timeouts.idle),
@@ -99,6 +104,8 @@
 impl Drop for ExchangeGuard {
     fn drop(&mut self) {
         *self.0.phase.lock() = Phase::Idle(Instant::now());
+        // The server does not read again after an answer unless the client sends something.
+        self.0.waker.wake();
     }
 }
 
--- a/src/reset_stream.rs
+++ b/src/reset_stream.rs
@@ -39,7 +39,7 @@
     /// Waits for the time at which the client is given up.
     fn poll_timeout(&mut self, cx: &mut Context<'_>) -> Poll<io::Error> {
         // The limits may have changed since the last poll.
-        let Some(deadline) = self.phase.deadline() else {
+        let Some(deadline) = self.phase.deadline(cx.waker()) else {
             return Poll::Pending;
         };
         let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(deadline)));
