The end of an earlier exchange does not make a running one idle

What callers would see: a call that takes longer than the configuration's idle time ends with a closed connection while its target works. Found by reading, not seen.

Cause: a connection counted as idle when any part of an exchange was dropped. The body of a request can be dropped a moment after its end was read, by the task that sends it on, when the next request on the connection is handled already.

Change: exchanges are numbered, and only the end of the latest one makes the connection idle.

--- a/src/connection_phase.rs
+++ b/src/connection_phase.rs
@@ -8,7 +8,10 @@
     std::{
         fmt::{Debug, Formatter},
         pin::Pin,
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
         task::{Context, Poll, Waker},
         time::Duration,
     },
@@ -33,14 +36,16 @@
     Idle(Instant),
     /// The head of a request has been coming since this time.
     Head(Instant),
-    /// A request is handled.
-    Exchange,
+    /// A request is handled, the one with this number on its connection.
+    Exchange(u64),
 }
 
 /// Phase of a connection. Shared by its stream, which waits for the client, and by the requests on it.
 pub struct ConnectionPhase {
     timeouts: TimeoutSource,
     phase: Mutex<Phase>,
+    /// Number of requests so far.
+    exchanges: AtomicU64,
     /// Wakes the task that serves the connection.
     waker: AtomicWaker,
 }
@@ -59,6 +64,7 @@
         Self {
             timeouts,
             phase: Mutex::new(Phase::Idle(Instant::now())),
+            exchanges: AtomicU64::new(0),
             waker: AtomicWaker::new(),
         }
     }
@@ -86,26 +92,37 @@
         match *self.phase.lock() {
             Phase::Idle(since) => Some(since + timeouts.idle),
             Phase::Head(since) => Some(since + timeouts.head),
-            Phase::Exchange => None,
+            Phase::Exchange(_) => None,
         }
     }
 
     /// Records that the head of a request has been read. The exchange lasts until its guard is dropped.
     pub fn begin_exchange(self: &Arc<Self>) -> Arc<ExchangeGuard> {
-        *self.phase.lock() = Phase::Exchange;
-        Arc::new(ExchangeGuard(Arc::clone(self)))
+        let number = self.exchanges.fetch_add(1, Ordering::Relaxed);
+        *self.phase.lock() = Phase::Exchange(number);
+        Arc::new(ExchangeGuard {
+            phase: Arc::clone(self),
+            number,
+        })
     }
 }
 
 /// Marks an exchange as running until dropped.
 #[derive(Debug)]
-pub struct ExchangeGuard(Arc<ConnectionPhase>);
+pub struct ExchangeGuard {
+    phase: Arc<ConnectionPhase>,
+    number: u64,
+}
 
 impl Drop for ExchangeGuard {
     fn drop(&mut self) {
-        *self.0.phase.lock() = Phase::Idle(Instant::now());
-        // The server does not read again after an answer unless the client sends something.
-        self.0.waker.wake();
+        let mut phase = self.phase.phase.lock();
+        // Whoever has read the body of an earlier request may drop it while the next one is handled.
+        if matches!(*phase, Phase::Exchange(number) if number == self.number) {
+            *phase = Phase::Idle(Instant::now());
+            // The server does not read again after an answer unless the client sends something.
+            self.phase.waker.wake();
+        }
     }
 }
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        connection_phase::{ConnectionPhase, ExchangeBody, ExchangeGuard},
+        connection_phase::{ExchangeBody, ExchangeGuard},
         paced_stream::PacedStream,
         reset_stream::ResetStream,
     },
@@ -35,7 +35,7 @@
     tokio::{sync::Notify, time::sleep},
 };
 
-pub use crate::connection_phase::{ClientTimeouts, TimeoutSource};
+pub use crate::connection_phase::{ClientTimeouts, ConnectionPhase, TimeoutSource};
 
 /// Maximum number of connections waiting for `accept`; enough if all peers of a small service reconnect together.
 const LISTEN_BACKLOG: i32 = 1_024;
