--- a/src/reset_stream.rs
+++ b/src/client_stream.rs
@@ -18,14 +18,14 @@
 
 /// Stream of an accepted connection.
 #[derive(Debug)]
-pub struct ResetStream {
+pub struct ClientStream {
     stream: TcpStream,
     closer: ConnectionCloser,
     phase: Arc<ConnectionPhase>,
     timer: Option<Pin<Box<Sleep>>>,
 }
 
-impl ResetStream {
+impl ClientStream {
     /// Wraps a stream.
     pub fn new(stream: TcpStream, closer: ConnectionCloser, phase: Arc<ConnectionPhase>) -> Self {
         Self {
@@ -51,7 +51,7 @@
     }
 }
 
-impl Drop for ResetStream {
+impl Drop for ClientStream {
     fn drop(&mut self) {
         if self.closer.is_closing()
             && let Err(error) = self.stream.set_zero_linger()
@@ -61,7 +61,7 @@
     }
 }
 
-impl AsyncRead for ResetStream {
+impl AsyncRead for ClientStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -79,7 +79,7 @@
     }
 }
 
-impl AsyncWrite for ResetStream {
+impl AsyncWrite for ClientStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.phase.record_write();
         Pin::new(&mut self.stream).poll_write(cx, buf)
--- a/src/http.rs
+++ b/src/http.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
+        client_stream::ClientStream,
         connection_phase::{ExchangeBody, ExchangeGuard},
         paced_stream::PacedStream,
-        reset_stream::ResetStream,
     },
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
@@ -223,7 +223,7 @@
         let closer = ConnectionCloser::default();
         let control = ConnCtrl::new();
         let phase = Arc::new(ConnectionPhase::new(Arc::clone(&timeouts)));
-        let stream = ResetStream::new(stream, closer.clone(), Arc::clone(&phase));
+        let stream = ClientStream::new(stream, closer.clone(), Arc::clone(&phase));
         let stream = StraightStream::new(stream, Some(fuse), control.clone(), None);
         let handler = service.hyper_handler(
             address.into(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 mod macros;
 
 pub mod call;
+mod client_stream;
 pub mod clock;
 pub mod cmd;
 pub mod codec;
@@ -21,7 +22,6 @@
 pub mod member;
 pub mod moves;
 mod paced_stream;
-mod reset_stream;
 pub mod settings;
 pub mod spread;
 pub mod store;
