The loss of all daemons that watch is held to the bound of before (known failure)

What callers see: after such a loss large fleets answer 503 instead of 404 for absent routes, for up to 0.6 s.

Change: one test for leading daemons and one for all that watch, each under the four troubles and held to the 1 % of.

No code changed.

--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -16,8 +16,8 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
-/// Maximum size of an encoded head that is written to the store, in bytes. The store accepts 1 MiB per value, and base64 in its JSON form adds a
-/// third.
+/// Maximum size of an encoded head that is written to the store, in bytes. The store accepts 1 MiB per value, and base64
+/// in its JSON form adds a third.
 pub const MAX_HEAD_BYTES: usize = 720 * 1024;
 /// Maximum number of change notes in a head, and likewise of closed moves and of tombstones.
 pub const HISTORY_LIMIT: usize = 64;
--- a/src/daemon/control/joining.rs
+++ b/src/daemon/control/joining.rs
@@ -7,8 +7,8 @@
     rand::{RngExt, seq::SliceRandom},
 };
 
-/// Number of contacts that are asked at the first attempt. It covers a whole mesh of the users' sites, so that every
-/// daemon gets the record of a starting one at once and notifies it of leaving targets.
+/// Number of contacts that are asked at the first attempt. In a mesh of up to that size every daemon
+/// gets the record of a starting one at once and notifies it of leaving targets; in a larger one the others hear of it.
 const FIRST_CONTACTS: usize = 40;
 /// Maximum number of doublings of [`FIRST_CONTACTS`] on further attempts.
 const MAX_DOUBLINGS: u32 = 5;
--- a/tests/confirmation.rs
+++ b/tests/confirmation.rs
@@ -384,21 +384,17 @@
     }
 }
 
-/// Guards against a fleet that loses its confirmation with the daemons that read the store.
-#[test]
-fn others_take_the_place_of_a_leading_daemon() {
+/// Runs fleets after a trouble of the daemons that `affected` selects, and returns those that were unsure for more than a
+/// hundredth of the time.
+fn unsure_fleets(affected: fn(&Fleet) -> Vec<usize>) -> Vec<String> {
+    let mut unsure_fleets = Vec::new();
     for (count, seed) in [(12, 1), (12, 2), (12, 3), (88, 4), (295, 5)] {
-        for trouble in ["killed", "left", "frozen", "refused", "all watchers killed"] {
+        for trouble in ["killed", "left", "frozen", "refused"] {
             let mut fleet = Fleet::start(count, seed);
-            let is_for_all = trouble == "all watchers killed";
-            for index in if is_for_all {
-                fleet.watching()
-            } else {
-                fleet.leading()
-            } {
+            for index in affected(&fleet) {
                 let daemon = &mut fleet.daemons[index];
                 match trouble {
-                    "killed" | "all watchers killed" => daemon.state = None,
+                    "killed" => daemon.state = None,
                     "frozen" => daemon.is_frozen = true,
                     "refused" => daemon.reaches_store = false,
                     _ => {
@@ -412,11 +408,24 @@
             let unsure = fleet.run(20_000);
             let calls_per_s = f64::from(fleet.calls - calls) / 20.0;
             println!("{count} {trouble}: unsure {unsure:.4}, {calls_per_s:.1} calls/s");
-            // Other daemons leave the store to those that watch it, and spread their first attempts.
-            let limit = if is_for_all { 0.05 } else { 0.01 };
-            assert!(unsure < limit, "{count} {trouble}: {unsure}");
+            if unsure >= 0.01 {
+                unsure_fleets.push(format!("{count} {trouble}: {unsure:.4}"));
+            }
         }
     }
+    unsure_fleets
+}
+
+/// Guards against a mesh that loses its confirmation with the daemon that reads the store for a data centre.
+#[test]
+fn others_take_the_place_of_a_leading_daemon() {
+    assert_eq!(unsure_fleets(Fleet::leading), Vec::<String>::new());
+}
+
+/// Guards against a mesh that loses its confirmation with all daemons that watch the store.
+#[test]
+fn others_take_the_place_of_all_daemons_that_watch() {
+    assert_eq!(unsure_fleets(Fleet::watching), Vec::<String>::new());
 }
 
 /// Guards against a fleet that stays without confirmation although one of its daemons, which does not watch, reaches
