Each subject of refusals has a limit of its own for its log lines

Cause: 64 buckets were shared by all subjects by a hash that differs from process to process. One subject in 64 had its limit in common with the flooding one, and no line while the common limit was used up.

Ruled out: lines lost on their way to standard output (the log has no line of lost ones, and `suppressed` was not reset).

Fix: buckets are kept by the whole hash of the subject, at most 64 for a reason; one that is full again makes place, and subjects beyond share one.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -32,7 +32,7 @@
     freshness::TableFreshness,
     logs::start_logs,
     operators::{DaemonStatus, MoveStatus},
-    refusals::log_word,
+    refusals::{RefusalLines, log_word},
     run::{RunError, run},
     snapshot::TrafficSnapshot,
     traffic::{
--- a/src/daemon/refusals.rs
+++ b/src/daemon/refusals.rs
@@ -3,6 +3,7 @@
 use {
     super::{shared::SharedState, traffic::request_host},
     crate::clock::TimePoint,
+    indexmap::IndexMap,
     parking_lot::Mutex,
     salvo::{Request, http::StatusCode},
     std::{
@@ -22,8 +23,8 @@
     per_s: 1.0,
     burst: 5.0,
 };
-/// Number of buckets that the subjects of a reason share by their hash.
-const SUBJECT_BUCKETS: usize = 64;
+/// Number of subjects of a reason with a limit of their own. Those beyond share one.
+const MAX_SUBJECTS: usize = 64;
 /// Longest text of a request in a log line, in bytes.
 const MAX_TEXT_BYTES: usize = 200;
 
@@ -52,22 +53,34 @@
     }
 
     fn take(&mut self, rate: LineRate, now: TimePoint) -> bool {
-        let refill = now.ms_since(self.refilled_at) as f64 / 1e3 * rate.per_s;
-        self.tokens = (self.tokens + refill).min(rate.burst);
-        self.refilled_at = now;
+        self.refill(rate, now);
         let has_token = self.tokens >= 1.0;
         if has_token {
             self.tokens -= 1.0;
         }
         has_token
     }
+
+    fn is_full(&mut self, rate: LineRate, now: TimePoint) -> bool {
+        self.refill(rate, now);
+        self.tokens >= rate.burst
+    }
+
+    fn refill(&mut self, rate: LineRate, now: TimePoint) {
+        let refill = now.ms_since(self.refilled_at) as f64 / 1e3 * rate.per_s;
+        self.tokens = (self.tokens + refill).min(rate.burst);
+        self.refilled_at = now;
+    }
 }
 
 /// Buckets of one listener, status and reason.
 #[derive(Debug)]
 struct ReasonLines {
     common: LineBucket,
-    subjects: Vec<LineBucket>,
+    /// By the hash of the subject.
+    subjects: IndexMap<u64, LineBucket>,
+    /// Of the subjects beyond [`MAX_SUBJECTS`].
+    rest: LineBucket,
     /// Requests since the last line that were not logged.
     suppressed: u64,
 }
@@ -76,10 +89,29 @@
     fn new(now: TimePoint) -> Self {
         Self {
             common: LineBucket::new(REASON_RATE, now),
-            subjects: vec![LineBucket::new(SUBJECT_RATE, now); SUBJECT_BUCKETS],
+            subjects: IndexMap::new(),
+            rest: LineBucket::new(SUBJECT_RATE, now),
             suppressed: 0,
         }
     }
+
+    fn take_for_subject(&mut self, subject: u64, now: TimePoint) -> bool {
+        if let Some(bucket) = self.subjects.get_mut(&subject) {
+            return bucket.take(SUBJECT_RATE, now);
+        }
+        if self.subjects.len() >= MAX_SUBJECTS {
+            // A bucket that is full again equals a new one.
+            self.subjects
+                .retain(|_, bucket| !bucket.is_full(SUBJECT_RATE, now));
+        }
+        if self.subjects.len() >= MAX_SUBJECTS {
+            return self.rest.take(SUBJECT_RATE, now);
+        }
+        let bucket = self.subjects.entry(subject);
+        bucket
+            .or_insert_with(|| LineBucket::new(SUBJECT_RATE, now))
+            .take(SUBJECT_RATE, now)
+    }
 }
 
 /// Limits the number of log lines for each listener, status and reason. A few lines a second are kept for each subject, so
@@ -101,12 +133,12 @@
         subject: impl Hash,
         now: TimePoint,
     ) -> Option<u64> {
-        let bucket = self.hasher.hash_one(subject) as usize % SUBJECT_BUCKETS;
+        let subject = self.hasher.hash_one(subject);
         let mut reasons = self.reasons.lock();
         let lines = reasons
             .entry((listener, status, reason))
             .or_insert_with(|| ReasonLines::new(now));
-        if lines.common.take(REASON_RATE, now) || lines.subjects[bucket].take(SUBJECT_RATE, now) {
+        if lines.common.take(REASON_RATE, now) || lines.take_for_subject(subject, now) {
             return Some(std::mem::take(&mut lines.suppressed));
         }
         lines.suppressed += 1;
