A table without the routes of an unusable document is never the newest

What callers saw: 404 for the routes of a document that the store accepted and the daemons can't use, from daemons that don't watch the store, after an order that followed the document.

Cause: while the document can't be used, the version told as the newest is one above the one in force. That number is also the store revision of the next order, and so the version of the configuration that it makes, which lacks the routes. A daemon that was confirmed at that number and pulled that configuration took it for the newest until it heard of the next.

Ruled out: confirmations of before the document, as 3 s pass first.

Fix: a head that is built while a newer document can't be used says that it is behind. Deltas carry it, the digest covers it, and a daemon with such a head in force counts the version after it as the newest known one, so no number that it has heard of before can make the head the newest. Freshness is published before the table, so no request sees the new table with the old number. A head that is not behind keeps its encoding and digest, so daemons of earlier builds read it.

--- a/src/config/delta.rs
+++ b/src/config/delta.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{
-        head::{ChangeNote, ClosedMove, ConfigHead, HeadError, MoveOrder, Stamped, Tombstone, TrafficLimits},
+        head::{
+            ChangeNote, ClosedMove, ConfigHead, HeadError, MoveOrder, Stamped, Tombstone, TrafficLimits,
+            is_false,
+        },
         tables::{PoolEntry, RouteEntry, TableKind},
     },
     crate::macros::value_type,
@@ -41,6 +44,9 @@
         pub kept_changes: usize,
         /// Digest of the new head.
         pub digest: u64,
+        /// Whether the new head lacks what newer accepted tables have.
+        #[serde(default, skip_serializing_if = "is_false")]
+        pub is_behind: bool,
     }
 }
 
@@ -135,6 +141,7 @@
                 .collect(),
             kept_changes: head.changes.len(),
             digest: head.digest,
+            is_behind: head.is_behind,
         }
     }
 
@@ -167,6 +174,7 @@
         let surplus = head.changes.len().saturating_sub(self.kept_changes);
         head.changes.drain(..surplus);
         head.digest = self.digest;
+        head.is_behind = self.is_behind;
         head.check_digest()?;
         Ok(head)
     }
--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -154,11 +154,20 @@
         pub closed: Vec<ClosedMove>,
         /// Recent changes, oldest first.
         pub changes: Vec<ChangeNote>,
-        /// Digest of everything above.
+        /// Digest of everything else.
         pub digest: u64,
+        /// Whether newer tables are accepted that can't be used, so that these lack their routes. Last and left out if
+        /// false: a head without it keeps its encoding and its digest.
+        #[serde(default, skip_serializing_if = "is_false")]
+        pub is_behind: bool,
     }
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+pub(super) fn is_false(value: &bool) -> bool {
+    !value
+}
+
 /// A head that can't be read or written.
 #[derive(Debug, Error)]
 pub enum HeadError {
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -182,6 +182,8 @@
         self.shared.moves.lock().retain(is_open, now);
         self.table = Some(table);
         self.is_snapshot_stale = true;
+        // First, as the table may be behind a version that the one before was not behind.
+        self.publish_freshness();
         self.publish_snapshot();
     }
 
--- a/src/spread/state.rs
+++ b/src/spread/state.rs
@@ -124,9 +124,11 @@
     }
 
     /// Returns the newest version that this daemon has heard of. It is above [`Self::version`] while that version is on
-    /// its way, and after it was refused.
+    /// its way, after it was refused, and while the head in force is behind accepted tables that can't be used.
     pub fn newest_version(&self) -> u64 {
-        self.newest.max(self.floor)
+        let behind = self.head.as_ref().filter(|head| head.is_behind);
+        let unusable = behind.map_or(0, |head| head.version + 1);
+        self.newest.max(self.floor).max(unusable)
     }
 
     /// Records a version that others have heard of.
