Daemons next in rank replace watchers that are lost, and are asked next

Cause, by counting what is due when: a confirmation is 1.2 s old when the lost daemons are asked, and lasts 2 s. The first attempts of other daemons were spread over daemons / 100 s from 1.8 s on, at random. Whoever read the store told those that had asked it, but only one inquiry in four or five went to a daemon that was not lost, and that one was drawn from the whole mesh. So a confirmation reached a daemon after about a second, when its own was over. The place in the list of those to ask was a number, which pointed to others once membership found the lost ones.

Fix: the three daemons that rank next to the watchers of a data centre take over first, 0.1 s one after the other from 1.5 s on, and the others ask exactly these next. Daemons that did not help are remembered by address for 5 s; after those in rank each inquiry goes to a daemon drawn from the mesh. Nothing waits for membership. Calls: each data centre makes up to three first attempts before the 100 a second of all others begin; later attempts are paced as before.

Tried on the way: the daemon that made the latest read was asked after the replacements if it is one of them.

Ruled out: more calls.

--- a/src/member/confirmation.rs
+++ b/src/member/confirmation.rs
@@ -36,6 +36,8 @@
 /// Time in which a daemon that watches the store reads it from that age on, in milliseconds, as its watch is paid for
 /// already.
 const WATCHER_TAKEOVER_INTERVAL_MS: u64 = 200;
+/// Time by which each of the daemons that rank next waits for the one before it, in milliseconds.
+const REPLACEMENT_STAGGER_MS: u64 = 100;
 /// Time for which other daemons leave it to these, in milliseconds.
 const FIRST_TAKEOVER_DELAY_MS: u64 = 300;
 /// Rate of the first attempts of all daemons together, one of each, in calls per second.
@@ -48,7 +50,7 @@
 const MAX_WAITING: usize = 64;
 /// Time after an attempt in which the next one does not count as the first, in milliseconds.
 const TAKEOVER_MEMORY_MS: u64 = 10_000;
-/// Time after which the daemons that are asked first are tried again, in milliseconds.
+/// Time after which daemons that were asked in vain are asked again, in milliseconds.
 const FIRST_TURN_MS: u64 = 5_000;
 
 /// How a daemon watches the store.
@@ -114,9 +116,11 @@
     is_searching: bool,
     /// Daemon that has offered its confirmation, to be asked next.
     offered_by: Option<SocketAddr>,
-    /// Number of daemons that were asked in vain.
-    turn: usize,
-    /// When the daemons that are asked first are tried again.
+    /// Daemon that was asked last.
+    asked: Option<SocketAddr>,
+    /// Daemons that were asked in vain.
+    unhelpful: IndexSet<SocketAddr>,
+    /// When these are asked again.
     first_turn_at: TimePoint,
     takeover: TakeoverPhase,
     /// From when on an attempt to take over counts as the first one.
@@ -139,7 +143,8 @@
             next_inquiry_at: now,
             is_searching: false,
             offered_by: None,
-            turn: 0,
+            asked: None,
+            unhelpful: IndexSet::new(),
             first_turn_at: TimePoint::FAR_FUTURE,
             takeover: TakeoverPhase::Idle,
             first_takeover_at: now,
@@ -161,8 +166,9 @@
         self.reader
     }
 
-    pub(super) fn turn(&self) -> usize {
-        self.turn
+    /// Returns whether a daemon was asked in vain lately.
+    pub(super) fn is_unhelpful(&self, peer: SocketAddr) -> bool {
+        self.unhelpful.contains(&peer)
     }
 
     /// Returns whether this daemon leads although others rank higher.
@@ -237,13 +243,13 @@
     /// Records a failed read of the store. It ends a takeover of a daemon that does not watch the store otherwise.
     pub(super) fn fail_read(
         &mut self,
-        is_watcher: bool,
+        role: WatchRole,
         now: TimePoint,
         pace: TakeoverPace,
         rng: &mut SmallRng,
     ) {
-        if self.takeover == TakeoverPhase::Leading && !is_watcher {
-            let interval_ms = pace.interval_ms(false);
+        if self.takeover == TakeoverPhase::Leading && role != WatchRole::Watcher {
+            let interval_ms = pace.interval_ms(role);
             self.takeover =
                 TakeoverPhase::DueAt(now.after_ms(interval_ms / 2 + rng.random_range(0..=interval_ms)));
         }
@@ -259,21 +265,22 @@
         self.reader == Some(self.own) && now.ms_since(self.confirmed_at) <= USEFUL_AGE_MS
     }
 
-    /// Moves on to the next daemon if the latest inquiry had no useful answer.
+    /// Notes that the daemon that was asked last can't help if the latest inquiry had no useful answer.
     pub(super) fn next_turn(&mut self, now: TimePoint) {
         self.inquiries.retain(|inquiry| inquiry.expires_at > now);
         if now >= self.first_turn_at {
-            self.turn = 0;
+            self.unhelpful.clear();
             self.first_turn_at = TimePoint::FAR_FUTURE;
-        } else if self.is_searching {
-            self.turn += 1;
+        } else if let Some(asked) = self.asked.filter(|_| self.is_searching) {
+            self.unhelpful.insert(asked);
             self.first_turn_at = self.first_turn_at.min(now.after_ms(FIRST_TURN_MS));
         }
     }
 
-    /// Records that an inquiry was sent, or that nobody could be asked.
-    pub(super) fn start_inquiry(&mut self, seq: Option<u64>, now: TimePoint) {
-        let Some(seq) = seq else {
+    /// Records that an inquiry was sent to a daemon, or that nobody could be asked.
+    pub(super) fn start_inquiry(&mut self, sent: Option<(SocketAddr, u64)>, now: TimePoint) {
+        self.asked = sent.map(|(peer, _)| peer);
+        let Some((_, seq)) = sent else {
             self.next_inquiry_at = now.after_ms(SEARCH_INTERVAL_MS);
             return;
         };
@@ -322,7 +329,7 @@
     pub(super) fn watch_mode(
         &mut self,
         is_first: bool,
-        is_watcher: bool,
+        role: WatchRole,
         now: TimePoint,
         pace: TakeoverPace,
         rng: &mut SmallRng,
@@ -333,7 +340,7 @@
             _ if is_confirmed => TakeoverPhase::Idle,
             TakeoverPhase::Idle => {
                 let is_first_attempt = now >= self.first_takeover_at;
-                let (delay_ms, spread_ms) = pace.first_delay_ms(is_watcher, is_first_attempt);
+                let (delay_ms, spread_ms) = pace.first_delay_ms(role, is_first_attempt);
                 TakeoverPhase::DueAt(now.after_ms(delay_ms + rng.random_range(0..=spread_ms)))
             }
             TakeoverPhase::DueAt(due_at) if now >= due_at => {
@@ -346,7 +353,7 @@
         self.mode = match self.mode {
             leading @ WatchMode::Leading { .. } if leads => leading,
             _ if leads => WatchMode::Leading { since: now },
-            _ if is_watcher => WatchMode::Standby,
+            _ if role == WatchRole::Watcher => WatchMode::Standby,
             _ => WatchMode::Off,
         };
         self.mode
@@ -368,6 +375,17 @@
     }
 }
 
+/// What the rank of a daemon in its data centre asks of it, in the order in which daemons take over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum WatchRole {
+    /// Watches the store.
+    Watcher,
+    /// Ranks next, with this number of daemons between it and the watchers.
+    Replacement(usize),
+    /// Takes over only if none of these does.
+    Other,
+}
+
 /// Pace of takeovers, by the number of daemons that share the budget.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct TakeoverPace {
@@ -378,21 +396,26 @@
 impl TakeoverPace {
     /// Returns the least time until the first attempt after a confirmation, and the time over which the daemons spread
     /// theirs from then on.
-    fn first_delay_ms(self, is_watcher: bool, is_first_attempt: bool) -> (u64, u64) {
-        if is_watcher || !is_first_attempt {
-            return (0, self.interval_ms(is_watcher));
+    fn first_delay_ms(self, role: WatchRole, is_first_attempt: bool) -> (u64, u64) {
+        match role {
+            WatchRole::Replacement(place) if is_first_attempt => {
+                (place as u64 * REPLACEMENT_STAGGER_MS, REPLACEMENT_STAGGER_MS / 2)
+            }
+            WatchRole::Other if is_first_attempt => (
+                FIRST_TAKEOVER_DELAY_MS,
+                self.daemons * 1_000 / FIRST_TAKEOVERS_PER_S,
+            ),
+            _ => (0, self.interval_ms(role)),
         }
-        (
-            FIRST_TAKEOVER_DELAY_MS,
-            self.daemons * 1_000 / FIRST_TAKEOVERS_PER_S,
-        )
     }
 
     /// Returns the mean time between two attempts of a daemon.
-    fn interval_ms(self, is_watcher: bool) -> u64 {
-        if is_watcher {
-            return WATCHER_TAKEOVER_INTERVAL_MS;
+    fn interval_ms(self, role: WatchRole) -> u64 {
+        match role {
+            WatchRole::Watcher => WATCHER_TAKEOVER_INTERVAL_MS,
+            WatchRole::Replacement(_) | WatchRole::Other => {
+                (self.daemons * 1_000 / TAKEOVERS_PER_S).max(MIN_TAKEOVER_INTERVAL_MS)
+            }
         }
-        (self.daemons * 1_000 / TAKEOVERS_PER_S).max(MIN_TAKEOVER_INTERVAL_MS)
     }
 }
--- a/src/member/state/confirming.rs
+++ b/src/member/state/confirming.rs
@@ -5,7 +5,7 @@
     crate::{
         clock::TimePoint,
         member::{
-            confirmation::{KnownVersion, TakeoverPace, WatchMode},
+            confirmation::{KnownVersion, TakeoverPace, WatchMode, WatchRole},
             message::ProbeKind,
             rank::best_ranked,
             record::{MemberRecord, MemberStatus},
@@ -17,6 +17,8 @@
 
 /// Number of daemons of the own data centre that are asked before others.
 const ASKED_WATCHERS: usize = 3;
+/// Number of daemons, next in rank to those that watch the store or are asked, that take their place before any other.
+const REPLACEMENTS: usize = 3;
 
 impl MemberState {
     /// Returns since when this daemon can't have missed an accepted version.
@@ -45,9 +47,9 @@
 
     /// Records a failed read of the store, where `watchers` daemons of each data centre watch it.
     pub fn fail_read(&mut self, watchers: usize, now: TimePoint) {
-        let is_watcher = self.own_rank().is_some_and(|rank| rank < watchers);
+        let role = watch_role(self.own_rank(), watchers);
         let pace = self.takeover_pace();
-        self.confirmation.fail_read(is_watcher, now, pace, &mut self.rng);
+        self.confirmation.fail_read(role, now, pace, &mut self.rng);
     }
 
     /// Sets the newest version that this daemon has heard of, which it tells others.
@@ -59,10 +61,10 @@
     /// first leads, and others that get no confirmation.
     pub fn watch_mode(&mut self, watchers: usize, now: TimePoint) -> WatchMode {
         let rank = self.own_rank();
-        let is_watcher = rank.is_some_and(|rank| rank < watchers);
+        let role = watch_role(rank, watchers);
         let pace = self.takeover_pace();
         self.confirmation
-            .watch_mode(rank == Some(0), is_watcher, now, pace, &mut self.rng)
+            .watch_mode(rank == Some(0), role, now, pace, &mut self.rng)
     }
 
     /// Starts anew after a suspension: a probe, an inquiry and, at a leading daemon, a read of the store are due at
@@ -86,7 +88,7 @@
             self.seq += 1;
             (address, self.seq)
         });
-        self.confirmation.start_inquiry(asked.map(|(_, seq)| seq), now);
+        self.confirmation.start_inquiry(asked, now);
         if let Some((address, seq)) = asked {
             self.send_with(address, ProbeKind::Inquiry { seq }, Vec::new());
         }
@@ -137,24 +139,26 @@
             .yield_to(known, is_reader_first, had_read_itself);
     }
 
-    /// Returns the daemon to ask next: those that rank highest in the own data centre in turn, then the one whose read
-    /// of the store the present confirmation rests on, then any other.
+    /// Returns the daemon to ask next, of those that were not asked in vain: those that rank highest in the own data
+    /// centre, then the one whose read of the store the present confirmation rests on, then those that replace the
+    /// first ones, then any other.
     fn inquiry_peer(&mut self) -> Option<SocketAddr> {
         if let Some(offering) = self.confirmation.take_offer() {
             return Some(offering);
         }
         let own_name = &self.own.name;
-        let ranked = self.ranked(&self.own.data_centre, ASKED_WATCHERS + 1);
-        let asked = ranked.into_iter().filter(|name| **name != **own_name);
-        let asked = asked.take(ASKED_WATCHERS).filter_map(|name| self.record_of(name));
-        let mut peers: Vec<SocketAddr> = asked.map(|record| record.control).collect();
+        let ranked = self.ranked(&self.own.data_centre, ASKED_WATCHERS + REPLACEMENTS + 1);
+        let ranked = ranked.into_iter().filter(|name| **name != **own_name);
+        let ranked = ranked.filter_map(|name| self.record_of(name));
+        let mut peers: Vec<SocketAddr> = ranked.map(|record| record.control).collect();
         let reader = self.confirmation.reader();
-        peers.extend(reader.filter(|reader| *reader != self.own.control && !peers.contains(reader)));
-        let turn = self.confirmation.turn() % (peers.len() + 1);
-        match peers.get(turn) {
-            Some(peer) => Some(*peer),
-            None => self.random_peers(1, None).pop().or(peers.first().copied()),
+        if let Some(reader) = reader.filter(|reader| *reader != self.own.control) {
+            peers.insert(peers.len().min(ASKED_WATCHERS), reader);
         }
+        let next = peers.iter().find(|peer| !self.confirmation.is_unhelpful(**peer));
+        let next = next.copied();
+        next.or_else(|| self.random_peers(1, None).pop())
+            .or(peers.first().copied())
     }
 
     /// Returns the control addresses of the other daemons that rank highest in their data centre.
@@ -206,3 +210,12 @@
         }
     }
 }
+
+/// Returns what a rank asks of a daemon, where `watchers` daemons of each data centre watch the store.
+fn watch_role(rank: Option<usize>, watchers: usize) -> WatchRole {
+    match rank {
+        Some(rank) if rank < watchers => WatchRole::Watcher,
+        Some(rank) if rank < watchers + REPLACEMENTS => WatchRole::Replacement(rank - watchers),
+        _ => WatchRole::Other,
+    }
+}
