A body over the limit is refused before its sender is asked for it

Callers saw: a client that sends `Expect: 100-continue` with a length over the limit got 100, sent the whole body (up to 64 MiB of it were read) and was refused with 413 only then.

Cause: every body over the limit is read and dropped before the refusal, so that a client that sends first gets to read it. Reading asks the client for the body, also the client that waits for exactly this answer.

Evidence: body_over_the_limit_is_refused_without_being_asked_for; before, the first answer to both requests was 100.

Fix: the declared length is checked with the head if the client waits. The refusal is judged by the same table as the route, so one that may be outdated still answers 503, and the connection closes with a word, as its body may follow. A client that doesn't wait is read as before.

--- a/src/daemon/traffic/body.rs
+++ b/src/daemon/traffic/body.rs
@@ -207,7 +207,8 @@
     is_chunked && codings.next().is_none()
 }
 
-fn declared_length(headers: &HeaderMap) -> Option<u64> {
+/// Returns the `content-length` of a message.
+pub fn declared_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -6,7 +6,7 @@
 
 use {
     self::{
-        checks::{check_form, check_head},
+        checks::{check_expected_body, check_form, check_head},
         logging::{LoggedRefusal, admit_answer, log_answer, log_failed_attempt, log_refusal},
     },
     super::{
@@ -189,6 +189,7 @@
             .map_err(|reason| self.unless_stale(&snapshot, CallRefusal::not_run(reason, req.uri().path())))?;
         let limits = snapshot.table.as_ref().map(|table| table.limits);
         check_head(req, limits.and_then(|limits| limits.head_bytes))
+            .and_then(|()| check_expected_body(req, self.body_limit(&snapshot)))
             .map_err(|refusal| self.unless_stale(&snapshot, refusal))?;
         let options = shared
             .dialect
--- a/src/daemon/traffic/outbound/checks.rs
+++ b/src/daemon/traffic/outbound/checks.rs
@@ -1,12 +1,15 @@
 //! Checks of a caller's request head.
 
 use {
-    super::CallRefusal,
+    super::{
+        super::body::{BodyFault, declared_length},
+        CallRefusal, body_refusal,
+    },
     crate::{
         call::RefusalReason,
         http::{MAX_HEADERS, MAX_REQUEST_HEAD_BYTES},
     },
-    hyper::header::HOST,
+    hyper::header::{EXPECT, HOST},
     salvo::{
         Request,
         http::{HeaderMap, Method},
@@ -47,6 +50,17 @@
     Ok(())
 }
 
+/// Refuses a body over the limit whose sender waits to be asked for it. Any other sender may send its whole body before it
+/// reads, so the body is read first.
+pub(super) fn check_expected_body(req: &Request, limit: u64) -> Result<(), CallRefusal> {
+    let expects = req.headers().get(EXPECT);
+    let is_awaiting = expects.is_some_and(|expects| expects.as_bytes().eq_ignore_ascii_case(b"100-continue"));
+    if is_awaiting && declared_length(req.headers()).is_some_and(|length| length > limit) {
+        return Err(body_refusal(BodyFault::TooLarge, limit));
+    }
+    Ok(())
+}
+
 /// Returns the size of headers in bytes, as the `head_bytes` limit counts it: with 4 bytes for the separators of each
 /// header, and without the request line.
 fn header_bytes(headers: &HeaderMap) -> usize {
