A request in an unknown transfer coding is refused with 501

Callers saw: `Transfer-Encoding: gzip, chunked` was answered 200, but the target had got the compressed bytes as the body itself: the header that names the coding belongs to one connection and is not passed on.

Cause: the HTTP library takes every list that ends in `chunked` and undoes that one coding. Nobody looked at the others.

Fix: 501 `unknown-coding` (RFC 9112, 6.1) with the codings as detail, outcome not-run and no time to try again, as trying again is no remedy. An empty element of the list is ignored.

--- a/src/call/outcome.rs
+++ b/src/call/outcome.rs
@@ -64,6 +64,8 @@
         Broken,
         /// The request is malformed.
         BadRequest,
+        /// The request body is in a transfer coding that nobody here decodes.
+        UnknownCoding,
         /// The request head exceeds the size limit.
         HeadTooLarge,
         /// The request body exceeds the size limit.
@@ -88,6 +90,7 @@
             Self::Refused => "refused",
             Self::Broken => "connection-broken",
             Self::BadRequest => "bad-request",
+            Self::UnknownCoding => "unknown-coding",
             Self::HeadTooLarge => "head-too-large",
             Self::BodyTooLarge => "body-too-large",
             Self::BodyIncomplete => "body-incomplete",
@@ -115,6 +118,7 @@
                 "the connection to the target broke; find out whether the request ran before repeating it"
             }
             Self::BadRequest => "the request is malformed; see what follows:",
+            Self::UnknownCoding => "the transfer coding is not served; send the body as it is or in chunks:",
             Self::HeadTooLarge => "the request head is over the limit; send fewer or shorter headers",
             Self::BodyTooLarge => "the request body is over the limit; send less:",
             Self::BodyIncomplete => "the body did not arrive whole before the deadline; send it again",
--- a/src/daemon/traffic/outbound/checks.rs
+++ b/src/daemon/traffic/outbound/checks.rs
@@ -9,7 +9,7 @@
         call::RefusalReason,
         http::{MAX_HEADERS, MAX_REQUEST_HEAD_BYTES},
     },
-    hyper::header::{EXPECT, HOST},
+    hyper::header::{EXPECT, HOST, TRANSFER_ENCODING},
     salvo::{
         Request,
         http::{HeaderMap, Method},
@@ -20,7 +20,7 @@
 const REQUEST_LINE_BYTES: usize = 32;
 
 /// Refuses a request with several `host` headers (RFC 9112, 3.2), as this daemon and the target could go by different
-/// ones, and one for a tunnel, which would end at the gate.
+/// ones, one for a tunnel, which would end at the gate, and one in a transfer coding other than `chunked` (RFC 9112, 6.1).
 pub(super) fn check_form(req: &Request) -> Result<(), CallRefusal> {
     let hosts = req.headers().get_all(HOST).iter().count();
     if hosts > 1 {
@@ -31,6 +31,9 @@
         let detail = "CONNECT is not served; send the request itself";
         return Err(CallRefusal::not_run(RefusalReason::BadRequest, detail));
     }
+    if let Some(codings) = unknown_codings(req.headers()) {
+        return Err(CallRefusal::not_run(RefusalReason::UnknownCoding, &codings));
+    }
     Ok(())
 }
 
@@ -61,6 +64,20 @@
     Ok(())
 }
 
+/// Returns the transfer codings of a request unless they are none or `chunked` alone.
+fn unknown_codings(headers: &HeaderMap) -> Option<String> {
+    let values = headers.get_all(TRANSFER_ENCODING).iter();
+    let lists = values.map(|value| String::from_utf8_lossy(value.as_bytes()));
+    let list = lists.collect::<Vec<_>>().join(", ");
+    let mut codings = list.split(',').map(str::trim).filter(|coding| !coding.is_empty());
+    let is_known = match (codings.next(), codings.next()) {
+        (None, _) => true,
+        (Some(coding), None) => coding.eq_ignore_ascii_case("chunked"),
+        (Some(_), Some(_)) => false,
+    };
+    (!is_known).then_some(list)
+}
+
 /// Returns the size of headers in bytes, as the `head_bytes` limit counts it: with 4 bytes for the separators of each
 /// header, and without the request line.
 fn header_bytes(headers: &HeaderMap) -> usize {
--- a/src/daemon/traffic/relay.rs
+++ b/src/daemon/traffic/relay.rs
@@ -133,6 +133,7 @@
         (_, RefusalReason::NoRoute) => StatusCode::NOT_FOUND,
         (_, RefusalReason::WrongMethod) => StatusCode::METHOD_NOT_ALLOWED,
         (_, RefusalReason::BadRequest) => StatusCode::BAD_REQUEST,
+        (_, RefusalReason::UnknownCoding) => StatusCode::NOT_IMPLEMENTED,
         (_, RefusalReason::BodyTooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
         (_, RefusalReason::HeadTooLarge) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
         (_, RefusalReason::BodyIncomplete) => StatusCode::REQUEST_TIMEOUT,
