--- a/src/daemon/refusals.rs
+++ b/src/daemon/refusals.rs
@@ -114,11 +114,14 @@
     }
 }
 
+/// Listener, status if there is one, and reason.
+type LineKey = (&'static str, Option<StatusCode>, &'static str);
+
 /// Limits the number of log lines for each listener, status and reason. A few lines a second are kept for each subject, so
 /// that many requests of one kind don't hide a rare one.
 #[derive(Debug, Default)]
 pub struct RefusalLines {
-    reasons: Mutex<HashMap<(&'static str, Option<StatusCode>, &'static str), ReasonLines>>,
+    reasons: Mutex<HashMap<LineKey, ReasonLines>>,
     hasher: RandomState,
 }
 
