A daemon that gets a newer version from no peer reads the store

What callers saw: nothing so far; found by reading in the postmortem. A daemon whose peers confirm a newer version and never deliver it would answer 503 for the routes of that version for good, beside a store that answers.

Cause: a daemon that does not watch the store reads it only when its confirmation ends. Confirmations tell that a newer version exists and keep coming, so it went on pulling.

Evidence: configuration_that_no_peer_delivers_is_read_from_the_store, a real daemon beside three peers that rank higher, confirm, and send a byte each 20 ms. On the code before: no configuration within 20 s. Ruled out: settings (a first run failed for the form of `peers`, and showed nothing), and the daemon's own rank, as the test draws a name that ranks last.

Fix: the version that is awaited is kept with the time at which it was heard of. 7 s later, more than the longest pull takes, the store is read as in a takeover, so at the pace of all daemons together. A read that was begun after the version was heard of settles it: a version that can't be used is not read again.

Result: the daemon is ready after 7.2 s, and makes fewer than 3 calls in the 5 s after that.

--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -29,6 +29,8 @@
         // A daemon that lists no others selects itself. It leaves the watch to daemons with a full member list until a
         // peer has answered or joining times out; without configured peers it watches at once.
         let may_watch = self.join.has_synced || now >= self.join.deadline || settings.peers.is_empty();
+        let read_due_at = self.spread.read_due_at(now);
+        self.members.set_read_due_at(read_due_at);
         let mode = if may_watch {
             self.members.watch_mode(settings.watchers, now)
         } else {
@@ -114,6 +116,7 @@
                     self.finish_offer(offer, "store", now);
                 }
                 self.spread.add_announced(reading.newest_version);
+                self.spread.finish_read(reading.confirmed_at);
                 let effects = self.members.confirm_read(reading.confirmed_at, now);
                 self.apply_effects(effects, now);
             }
--- a/src/member/confirmation.rs
+++ b/src/member/confirmation.rs
@@ -125,6 +125,8 @@
     takeover: TakeoverPhase,
     /// From when on an attempt to take over counts as the first one.
     first_takeover_at: TimePoint,
+    /// When this daemon takes over although others confirm.
+    read_due_at: TimePoint,
     /// When this process started or continued after a suspension; others had no time to confirm before.
     resumed_at: TimePoint,
     mode: WatchMode,
@@ -148,6 +150,7 @@
             first_turn_at: TimePoint::FAR_FUTURE,
             takeover: TakeoverPhase::Idle,
             first_takeover_at: now,
+            read_due_at: TimePoint::FAR_FUTURE,
             resumed_at: now,
             mode: WatchMode::Off,
         }
@@ -209,6 +212,11 @@
         self.newest_version = self.newest_version.max(version);
     }
 
+    /// Sets when this daemon takes over although others confirm.
+    pub(super) fn set_read_due_at(&mut self, due_at: TimePoint) {
+        self.read_due_at = due_at;
+    }
+
     /// Returns what this daemon can tell others; `None` before its first confirmation.
     pub(super) fn known(&self, now: TimePoint) -> Option<KnownVersion> {
         Some(KnownVersion {
@@ -334,7 +342,8 @@
         pace: TakeoverPace,
         rng: &mut SmallRng,
     ) -> WatchMode {
-        let is_confirmed = now.ms_since(self.confirmed_at.max(self.resumed_at)) <= TAKEOVER_AGE_MS;
+        let age_ms = now.ms_since(self.confirmed_at.max(self.resumed_at));
+        let is_confirmed = age_ms <= TAKEOVER_AGE_MS && now < self.read_due_at;
         self.takeover = match self.takeover {
             TakeoverPhase::Leading => TakeoverPhase::Leading,
             _ if is_confirmed => TakeoverPhase::Idle,
--- a/src/member/state/confirming.rs
+++ b/src/member/state/confirming.rs
@@ -57,6 +57,11 @@
         self.confirmation.set_newest_version(version);
     }
 
+    /// Sets when this daemon reads the store although its confirmation lasts, as no peer delivers what it knows of.
+    pub fn set_read_due_at(&mut self, due_at: TimePoint) {
+        self.confirmation.set_read_due_at(due_at);
+    }
+
     /// Returns how this daemon watches the store from `now` on: `watchers` daemons of each data centre do, of which the
     /// first leads, and others that get no confirmation.
     pub fn watch_mode(&mut self, watchers: usize, now: TimePoint) -> WatchMode {
--- a/src/spread/state.rs
+++ b/src/spread/state.rs
@@ -16,6 +16,9 @@
 
 /// Time after which a pull without an answer is followed by one from another peer, in milliseconds.
 const PULL_TIMEOUT_MS: u64 = 1_000;
+/// Time in which peers deliver a newer version, in milliseconds: more than a whole configuration takes over a slow link.
+/// The store, which may share that link, is read after it.
+const DELIVERY_LIMIT_MS: u64 = 7_000;
 /// Maximum number of peers that are listed as having a newer version; further ones are ignored.
 const MAX_SOURCES: usize = 16;
 
@@ -84,6 +87,15 @@
     not_before: TimePoint,
 }
 
+/// Newer version that no peer has delivered so far.
+#[derive(Debug, Clone, Copy)]
+struct AwaitedVersion {
+    version: u64,
+    heard_at: TimePoint,
+    /// When it is read from the store.
+    read_at: TimePoint,
+}
+
 /// Configuration in force, the lowest version that may replace it, and the peers that have a newer one.
 #[derive(Debug, Default)]
 pub struct SpreadState {
@@ -100,6 +112,9 @@
     pulling: IndexSet<SocketAddr>,
     pull_deadline: Option<TimePoint>,
     needs_whole: bool,
+    awaited: Option<AwaitedVersion>,
+    /// Newest version that was awaited when the store was read: if it is not in force, it can't be used here.
+    read_version: u64,
 }
 
 impl SpreadState {
@@ -155,6 +170,29 @@
         self.offer(head)
     }
 
+    /// Returns when this daemon reads the store itself, as no peer delivers a newer version that it knows of;
+    /// [`TimePoint::FAR_FUTURE`] if there is none.
+    pub fn read_due_at(&mut self, now: TimePoint) -> TimePoint {
+        let newest = self.newest_version();
+        if newest <= self.version().max(self.read_version) {
+            self.awaited = None;
+            return TimePoint::FAR_FUTURE;
+        }
+        let awaited = self.awaited.get_or_insert(AwaitedVersion {
+            version: newest,
+            heard_at: now,
+            read_at: now.after_ms(DELIVERY_LIMIT_MS),
+        });
+        awaited.read_at
+    }
+
+    /// Records a read of the store that showed every version accepted up to `confirmed_at`.
+    pub fn finish_read(&mut self, confirmed_at: TimePoint) {
+        if let Some(awaited) = self.awaited.take_if(|awaited| awaited.heard_at <= confirmed_at) {
+            self.read_version = awaited.version;
+        }
+    }
+
     /// Puts an offered head in force and returns its compiled table, or refuses the whole head. A head offered before
     /// the daemon has joined is held.
     pub fn offer(&mut self, head: ConfigHead) -> Result<CompiledTable, OfferRefusal> {
@@ -178,6 +216,7 @@
         head.check_digest()?;
         let table = CompiledTable::compile(&head)?;
         self.floor = head.version;
+        self.awaited = None;
         if let Some(base) = &self.head {
             self.history.record(base, &head);
         }
