Callers in any number leave the control side and calls in hand their file descriptors

What callers saw: beyond the process's limit of open files, by idle connections alone, a call on a connection that was accepted long before ended with 503 "no connection", as its daemon could open no socket to the gate. The gate took the lack for a target that refuses connections, the proxy counted it as the target's failure. Every listener competed for the next descriptor, and logged `accept-failed` each 10 ms.

Cause: every listener accepted until the system refused, so the first to ask got the last descriptor.

Ruled out: a pause in accepting, which existed, leaves descriptors only to whoever comes next. One budget with steps for accepted and opened connections was written first and dropped: idle callers could use up what the gate's listener needs, so that calls waited for the deadline.

Why it works: connections of calls count against a budget of the limit less 128 (at most half of it), in which each kind has its own share: callers, other proxies, gates, the target. Further accepted ones stay in the backlog. A call that gets no descriptor is refused as not run at once, without blame for the target. Open and held connections are counted by kind, and held ones logged with their number once a second; so are failures to accept.

Open: a held caller waits for the idle timeout of others; the number of control connections and their messages has no limit.

--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -2,7 +2,10 @@
 //! store calls and closed moves), calls, and counters of refusals.
 
 use {
-    crate::call::CallOutcome,
+    crate::{
+        call::CallOutcome,
+        socket_budget::{SocketCounters, SocketKind},
+    },
     parking_lot::Mutex,
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
@@ -102,6 +105,10 @@
     refusals: Family<RefusalLabels, Counter>,
     /// Answers of targets that were passed on to callers, by status.
     answers: Family<StatusLabels, Counter>,
+    /// Open connections of calls, by whose they are.
+    open_connections: Family<KindLabels, Gauge>,
+    /// Connections of calls that were held back, by whose they are.
+    held_connections: Family<KindLabels, Counter>,
     /// Bytes of control traffic, by direction and kind.
     pub control_bytes: Family<ControlLabels, Counter>,
     /// Calls to the store by kind.
@@ -132,6 +139,8 @@
             convergence: Histogram::new(exponential_buckets(0.01, 2.0, 14)),
             refusals: Family::default(),
             answers: Family::default(),
+            open_connections: Family::default(),
+            held_connections: Family::default(),
             control_bytes: Family::default(),
             store_calls: Family::default(),
             closed_moves: Family::default(),
@@ -157,6 +166,16 @@
             "Answers of targets that were passed on to callers, by status",
             metrics.answers.clone(),
         );
+        registry.register(
+            "open_connections",
+            "Open connections of calls, by whose they are",
+            metrics.open_connections.clone(),
+        );
+        registry.register(
+            "held_connections",
+            "Connections of calls that were not accepted at once, or not opened, for lack of file descriptors",
+            metrics.held_connections.clone(),
+        );
         registry.register(
             "convergence_seconds",
             "Time from an accepted change until it was in force here",
@@ -234,6 +253,17 @@
         self.answers.get_or_create(&labels).inc();
     }
 
+    /// Returns the counters of connections, by kind.
+    pub(crate) fn socket_counters(&self) -> [SocketCounters; SocketKind::ALL.len()] {
+        SocketKind::ALL.map(|kind| {
+            let labels = KindLabels { kind: kind.as_str() };
+            SocketCounters {
+                open: self.open_connections.get_or_create(&labels).clone(),
+                held: self.held_connections.get_or_create(&labels).clone(),
+            }
+        })
+    }
+
     /// Observes the latency of an answered call. The pools of the configuration bound the number of label sets.
     pub fn observe_latency(&self, pool: &Arc<str>, took_ms: u64) {
         let labels = PoolLabels {
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -19,9 +19,10 @@
         call::PoolBudgets,
         clock::ProcessClock,
         gate::GateState,
-        http::{CLIENT_TIMEOUTS, ClientTimeouts, HeadLimits, bind, serve_observed},
+        http::{CLIENT_TIMEOUTS, ClientTimeouts, HeadLimits, bind, serve_within},
         member::ProbeMessage,
         settings::DaemonSettings,
+        socket_budget::{SocketBudget, SocketKind, SocketShare},
     },
     arc_swap::ArcSwap,
     miette::Diagnostic,
@@ -184,6 +185,7 @@
     };
     let budget = PoolBudgets::new(settings.extra_retries, 1);
     let clock = ProcessClock::start();
+    let metrics = DaemonMetrics::default();
     SharedState {
         settings: Arc::new(settings),
         started_at: clock.now(),
@@ -200,7 +202,8 @@
         budget: Mutex::new(budget),
         evidence: Mutex::default(),
         moves: Mutex::new(MoveRegistry::default()),
-        metrics: DaemonMetrics::default(),
+        sockets: Arc::new(SocketBudget::of_process(metrics.socket_counters())),
+        metrics,
         refusal_lines: RefusalLines::default(),
         active_calls: AtomicUsize::new(0),
         is_leaving: AtomicBool::new(false),
@@ -221,8 +224,16 @@
     gate: TcpListener,
 ) -> io::Result<()> {
     let runtime = new_runtime()?;
-    let gate_clients = Arc::new(PeerClients::new(HeadLimits::ANSWERS));
-    let target_clients = Arc::new(PeerClients::new(HeadLimits::GATE));
+    let sockets_of = |kind| SocketShare::new(&shared.sockets, kind);
+    let gate_clients = Arc::new(PeerClients::new(
+        HeadLimits::ANSWERS,
+        sockets_of(SocketKind::Gate),
+    ));
+    let target_clients = Arc::new(PeerClients::new(HeadLimits::GATE, sockets_of(SocketKind::Target)));
+    let (callers, proxies) = (
+        Some(sockets_of(SocketKind::Caller)),
+        Some(sockets_of(SocketKind::Proxy)),
+    );
     let outbound = OutboundHandler::new(Arc::clone(shared), Arc::clone(&gate_clients), worker);
     let inbound = InboundHandler::new(Arc::clone(shared), Arc::clone(&target_clients));
     let (on_unread_calls, on_unread_gate) = (
@@ -239,8 +250,22 @@
             tokio::spawn(clean_clients(gate_clients));
             tokio::spawn(clean_clients(target_clients));
             let (outbound, inbound) = tokio::join!(
-                serve_observed(calls, outbound, HeadLimits::CALLS, call_timeouts, on_unread_calls),
-                serve_observed(gate, inbound, HeadLimits::GATE, gate_timeouts, on_unread_gate)
+                serve_within(
+                    calls,
+                    outbound,
+                    HeadLimits::CALLS,
+                    call_timeouts,
+                    on_unread_calls,
+                    callers
+                ),
+                serve_within(
+                    gate,
+                    inbound,
+                    HeadLimits::GATE,
+                    gate_timeouts,
+                    on_unread_gate,
+                    proxies
+                )
             );
             for error in [outbound.err(), inbound.err()].into_iter().flatten() {
                 log::error!("event=traffic-ended worker={worker} error={error}");
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -11,6 +11,7 @@
         gate::{DequeueOutcome, GateRefusal, GateState, TicketId},
         moves::{Clearance, GateLease},
         settings::DaemonSettings,
+        socket_budget::SocketBudget,
     },
     arc_swap::ArcSwap,
     parking_lot::Mutex,
@@ -190,6 +191,8 @@
     pub moves: Mutex<MoveRegistry>,
     /// Metrics of the daemon.
     pub metrics: DaemonMetrics,
+    /// File descriptors for connections of calls.
+    pub(crate) sockets: Arc<SocketBudget>,
     /// Limits of the log lines of refused requests.
     pub refusal_lines: RefusalLines,
     /// Number of calls from callers in flight.
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -185,6 +185,10 @@
                 self.report_failure();
                 AttemptResult::failure(AttemptOutcome::NotRun, "no connection")
             }
+            // It says nothing about the target.
+            Ok(Err(SendFault::NoDescriptor)) => {
+                AttemptResult::failure(AttemptOutcome::NotRun, "no file descriptor is left")
+            }
             Ok(Err(SendFault::Broken)) => {
                 let reason = match self.body_progress.fault() {
                     Some(BodyFault::TooLarge) => "the caller's body is over the limit",
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -260,6 +260,10 @@
                 shared.report_event(TrafficEvent::TargetRefuses);
                 return Err(GateFailure::NotRun(GateRefusal::Starting));
             }
+            Ok(Err(SendFault::NoDescriptor)) => {
+                recorder.outcome = RecordedOutcome::NotRun;
+                return Err(GateFailure::NotRun(GateRefusal::Full));
+            }
             Ok(Err(SendFault::Broken)) if forwarded.progress.fault().is_some() => {
                 recorder.outcome = RecordedOutcome::NotRun;
                 return Err(GateFailure::BodyBroken);
--- a/src/daemon/traffic/peer_client.rs
+++ b/src/daemon/traffic/peer_client.rs
@@ -9,6 +9,7 @@
             REPEATABLE_IDLE_TIMEOUT,
         },
         paced_stream::PacedStream,
+        socket_budget::SocketShare,
     },
     hyper::{Request, Response, Uri, body::Incoming, http::Extensions},
     hyper_util::{
@@ -19,9 +20,11 @@
         rt::{TokioExecutor, TokioIo, TokioTimer},
     },
     parking_lot::Mutex,
+    rustix::io::Errno,
     std::{
         collections::HashMap,
-        error::Error as _,
+        error::Error as StdError,
+        io,
         net::SocketAddr,
         pin::Pin,
         task::{Context, Poll},
@@ -36,11 +39,15 @@
 
 type PeerClient = Client<PacedConnector, ForwardedBody>;
 type PacedConnection = TokioIo<PacedStream<TcpStream>>;
-type ConnectError = <HttpConnector as Service<Uri>>::Error;
+type ConnectError = Box<dyn StdError + Send + Sync>;
 
-/// Connector whose connections read at most a share of what a peer sends before others get their turn.
+/// Connector whose connections count against a budget, and read at most a share of what a peer sends before others get
+/// their turn.
 #[derive(Debug, Clone)]
-struct PacedConnector(HttpConnector);
+struct PacedConnector {
+    connector: HttpConnector,
+    sockets: SocketShare,
+}
 
 impl Service<Uri> for PacedConnector {
     type Response = PacedConnection;
@@ -48,14 +55,16 @@
     type Future = Pin<Box<dyn Future<Output = Result<PacedConnection, ConnectError>> + Send>>;
 
     fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), ConnectError>> {
-        self.0.poll_ready(cx)
+        self.connector.poll_ready(cx).map_err(Into::into)
     }
 
     fn call(&mut self, peer: Uri) -> Self::Future {
-        let connecting = self.0.call(peer);
+        let connecting = self.connector.call(peer);
+        let sockets = self.sockets.clone();
         Box::pin(async move {
+            let permit = sockets.try_take()?;
             let stream = connecting.await?.into_inner();
-            Ok(TokioIo::new(PacedStream::new(stream)))
+            Ok(TokioIo::new(PacedStream::new(stream, Some(permit))))
         })
     }
 }
@@ -73,11 +82,11 @@
 }
 
 impl ClientSet {
-    fn new(limits: HeadLimits) -> Self {
+    fn new(limits: HeadLimits, sockets: &SocketShare) -> Self {
         Self {
-            for_repeatable: new_client(limits, REPEATABLE_IDLE_TIMEOUT, usize::MAX),
-            for_non_repeatable: new_client(limits, NON_REPEATABLE_IDLE_TIMEOUT, usize::MAX),
-            for_single: new_client(limits, NON_REPEATABLE_IDLE_TIMEOUT, 0),
+            for_repeatable: new_client(limits, sockets, REPEATABLE_IDLE_TIMEOUT, usize::MAX),
+            for_non_repeatable: new_client(limits, sockets, NON_REPEATABLE_IDLE_TIMEOUT, usize::MAX),
+            for_single: new_client(limits, sockets, NON_REPEATABLE_IDLE_TIMEOUT, 0),
             used_at: Instant::now(),
         }
     }
@@ -106,6 +115,8 @@
 pub enum SendFault {
     /// No byte of the request left this process.
     NotSent,
+    /// No byte of the request left this process, which has no file descriptor for another connection.
+    NoDescriptor,
     /// The connection broke after at least a part of the request was sent.
     Broken,
 }
@@ -115,14 +126,16 @@
 pub struct PeerClients {
     /// Limits on the heads of answers.
     limits: HeadLimits,
+    sockets: SocketShare,
     sets: Mutex<HashMap<SocketAddr, ClientSet>>,
 }
 
 impl PeerClients {
-    /// Creates clients that take answers with heads up to these limits.
-    pub fn new(limits: HeadLimits) -> Self {
+    /// Creates clients that take answers with heads up to these limits, and open sockets as a budget allows.
+    pub(crate) fn new(limits: HeadLimits, sockets: SocketShare) -> Self {
         Self {
             limits,
+            sockets,
             sets: Mutex::default(),
         }
     }
@@ -146,7 +159,9 @@
 
     fn client(&self, peer: SocketAddr, reuse: ConnectionReuse) -> PeerClient {
         let mut sets = self.sets.lock();
-        let set = sets.entry(peer).or_insert_with(|| ClientSet::new(self.limits));
+        let set = sets
+            .entry(peer)
+            .or_insert_with(|| ClientSet::new(self.limits, &self.sockets));
         set.used_at = Instant::now();
         match reuse {
             ConnectionReuse::Idle => set.for_repeatable.clone(),
@@ -181,7 +196,12 @@
 
 /// Creates a client that neither retries requests nor changes them: it sends path and headers as given, and adds no
 /// `host` header. It keeps at most `max_idle` idle connections.
-fn new_client(limits: HeadLimits, idle_timeout: Duration, max_idle: usize) -> PeerClient {
+fn new_client(
+    limits: HeadLimits,
+    sockets: &SocketShare,
+    idle_timeout: Duration,
+    max_idle: usize,
+) -> PeerClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -197,16 +217,32 @@
         .set_host(false)
         .http1_max_buf_size(limits.bytes)
         .http1_max_headers(limits.headers)
-        .build(PacedConnector(connector))
+        .build(PacedConnector {
+            connector,
+            sockets: sockets.clone(),
+        })
 }
 
 fn classify_error(error: &Error) -> SendFault {
     let cause = error
         .source()
         .and_then(|source| source.downcast_ref::<hyper::Error>());
-    if error.is_connect() || cause.is_some_and(hyper::Error::is_canceled) {
+    if error.is_connect() && is_out_of_descriptors(error) {
+        SendFault::NoDescriptor
+    } else if error.is_connect() || cause.is_some_and(hyper::Error::is_canceled) {
         SendFault::NotSent
     } else {
         SendFault::Broken
     }
 }
+
+/// Returns whether an error comes from a lack of file descriptors.
+fn is_out_of_descriptors(error: &Error) -> bool {
+    let numbers = [Errno::MFILE, Errno::NFILE].map(Errno::raw_os_error);
+    let mut sources = std::iter::successors(error.source(), |&source| source.source());
+    sources.any(|source| {
+        let error = source.downcast_ref::<io::Error>();
+        let number = error.and_then(io::Error::raw_os_error);
+        number.is_some_and(|number| numbers.contains(&number))
+    })
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -5,6 +5,7 @@
         client_stream::ClientStream,
         connection_phase::{ExchangeBody, ExchangeGuard},
         paced_stream::PacedStream,
+        socket_budget::SocketShare,
     },
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
@@ -32,7 +33,10 @@
         time::Duration,
     },
     thiserror::Error,
-    tokio::{sync::Notify, time::sleep},
+    tokio::{
+        sync::Notify,
+        time::{Instant, sleep},
+    },
 };
 
 pub use crate::connection_phase::{ClientTimeouts, ConnectionPhase, TimeoutSource};
@@ -57,6 +61,8 @@
 const HEAD_MARGIN_HEADERS: usize = 24;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Minimum time between two log lines on connections that could not be accepted.
+const ACCEPT_LINE_INTERVAL: Duration = Duration::from_secs(1);
 /// Text of the library's error for a URI over its limit; the error has no other mark.
 const URI_TOO_LONG: &str = "URI too long";
 /// Time for which clients keep an idle connection, unless they set another.
@@ -181,6 +187,29 @@
     }
 }
 
+/// Failures to accept a connection at a listener.
+#[derive(Debug, Default)]
+struct AcceptFailures {
+    count: u64,
+    /// Earliest time of the next log line.
+    next_line_at: Option<Instant>,
+}
+
+impl AcceptFailures {
+    /// Counts a failure, and logs it with their number unless another was logged a moment ago.
+    fn record(&mut self, listener: SocketAddr, error: &io::Error) {
+        self.count += 1;
+        let now = Instant::now();
+        if self.next_line_at.is_none_or(|at| at <= now) {
+            self.next_line_at = Some(now + ACCEPT_LINE_INTERVAL);
+            log::error!(
+                "event=accept-failed listener={listener} failures={} error={error:?}",
+                self.count
+            );
+        }
+    }
+}
+
 /// Serves all requests of a listener with one handler until the runtime stops.
 pub async fn serve<H: Handler>(listener: TcpListener, handler: H) -> io::Result<()> {
     let timeouts = Arc::new(|| CLIENT_TIMEOUTS);
@@ -195,6 +224,18 @@
     limits: HeadLimits,
     timeouts: TimeoutSource,
     on_unread: impl Fn(&UnreadRequest) + Send + Sync + 'static,
+) -> io::Result<()> {
+    serve_within(listener, handler, limits, timeouts, on_unread, None).await
+}
+
+/// Like [`serve_observed`], and leaves connections in the backlog while the budget of `sockets` is used up.
+pub(crate) async fn serve_within<H: Handler>(
+    listener: TcpListener,
+    handler: H,
+    limits: HeadLimits,
+    timeouts: TimeoutSource,
+    on_unread: impl Fn(&UnreadRequest) + Send + Sync + 'static,
+    sockets: Option<SocketShare>,
 ) -> io::Result<()> {
     let service = Service::new(Router::with_path("{**rest}").goal(handler));
     let listener = tokio::net::TcpListener::from_std(listener)?;
@@ -210,11 +251,15 @@
         .max_headers(limits.headers)
         .half_close(false);
     let on_unread = Arc::new(on_unread);
+    let mut accept_failures = AcceptFailures::default();
     loop {
+        if let Some(sockets) = &sockets {
+            sockets.wait_for_room().await;
+        }
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
             Err(error) => {
-                log::error!("event=accept-failed error={error:?}");
+                accept_failures.record(address, &error);
                 // Without a pause, a lack of file descriptors keeps the thread busy.
                 sleep(ACCEPT_PAUSE).await;
                 continue;
@@ -241,7 +286,8 @@
             let answer = handler.call(request);
             async move { Ok::<_, hyper::Error>(answer.await?.map(|body| ExchangeBody::new(body, exchange))) }
         });
-        let connection = http.serve_connection(TokioIo::new(PacedStream::new(stream)), handler);
+        let permit = sockets.as_ref().map(SocketShare::take);
+        let connection = http.serve_connection(TokioIo::new(PacedStream::new(stream, permit)), handler);
         let on_unread = Arc::clone(&on_unread);
         tokio::spawn(async move {
             let ended = tokio::select! {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod moves;
 mod paced_stream;
 pub mod settings;
+mod socket_budget;
 pub mod spread;
 pub mod store;
 pub mod timeline;
--- a/src/paced_stream.rs
+++ b/src/paced_stream.rs
@@ -2,6 +2,7 @@
 //! thread from its other connections and its timers.
 
 use {
+    crate::socket_budget::SocketPermit,
     hyper_util::client::legacy::connect::{Connected, Connection},
     std::{
         fmt::{Debug, Formatter},
@@ -23,13 +24,16 @@
     stream: S,
     turn_bytes: usize,
     pause: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
+    /// Dropped after the stream.
+    _permit: Option<SocketPermit>,
 }
 
 impl<S> PacedStream<S> {
-    /// Wraps a stream.
-    pub fn new(stream: S) -> Self {
+    /// Wraps a stream, which counts as open by `permit`.
+    pub fn new(stream: S, permit: Option<SocketPermit>) -> Self {
         Self {
             stream,
+            _permit: permit,
             turn_bytes: 0,
             pause: None,
         }
