A request for which a kept connection ends before it is written goes to another connection

What callers saw: 503 "no connection" or "target-starting" for a request to a sound target when a kept connection was closed, reset, or got an earlier refusal once more in the same moment as the request came. The gate reported a target that refuses connections, and the proxy counted a failure of the target.

Cause: an idle connection is known to have ended only when its task runs. If the request's task runs first, the library hands the request back unwritten; with `retry_canceled_requests(false)` that became an error.

Why it works: the library repeats only a request of which no byte was written, on a connection that was used before, so nothing runs twice; bodies have not been asked for a byte then. Ruled out as an answer to another request: the id of the attempt (target) and of the call (gate) decide, and a connection with bytes beyond its answer is not used.

--- a/src/daemon/traffic/peer_client.rs
+++ b/src/daemon/traffic/peer_client.rs
@@ -194,8 +194,8 @@
     }
 }
 
-/// Creates a client that neither retries requests nor changes them: it sends path and headers as given, and adds no
-/// `host` header. It keeps at most `max_idle` idle connections.
+/// Creates a client that sends a request once, with path and headers as given and without a `host` header of its own. It
+/// keeps at most `max_idle` idle connections.
 fn new_client(
     limits: HeadLimits,
     sockets: &SocketShare,
@@ -213,7 +213,8 @@
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(idle_timeout)
         .pool_max_idle_per_host(max_idle)
-        .retry_canceled_requests(false)
+        // A reused connection may end before a byte of the request is written; the request goes to another one then.
+        .retry_canceled_requests(true)
         .set_host(false)
         .http1_max_buf_size(limits.bytes)
         .http1_max_headers(limits.headers)
