Large messages of many daemons at once are read within a fixed room of memory

What was seen: 100 connections to the control listener, each with a message of 4 MiB that lacks its last byte, took 208 MB of a daemon that may use 64 MB for control; with 1,000 it would be 4 GB. Their senders need no key but the listener's address, and keep it for 2 s each.

Cause: the size of one message was limited, that of all together was not.

Why it works: what a body has over 64 KiB needs a part of 16 MiB, which is free again when the message is decoded or given up, after 2 s at the latest. Small messages, as between daemons in a calm mesh (a few kB), don't wait. A large one that finds no room within its 2 s is refused as before, and sent again.

--- a/src/daemon/operators.rs
+++ b/src/daemon/operators.rs
@@ -19,9 +19,12 @@
         http::{HeaderValue, ResBody, StatusCode, header::CONTENT_TYPE},
     },
     std::sync::Arc,
-    tokio::sync::{mpsc, oneshot},
+    tokio::sync::{Semaphore, mpsc, oneshot},
 };
 
+/// Room for large control messages that are read at the same time, in bytes.
+const MESSAGE_ROOM_BYTES: usize = 4 * MAX_MESSAGE_BYTES;
+
 value_type! {
     /// State of an open move as reported by one daemon.
     pub struct MoveStatus {
@@ -73,10 +76,21 @@
 /// Handles control requests of other daemons.
 #[derive(Debug)]
 pub struct ControlHandler {
-    /// State shared with the other threads.
-    pub shared: Arc<SharedState>,
+    shared: Arc<SharedState>,
     /// Event queue of the control thread.
-    pub events: mpsc::Sender<ControlEvent>,
+    events: mpsc::Sender<ControlEvent>,
+    message_room: Semaphore,
+}
+
+impl ControlHandler {
+    /// Creates the handler, which sends requests to `events`.
+    pub fn new(shared: Arc<SharedState>, events: mpsc::Sender<ControlEvent>) -> Self {
+        Self {
+            shared,
+            events,
+            message_room: Semaphore::new(MESSAGE_ROOM_BYTES),
+        }
+    }
 }
 
 #[async_trait]
@@ -143,15 +157,18 @@
 #[async_trait]
 impl Handler for ControlHandler {
     async fn handle(&self, req: &mut Request, _depot: &mut Depot, res: &mut Response, _ctrl: &mut FlowCtrl) {
-        let Some(bytes) = read_limited(req.take_body(), MAX_MESSAGE_BYTES).await else {
+        let reading = read_limited(req.take_body(), MAX_MESSAGE_BYTES, &self.message_room);
+        let Some(message) = reading.await else {
             res.status_code(StatusCode::PAYLOAD_TOO_LARGE);
             answer(res, "text/plain", "the message is too large or broke off\n");
             return;
         };
         self.shared
             .metrics
-            .count_control_bytes("received", "http", bytes.len());
-        let request = match decode_envelope::<ControlRequest>(&self.shared.settings.mesh, &bytes) {
+            .count_control_bytes("received", "http", message.content.len());
+        let decoded = decode_envelope::<ControlRequest>(&self.shared.settings.mesh, &message.content);
+        drop(message);
+        let request = match decoded {
             Ok(request) => request,
             Err(error) => {
                 res.status_code(StatusCode::BAD_REQUEST);
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -96,10 +96,7 @@
             Arc::clone(&shared),
             "control",
             control,
-            ControlHandler {
-                shared: Arc::clone(&shared),
-                events: events.clone(),
-            },
+            ControlHandler::new(Arc::clone(&shared), events.clone()),
         ));
         tokio::spawn(serve_counted(
             Arc::clone(&shared),
--- a/src/daemon/traffic/relay.rs
+++ b/src/daemon/traffic/relay.rs
@@ -24,11 +24,16 @@
         },
     },
     std::time::Duration,
-    tokio::time::timeout,
+    tokio::{
+        sync::{Semaphore, SemaphorePermit},
+        time::timeout,
+    },
 };
 
 /// Maximum time for reading a body whose sender gives up as early.
 const BODY_LIMIT: Duration = Duration::from_secs(2);
+/// Size up to which a body is read without waiting for room, in bytes.
+const FREE_BYTES: usize = 64 * 1024;
 
 const HOP_BY_HOP_HEADERS: [HeaderName; 7] = [
     CONNECTION,
@@ -158,13 +163,23 @@
     }
 }
 
+/// Body that was read whole.
+pub struct WholeBody<'a> {
+    /// Bytes of the body.
+    pub content: Bytes,
+    /// Room that the body takes until dropped.
+    _room: Option<SemaphorePermit<'a>>,
+}
+
 /// Reads a whole body. Returns `None` if it exceeds `limit` bytes, breaks off, or is not complete after [`BODY_LIMIT`].
-pub async fn read_limited(mut body: ReqBody, limit: usize) -> Option<Bytes> {
+/// What it has over [`FREE_BYTES`] needs room among the bodies that are read at the same time.
+pub async fn read_limited(mut body: ReqBody, limit: usize, room: &Semaphore) -> Option<WholeBody<'_>> {
     if body.size_hint().lower() > limit as u64 {
         return None;
     }
     let reading = async {
         let mut content = BytesMut::new();
+        let mut taken: Option<SemaphorePermit<'_>> = None;
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.ok()?.into_data() else {
                 continue;
@@ -172,9 +187,19 @@
             if content.len() + data.len() > limit {
                 return None;
             }
+            if content.len() + data.len() > FREE_BYTES {
+                let more = room.acquire_many(data.len() as u32).await.ok()?;
+                match &mut taken {
+                    Some(taken) => taken.merge(more),
+                    None => taken = Some(more),
+                }
+            }
             content.extend_from_slice(&data);
         }
-        Some(content.freeze())
+        Some(WholeBody {
+            content: content.freeze(),
+            _room: taken,
+        })
     };
     timeout(BODY_LIMIT, reading).await.ok()?
 }
