--- a/src/daemon/refusals.rs
+++ b/src/daemon/refusals.rs
@@ -28,6 +28,9 @@
 /// Longest text of a request in a log line, in bytes.
 const MAX_TEXT_BYTES: usize = 200;
 
+/// Listener, status and reason; no status if no answer was sent.
+type ReasonKey = (&'static str, Option<StatusCode>, &'static str);
+
 /// Rate of a token bucket.
 #[derive(Debug, Clone, Copy)]
 struct LineRate {
@@ -114,14 +117,11 @@
     }
 }
 
-/// Listener, status if there is one, and reason.
-type LineKey = (&'static str, Option<StatusCode>, &'static str);
-
 /// Limits the number of log lines for each listener, status and reason. A few lines a second are kept for each subject, so
 /// that many requests of one kind don't hide a rare one.
 #[derive(Debug, Default)]
 pub struct RefusalLines {
-    reasons: Mutex<HashMap<LineKey, ReasonLines>>,
+    reasons: Mutex<HashMap<ReasonKey, ReasonLines>>,
     hasher: RandomState,
 }
 
