A connection of HTTP/2 is not counted as a 400

Operators saw: a line `request-unread … status=400` and a count under `refusals_total` for a client that begins with the first bytes of HTTP/2, though nobody was sent a 400. A count of our own refusals has to be true to be of use.

Cause: every parse error of the HTTP library was taken for one that it answers. To these bytes it sends nothing.

Ruled out by reading: another parse error without an answer (the library answers all but its internal ones).

Fix: what a listener reports is why a connection ended, of which a refusal by the library is one cause. `http2` has a line `connection-ended` and a counter `ended_connections_total` by listener and cause.

--- a/src/daemon/listeners.rs
+++ b/src/daemon/listeners.rs
@@ -5,12 +5,16 @@
         refusals::{RequestFields, log_word, request_subject},
         shared::SharedState,
     },
-    crate::http::{CLIENT_TIMEOUTS, HeadLimits, UnreadRequest, serve_observed},
+    crate::http::{CLIENT_TIMEOUTS, EndCause, HeadLimits, UnreadRequest, serve_observed},
     salvo::{
         Depot, FlowCtrl, Handler, Request, Response, async_trait,
         http::{ResBody, StatusCode},
     },
-    std::{io, net::TcpListener, sync::Arc},
+    std::{
+        io,
+        net::{SocketAddr, TcpListener},
+        sync::Arc,
+    },
 };
 
 /// Serves all requests of a listener that callers don't use, until the runtime stops. Requests that end with a redirect or a
@@ -21,35 +25,54 @@
     listener: TcpListener,
     handler: H,
 ) -> io::Result<()> {
-    let on_unread = report_unread(Arc::clone(&shared), name);
+    let on_end = report_end(Arc::clone(&shared), name);
     let handler = CountedHandler {
         shared,
         listener: name,
         handler,
     };
     let timeouts = Arc::new(|| CLIENT_TIMEOUTS);
-    serve_observed(listener, handler, HeadLimits::CONTROL, timeouts, on_unread).await
+    serve_observed(listener, handler, HeadLimits::CONTROL, timeouts, on_end).await
 }
 
-/// Returns a function that counts and logs a request which the HTTP library refused. Its head could not be read, so the
-/// line has no id.
-pub fn report_unread(shared: Arc<SharedState>, listener: &'static str) -> impl Fn(&UnreadRequest) {
-    move |unread| {
-        let reason = match unread.status {
-            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE => "unread-head-too-large",
-            StatusCode::URI_TOO_LONG => "unread-uri-too-long",
-            _ => "unread-malformed",
-        };
-        let detail = unread.to_string();
-        let subject = (unread.peer.ip(), &detail);
-        if let Some(suppressed) = shared.record_refusal(listener, unread.status, reason, subject) {
-            log::info!(
-                target: "calls",
-                "event=request-unread listener={listener} status={} reason={reason} peer={} suppressed={suppressed} detail={detail:?}",
-                unread.status.as_u16(),
-                unread.peer
-            );
-        }
+/// Returns a function that counts and logs the end of a connection that no handler ended. No head was read, so the line has
+/// no id.
+pub fn report_end(shared: Arc<SharedState>, listener: &'static str) -> impl Fn(SocketAddr, &EndCause) {
+    move |peer, cause| match cause {
+        EndCause::Unread(unread) => report_unread(&shared, listener, peer, unread),
+        EndCause::Http2 => report_unanswered(&shared, listener, peer, "http2"),
+    }
+}
+
+/// Counts and logs a request that the HTTP library refused.
+fn report_unread(shared: &SharedState, listener: &'static str, peer: SocketAddr, unread: &UnreadRequest) {
+    let reason = match unread.status {
+        StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE => "unread-head-too-large",
+        StatusCode::URI_TOO_LONG => "unread-uri-too-long",
+        _ => "unread-malformed",
+    };
+    let detail = unread.to_string();
+    let subject = (peer.ip(), &detail);
+    if let Some(suppressed) = shared.record_refusal(listener, unread.status, reason, subject) {
+        log::info!(
+            target: "calls",
+            "event=request-unread listener={listener} status={} reason={reason} peer={peer} suppressed={suppressed} detail={detail:?}",
+            unread.status.as_u16()
+        );
+    }
+}
+
+/// Counts and logs a connection that ended without an answer.
+fn report_unanswered(shared: &SharedState, listener: &'static str, peer: SocketAddr, cause: &'static str) {
+    shared.metrics.count_ended_connection(listener, cause);
+    let admitted = shared
+        .refusal_lines
+        .admit(listener, None, cause, peer.ip(), shared.now());
+    if let Some(suppressed) = admitted {
+        log::info!(
+            target: "calls",
+            "event=connection-ended listener={listener} cause={cause} peer={peer} suppressed={suppressed}"
+        );
     }
 }
 
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -45,6 +45,15 @@
     pub reason: &'static str,
 }
 
+/// Labels of the counter of connections that ended without an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EndLabels {
+    /// Key of the listener's address in the settings.
+    pub listener: &'static str,
+    /// Why the connection ended.
+    pub cause: &'static str,
+}
+
 /// Labels of the counter of targets' answers.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StatusLabels {
@@ -100,6 +109,8 @@
     pub convergence: Histogram,
     /// Requests that this process refused itself, by listener, status and reason.
     refusals: Family<RefusalLabels, Counter>,
+    /// Connections that this process ended without an answer, by listener and cause.
+    ended_connections: Family<EndLabels, Counter>,
     /// Answers of targets that were passed on to callers, by status.
     answers: Family<StatusLabels, Counter>,
     /// Bytes of control traffic, by direction and kind.
@@ -131,6 +142,7 @@
             call_labels: Mutex::default(),
             convergence: Histogram::new(exponential_buckets(0.01, 2.0, 14)),
             refusals: Family::default(),
+            ended_connections: Family::default(),
             answers: Family::default(),
             control_bytes: Family::default(),
             store_calls: Family::default(),
@@ -152,6 +164,11 @@
             "Requests that this process refused itself, by listener, status and reason",
             metrics.refusals.clone(),
         );
+        registry.register(
+            "ended_connections",
+            "Connections that this process ended without an answer, by listener and cause",
+            metrics.ended_connections.clone(),
+        );
         registry.register(
             "answers",
             "Answers of targets that were passed on to callers, by status",
@@ -226,6 +243,13 @@
         self.refusals.get_or_create(&labels).inc();
     }
 
+    /// Counts a connection that this process ended without an answer.
+    pub fn count_ended_connection(&self, listener: &'static str, cause: &'static str) {
+        self.ended_connections
+            .get_or_create(&EndLabels { listener, cause })
+            .inc();
+    }
+
     /// Counts a target's answer that is passed on to the caller.
     pub fn count_status(&self, status: StatusCode) {
         let labels = StatusLabels {
--- a/src/daemon/refusals.rs
+++ b/src/daemon/refusals.rs
@@ -28,6 +28,9 @@
 /// Longest text of a request in a log line, in bytes.
 const MAX_TEXT_BYTES: usize = 200;
 
+/// Listener, status and reason; no status if no answer was sent.
+type ReasonKey = (&'static str, Option<StatusCode>, &'static str);
+
 /// Rate of a token bucket.
 #[derive(Debug, Clone, Copy)]
 struct LineRate {
@@ -118,17 +121,17 @@
 /// that many requests of one kind don't hide a rare one.
 #[derive(Debug, Default)]
 pub struct RefusalLines {
-    reasons: Mutex<HashMap<(&'static str, StatusCode, &'static str), ReasonLines>>,
+    reasons: Mutex<HashMap<ReasonKey, ReasonLines>>,
     hasher: RandomState,
 }
 
 impl RefusalLines {
     /// Returns the number of requests that were not logged since the last line if this one is to be logged, otherwise
-    /// `None`. `subject` is what requests of one kind have in common, such as the host and the route.
+    /// `None`. `status` is missing if no answer was sent. `subject` is what requests of one kind have in common, such as the host and the route.
     pub fn admit(
         &self,
         listener: &'static str,
-        status: StatusCode,
+        status: impl Into<Option<StatusCode>>,
         reason: &'static str,
         subject: impl Hash,
         now: TimePoint,
@@ -136,7 +139,7 @@
         let subject = self.hasher.hash_one(subject);
         let mut reasons = self.reasons.lock();
         let lines = reasons
-            .entry((listener, status, reason))
+            .entry((listener, status.into(), reason))
             .or_insert_with(|| ReasonLines::new(now));
         if lines.common.take(REASON_RATE, now) || lines.take_for_subject(subject, now) {
             return Some(std::mem::take(&mut lines.suppressed));
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -6,7 +6,7 @@
         edges::{DaemonEdges, EdgeContext},
         envelope::decode_envelope,
         freshness::TableFreshness,
-        listeners::{report_unread, serve_counted},
+        listeners::{report_end, serve_counted},
         metrics::DaemonMetrics,
         operators::{ControlHandler, OperatorHandler},
         readiness::ReadinessHandler,
@@ -225,9 +225,9 @@
     let target_clients = Arc::new(PeerClients::new(HeadLimits::GATE));
     let outbound = OutboundHandler::new(Arc::clone(shared), Arc::clone(&gate_clients), worker);
     let inbound = InboundHandler::new(Arc::clone(shared), Arc::clone(&target_clients));
-    let (on_unread_calls, on_unread_gate) = (
-        report_unread(Arc::clone(shared), "calls"),
-        report_unread(Arc::clone(shared), "gate"),
+    let (on_end_calls, on_end_gate) = (
+        report_end(Arc::clone(shared), "calls"),
+        report_end(Arc::clone(shared), "gate"),
     );
     let call_timeouts = {
         let shared = Arc::clone(shared);
@@ -239,8 +239,8 @@
             tokio::spawn(clean_clients(gate_clients));
             tokio::spawn(clean_clients(target_clients));
             let (outbound, inbound) = tokio::join!(
-                serve_observed(calls, outbound, HeadLimits::CALLS, call_timeouts, on_unread_calls),
-                serve_observed(gate, inbound, HeadLimits::GATE, gate_timeouts, on_unread_gate)
+                serve_observed(calls, outbound, HeadLimits::CALLS, call_timeouts, on_end_calls),
+                serve_observed(gate, inbound, HeadLimits::GATE, gate_timeouts, on_end_gate)
             );
             for error in [outbound.err(), inbound.err()].into_iter().flatten() {
                 log::error!("event=traffic-ended worker={worker} error={error}");
--- a/src/http.rs
+++ b/src/http.rs
@@ -59,6 +59,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Text of the library's error for a URI over its limit; the error has no other mark.
 const URI_TOO_LONG: &str = "URI too long";
+/// Text of the library's error for the first bytes of HTTP/2, to which it sends no answer.
+const HTTP2_PREFACE: &str = "invalid HTTP version parsed (found HTTP2 preface)";
 /// Time for which clients keep an idle connection, unless they set another.
 pub const CLIENT_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time for which an idle connection to a gate or target is kept for repeatable calls; shorter than targets keep
@@ -119,26 +121,34 @@
 /// Request that the HTTP library refused before a handler got it.
 #[derive(Debug)]
 pub struct UnreadRequest {
-    /// Address of the sender.
-    pub peer: SocketAddr,
     /// Status of the library's answer.
     pub status: StatusCode,
     /// Error of the library.
     error: hyper::Error,
 }
 
-impl UnreadRequest {
-    /// Returns the refusal behind the end of a connection; `None` if the library sent no answer.
-    fn from_error(peer: SocketAddr, error: hyper::Error) -> Option<Self> {
+/// Why a listener ended a connection that no handler ended.
+#[derive(Debug)]
+pub enum EndCause {
+    /// The HTTP library refused a request.
+    Unread(UnreadRequest),
+    /// The client speaks HTTP/2 and was sent no answer.
+    Http2,
+}
+
+impl EndCause {
+    /// Returns the cause behind the end of a connection; `None` if the client ended it.
+    fn from_error(error: hyper::Error) -> Option<Self> {
         if !error.is_parse() {
             return None;
         }
         let status = match error.to_string().as_str() {
+            HTTP2_PREFACE => return Some(Self::Http2),
             URI_TOO_LONG => StatusCode::URI_TOO_LONG,
             _ if error.is_parse_too_large() => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             _ => StatusCode::BAD_REQUEST,
         };
-        Some(Self { peer, status, error })
+        Some(Self::Unread(UnreadRequest { status, error }))
     }
 }
 
@@ -184,17 +194,17 @@
 /// Serves all requests of a listener with one handler until the runtime stops.
 pub async fn serve<H: Handler>(listener: TcpListener, handler: H) -> io::Result<()> {
     let timeouts = Arc::new(|| CLIENT_TIMEOUTS);
-    serve_observed(listener, handler, HeadLimits::CONTROL, timeouts, |_| {}).await
+    serve_observed(listener, handler, HeadLimits::CONTROL, timeouts, |_, _| {}).await
 }
 
-/// Serves all requests of a listener with one handler until the runtime stops, and reports those that the HTTP library
-/// refuses itself.
+/// Serves all requests of a listener with one handler until the runtime stops, and reports the connections that no handler
+/// ends.
 pub async fn serve_observed<H: Handler>(
     listener: TcpListener,
     handler: H,
     limits: HeadLimits,
     timeouts: TimeoutSource,
-    on_unread: impl Fn(&UnreadRequest) + Send + Sync + 'static,
+    on_end: impl Fn(SocketAddr, &EndCause) + Send + Sync + 'static,
 ) -> io::Result<()> {
     let service = Service::new(Router::with_path("{**rest}").goal(handler));
     let listener = tokio::net::TcpListener::from_std(listener)?;
@@ -209,7 +219,7 @@
         .max_buf_size(limits.bytes)
         .max_headers(limits.headers)
         .half_close(false);
-    let on_unread = Arc::new(on_unread);
+    let on_end = Arc::new(on_end);
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -242,15 +252,15 @@
             async move { Ok::<_, hyper::Error>(answer.await?.map(|body| ExchangeBody::new(body, exchange))) }
         });
         let connection = http.serve_connection(TokioIo::new(PacedStream::new(stream)), handler);
-        let on_unread = Arc::clone(&on_unread);
+        let on_end = Arc::clone(&on_end);
         tokio::spawn(async move {
             let ended = tokio::select! {
                 ended = connection => ended,
                 () = closer.closed() => return,
             };
             let Err(error) = ended else { return };
-            if let Some(unread) = UnreadRequest::from_error(peer, error) {
-                on_unread(&unread);
+            if let Some(cause) = EndCause::from_error(error) {
+                on_end(peer, &cause);
             }
         });
     }
