An id that a connection option names reaches the target

Callers saw: 504 with an unknown outcome for a request with `Connection: attempt-id`, though the target had run it.

Cause: headers named in `Connection` concern one connection and are removed. The target then got no id, answered without one, and the gate took the answer for another request's.

Ruled out: the target, which answered each request, and a lost connection.

Fix: a dialect names the headers of requests that are meant for the target. Answers are judged as strictly as before: what a target names there is not passed on.

--- a/src/daemon/traffic/dialect.rs
+++ b/src/daemon/traffic/dialect.rs
@@ -47,6 +47,10 @@
     /// refusal can be logged with it.
     fn call_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
 
+    /// Returns the names of request headers, in lower case, that reach the target even if the caller names them as options of
+    /// its connection.
+    fn end_to_end_names(&self) -> &'static [&'static str];
+
     /// Parses the options in the headers of a caller's request. The error states which header is malformed and what it
     /// must contain.
     fn parse_options(&self, headers: &HeaderMap) -> Result<CallOptions, &'static str>;
@@ -82,6 +86,10 @@
         None
     }
 
+    fn end_to_end_names(&self) -> &'static [&'static str] {
+        &[]
+    }
+
     fn parse_options(&self, headers: &HeaderMap) -> Result<CallOptions, &'static str> {
         let timeout_ms = parse_time_left(headers, header::TIMEOUT_MS)
             .map_err(|_| "fuchsiashore-timeout-ms must be a number of milliseconds")?;
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -298,7 +298,7 @@
         let shared = &self.shared;
         let (head, body) = answer.into_parts();
         // Judged is what is passed on, as the target may name any header as one of its connection.
-        let headers = end_to_end_headers(&head.headers);
+        let headers = end_to_end_headers(&head.headers, &[]);
         let verdict = shared.dialect.classify_answer(request, head.status, &headers);
         match verdict {
             AnswerVerdict::Ran => {}
@@ -356,7 +356,7 @@
         body: RequestBody,
         progress: Arc<BodyProgress>,
     ) -> ForwardedRequest {
-        let mut headers = end_to_end_headers(req.headers());
+        let mut headers = end_to_end_headers(req.headers(), self.shared.dialect.end_to_end_names());
         let call = CallContext {
             target: &identity.id,
             caller: &hop.caller,
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -146,7 +146,7 @@
         let mut request = ForwardedRequest {
             method: req.method().clone(),
             path: forwarded_path(req),
-            headers: end_to_end_headers(req.headers()),
+            headers: end_to_end_headers(req.headers(), self.shared.dialect.end_to_end_names()),
             host: forwarded_host(req),
             body,
             progress,
@@ -376,7 +376,7 @@
         write_answer(
             res,
             answer.status,
-            end_to_end_headers(&answer.headers),
+            end_to_end_headers(&answer.headers, &[]),
             answer.body,
             end,
             (active, answer.in_flight_guard),
--- a/src/daemon/traffic/relay.rs
+++ b/src/daemon/traffic/relay.rs
@@ -41,14 +41,15 @@
 ];
 
 /// Copies the end-to-end headers: all except hop-by-hop headers, those named in `connection`, `expect`, and
-/// `fuchsiashore-` headers.
-pub fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
+/// `fuchsiashore-` headers. A name in `protected` is no option of a connection (RFC 9110, 7.6.1).
+pub fn end_to_end_headers(headers: &HeaderMap, protected: &[&str]) -> HeaderMap {
     let connection_names: Vec<String> = headers
         .get_all(CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .map(|name| name.trim().to_ascii_lowercase())
+        .filter(|name| !protected.contains(&name.as_str()))
         .collect();
     let mut kept = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
