The refusal of a head names the limit that it passes

Callers and operators saw: `limit 150000` in the 431 and the log line for a head of 70 kB, as if it were over the limit of the configuration. What it was over was the daemon's own limit of 64 KiB, which no text named.

Cause: one text for three limits: the configuration's on the headers, the daemon's on the whole head and on their number.

Evidence: refused_head_is_told_the_limit_that_it_passes; before, `3 headers of 41055 bytes and a path of 8, limit 40000` whatever was over its limit. Ruled out as a remedy: a limit of the configuration over 64 KiB that is in force. The HTTP library holds a head in its buffer, whose limit is set when a connection is accepted, and reads bodies through the same buffer. A fixed limit of 256 KiB would let each slow head hold 3.5 times as much memory, for a limit that no known site sets; one that follows the configuration fails on connections accepted before a change, with a 431 of the library, or at the gate with a 504.

--- a/src/call/outcome.rs
+++ b/src/call/outcome.rs
@@ -119,7 +119,7 @@
             }
             Self::BadRequest => "the request is malformed; see what follows:",
             Self::UnknownCoding => "the transfer coding is not served; send the body as it is or in chunks:",
-            Self::HeadTooLarge => "the request head is over the limit; send fewer or shorter headers",
+            Self::HeadTooLarge => "the request head is over the limit; send fewer or shorter headers:",
             Self::BodyTooLarge => "the request body is over the limit; send less:",
             Self::BodyIncomplete => "the body did not arrive whole before the deadline; send it again",
             Self::Leaving => "this daemon is leaving; use another one",
--- a/src/daemon/traffic/outbound/checks.rs
+++ b/src/daemon/traffic/outbound/checks.rs
@@ -42,15 +42,18 @@
 pub(super) fn check_head(req: &Request, limit: Option<u64>) -> Result<(), CallRefusal> {
     let (count, bytes) = (req.headers().len(), header_bytes(req.headers()));
     let path_bytes = req.uri().path_and_query().map_or(0, |path| path.as_str().len());
-    let limit = limit.unwrap_or(MAX_REQUEST_HEAD_BYTES as u64);
-    let is_over = bytes as u64 > limit
-        || bytes + path_bytes + REQUEST_LINE_BYTES > MAX_REQUEST_HEAD_BYTES
-        || count > MAX_HEADERS;
-    if is_over {
-        let detail = format!("{count} headers of {bytes} bytes and a path of {path_bytes}, limit {limit}");
-        return Err(CallRefusal::not_run(RefusalReason::HeadTooLarge, &detail));
-    }
-    Ok(())
+    let head_bytes = bytes + path_bytes + REQUEST_LINE_BYTES;
+    let detail = match limit {
+        Some(limit) if bytes as u64 > limit => {
+            format!("headers of {bytes} bytes, the configuration allows {limit}")
+        }
+        _ if head_bytes > MAX_REQUEST_HEAD_BYTES => {
+            format!("a head of {head_bytes} bytes, the daemon takes {MAX_REQUEST_HEAD_BYTES}")
+        }
+        _ if count > MAX_HEADERS => format!("{count} headers, the daemon takes {MAX_HEADERS}"),
+        _ => return Ok(()),
+    };
+    Err(CallRefusal::not_run(RefusalReason::HeadTooLarge, &detail))
 }
 
 /// Refuses a body over the limit whose sender waits to be asked for it. Any other sender may send its whole body before it
