A host with user information is refused

Callers saw: `Host: user@shop.example` was served as `shop.example`, and the target got the host as it was sent. A daemon and a target could go by different hosts of one request.

Cause: user information was cut off where the route is found, and nowhere else.

Evidence: host_with_user_information_is_refused, in the header and in the URI; before, 200.

Fix: 400 `bad-request`, as RFC 9112, 3.2 asks for an invalid host and RFC 9110, 4.2.4 for user information in a URI.

--- a/src/daemon/traffic/outbound/checks.rs
+++ b/src/daemon/traffic/outbound/checks.rs
@@ -12,21 +12,32 @@
     hyper::header::{EXPECT, HOST, TRANSFER_ENCODING},
     salvo::{
         Request,
-        http::{HeaderMap, Method},
+        http::{HeaderMap, HeaderValue, Method},
     },
 };
 
 /// Size of a request line without its path, in bytes: the longest method in use, version and separators.
 const REQUEST_LINE_BYTES: usize = 32;
 
-/// Refuses a request with several `host` headers (RFC 9112, 3.2), as this daemon and the target could go by different
-/// ones, one for a tunnel, which would end at the gate, and one in a transfer coding other than `chunked` (RFC 9112, 6.1).
+/// Refuses a request in a form by which this daemon and the target could take it for different ones: with several hosts
+/// (RFC 9112, 3.2), with user information in its host (RFC 9110, 4.2.4), for a tunnel, which would end at the gate, or in a
+/// transfer coding other than `chunked` (RFC 9112, 6.1).
 pub(super) fn check_form(req: &Request) -> Result<(), CallRefusal> {
-    let hosts = req.headers().get_all(HOST).iter().count();
-    if hosts > 1 {
-        let detail = format!("{hosts} host headers; send one");
+    let headers = req.headers().get_all(HOST).iter();
+    let mut hosts: Vec<&[u8]> = headers.map(HeaderValue::as_bytes).collect();
+    if hosts.len() > 1 {
+        let detail = format!("{} host headers; send one", hosts.len());
         return Err(CallRefusal::not_run(RefusalReason::BadRequest, &detail));
     }
+    hosts.extend(
+        req.uri()
+            .authority()
+            .map(|authority| authority.as_str().as_bytes()),
+    );
+    if hosts.iter().any(|host| host.contains(&b'@')) {
+        let detail = "the host has user information; send the host alone";
+        return Err(CallRefusal::not_run(RefusalReason::BadRequest, detail));
+    }
     if req.method() == Method::CONNECT {
         let detail = "CONNECT is not served; send the request itself";
         return Err(CallRefusal::not_run(RefusalReason::BadRequest, detail));
