Connections that end by the configuration's limits are counted by cause

Operators saw: nothing. A limit that is set too low could not be told from clients that leave.

Cause: the stream of the connection ends with an error that the HTTP library takes for the client's end.

Fix: the phase of a connection keeps the limit that it passed, and its listener reports it: `slow-head` with a line and a count, `idle` with a count only, as an idle client has asked for nothing.

--- a/src/client_stream.rs
+++ b/src/client_stream.rs
@@ -47,6 +47,7 @@
             timer.as_mut().reset(deadline);
         }
         ready!(timer.as_mut().poll(cx));
+        self.phase.record_timeout();
         Poll::Ready(io::Error::new(io::ErrorKind::TimedOut, "no request came in time"))
     }
 }
--- a/src/connection_phase.rs
+++ b/src/connection_phase.rs
@@ -9,7 +9,7 @@
         fmt::{Debug, Formatter},
         pin::Pin,
         sync::{
-            Arc,
+            Arc, OnceLock,
             atomic::{AtomicU64, Ordering},
         },
         task::{Context, Poll, Waker},
@@ -27,6 +27,15 @@
     pub idle: Duration,
 }
 
+/// Limit of [`ClientTimeouts`] that a client has passed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PassedLimit {
+    /// The head of a request did not end in time.
+    Head,
+    /// No request began in time.
+    Idle,
+}
+
 /// Returns the limits in force.
 pub type TimeoutSource = Arc<dyn Fn() -> ClientTimeouts + Send + Sync>;
 
@@ -46,6 +55,8 @@
     phase: Mutex<Phase>,
     /// Number of requests so far.
     exchanges: AtomicU64,
+    /// Limit for which the connection ends.
+    passed: OnceLock<PassedLimit>,
     /// Wakes the task that serves the connection.
     waker: AtomicWaker,
 }
@@ -65,6 +76,7 @@
             timeouts,
             phase: Mutex::new(Phase::Idle(Instant::now())),
             exchanges: AtomicU64::new(0),
+            passed: OnceLock::new(),
             waker: AtomicWaker::new(),
         }
     }
@@ -96,6 +108,21 @@
         }
     }
 
+    /// Records that the deadline has passed, for which the connection ends.
+    pub fn record_timeout(&self) {
+        let limit = match *self.phase.lock() {
+            Phase::Idle(_) => PassedLimit::Idle,
+            Phase::Head(_) => PassedLimit::Head,
+            Phase::Exchange(_) => return,
+        };
+        let _ = self.passed.set(limit);
+    }
+
+    /// Returns the limit for which the connection ended; `None` if it ended for another reason.
+    pub fn passed_limit(&self) -> Option<PassedLimit> {
+        self.passed.get().copied()
+    }
+
     /// Records that the head of a request has been read. The exchange lasts until its guard is dropped.
     pub fn begin_exchange(self: &Arc<Self>) -> Arc<ExchangeGuard> {
         let number = self.exchanges.fetch_add(1, Ordering::Relaxed);
--- a/src/daemon/listeners.rs
+++ b/src/daemon/listeners.rs
@@ -5,7 +5,7 @@
         refusals::{RequestFields, log_word, request_subject},
         shared::SharedState,
     },
-    crate::http::{CLIENT_TIMEOUTS, EndCause, HeadLimits, UnreadRequest, serve_observed},
+    crate::http::{CLIENT_TIMEOUTS, EndCause, HeadLimits, PassedLimit, UnreadRequest, serve_observed},
     salvo::{
         Depot, FlowCtrl, Handler, Request, Response, async_trait,
         http::{ResBody, StatusCode},
@@ -41,6 +41,9 @@
     move |peer, cause| match cause {
         EndCause::Unread(unread) => report_unread(&shared, listener, peer, unread),
         EndCause::Http2 => report_unanswered(&shared, listener, peer, "http2"),
+        EndCause::Passed(PassedLimit::Head) => report_unanswered(&shared, listener, peer, "slow-head"),
+        // The client has asked for nothing, so there is nothing to explain.
+        EndCause::Passed(PassedLimit::Idle) => shared.metrics.count_ended_connection(listener, "idle"),
     }
 }
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -35,7 +35,7 @@
     tokio::{sync::Notify, time::sleep},
 };
 
-pub use crate::connection_phase::{ClientTimeouts, ConnectionPhase, TimeoutSource};
+pub use crate::connection_phase::{ClientTimeouts, ConnectionPhase, PassedLimit, TimeoutSource};
 
 /// Maximum number of connections waiting for `accept`; enough if all peers of a small service reconnect together.
 const LISTEN_BACKLOG: i32 = 1_024;
@@ -134,6 +134,8 @@
     Unread(UnreadRequest),
     /// The client speaks HTTP/2 and was sent no answer.
     Http2,
+    /// The client was too slow or idle for too long, and was sent no answer.
+    Passed(PassedLimit),
 }
 
 impl EndCause {
@@ -244,8 +246,9 @@
             None,
         );
         let request_closer = closer.clone();
+        let request_phase = Arc::clone(&phase);
         let handler = service_fn(move |request: hyper::Request<Incoming>| {
-            let exchange = phase.begin_exchange();
+            let exchange = request_phase.begin_exchange();
             let mut request = request.map(|body| observed_body(body, &exchange));
             request.extensions_mut().insert(request_closer.clone());
             let answer = handler.call(request);
@@ -258,8 +261,11 @@
                 ended = connection => ended,
                 () = closer.closed() => return,
             };
-            let Err(error) = ended else { return };
-            if let Some(cause) = EndCause::from_error(error) {
+            let cause = match phase.passed_limit() {
+                Some(limit) => Some(EndCause::Passed(limit)),
+                None => ended.err().and_then(EndCause::from_error),
+            };
+            if let Some(cause) = cause {
                 on_end(peer, &cause);
             }
         });
