Transfers that break are counted by cause

Operators saw: a body that ended early left no trace but the other side's complaint.

Cause: the task that passes an answer on, and the reader of a request's body, knew how they ended and told nobody.

Evidence: broken_transfers_are_counted_by_cause, with a target that breaks off, callers that leave, stop reading, break off and stall, and a whole exchange that counts nowhere; before, there was no counter. Ruled out: a count at the end of the handler, which is dropped with a connection that breaks.

Fix: `broken_transfers_total` by listener and cause, counted where the transfer ends. When a transfer ends is unchanged.

--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -45,12 +45,12 @@
     pub reason: &'static str,
 }
 
-/// Labels of the counter of connections that ended without an answer.
+/// Labels of the counters of connections that ended without an answer and of broken transfers.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EndLabels {
     /// Key of the listener's address in the settings.
     pub listener: &'static str,
-    /// Why the connection ended.
+    /// Why the connection or the transfer ended.
     pub cause: &'static str,
 }
 
@@ -111,6 +111,8 @@
     refusals: Family<RefusalLabels, Counter>,
     /// Connections that this process ended without an answer, by listener and cause.
     ended_connections: Family<EndLabels, Counter>,
+    /// Bodies of requests and answers that were not transferred to their end, by listener and cause.
+    broken_transfers: Family<EndLabels, Counter>,
     /// Answers of targets that were passed on to callers, by status.
     answers: Family<StatusLabels, Counter>,
     /// Bytes of control traffic, by direction and kind.
@@ -143,6 +145,7 @@
             convergence: Histogram::new(exponential_buckets(0.01, 2.0, 14)),
             refusals: Family::default(),
             ended_connections: Family::default(),
+            broken_transfers: Family::default(),
             answers: Family::default(),
             control_bytes: Family::default(),
             store_calls: Family::default(),
@@ -169,6 +172,11 @@
             "Connections that this process ended without an answer, by listener and cause",
             metrics.ended_connections.clone(),
         );
+        registry.register(
+            "broken_transfers",
+            "Bodies that were not transferred to their end, by listener and cause",
+            metrics.broken_transfers.clone(),
+        );
         registry.register(
             "answers",
             "Answers of targets that were passed on to callers, by status",
@@ -250,6 +258,13 @@
             .inc();
     }
 
+    /// Counts the body of a request or an answer that was not transferred to its end.
+    pub fn count_broken_transfer(&self, listener: &'static str, cause: &'static str) {
+        self.broken_transfers
+            .get_or_create(&EndLabels { listener, cause })
+            .inc();
+    }
+
     /// Counts a target's answer that is passed on to the caller.
     pub fn count_status(&self, status: StatusCode) {
         let labels = StatusLabels {
--- a/src/daemon/traffic/body.rs
+++ b/src/daemon/traffic/body.rs
@@ -1,6 +1,7 @@
 //! Request and answer bodies: small ones are fully buffered, larger ones are streamed.
 
 use {
+    super::transfer_report::{TransferFault, TransferReport},
     crate::{clock::TimePoint, http::ConnectionCloser},
     bytes::{Bytes, BytesMut},
     futures_util::{Stream, StreamExt, TryStreamExt, stream},
@@ -61,8 +62,8 @@
 }
 
 /// What is known of a caller's body while several parts of the daemon read it.
-#[derive(Default)]
 pub struct BodyProgress {
+    report: TransferReport,
     has_ended: AtomicBool,
     is_awaited: AtomicBool,
     fault: Mutex<Option<BodyFault>>,
@@ -71,6 +72,17 @@
 }
 
 impl BodyProgress {
+    /// Creates the progress of a body of which nothing has been read.
+    pub fn new(report: TransferReport) -> Self {
+        Self {
+            report,
+            has_ended: AtomicBool::new(false),
+            is_awaited: AtomicBool::new(false),
+            fault: Mutex::default(),
+            rest: Mutex::default(),
+        }
+    }
+
     /// Returns whether the body was read to its end.
     pub fn has_ended(&self) -> bool {
         self.has_ended.load(Ordering::Acquire)
@@ -102,8 +114,12 @@
         self.has_ended.store(true, Ordering::Release);
     }
 
-    fn fail(&self, fault: BodyFault) {
-        *self.fault.lock() = Some(fault);
+    fn fail(&self, fault: TransferFault) {
+        self.report.count(fault);
+        *self.fault.lock() = Some(match fault {
+            TransferFault::RequestOverLimit => BodyFault::TooLarge,
+            _ => BodyFault::Incomplete,
+        });
     }
 }
 
@@ -242,25 +258,29 @@
         Some((chunks, limit, progress)),
         move |state| async move {
             let (mut chunks, left, progress) = state?;
-            let late = || io::Error::new(io::ErrorKind::TimedOut, "request body is over-late");
             progress.is_awaited.store(true, Ordering::Release);
             let chunk = timeout_at(until, chunks.next()).await;
             progress.is_awaited.store(false, Ordering::Release);
-            match chunk.unwrap_or_else(|_| Some(Err(late()))) {
-                None => {
+            match chunk {
+                Err(_) => {
+                    progress.fail(TransferFault::RequestLate);
+                    let late = io::Error::new(io::ErrorKind::TimedOut, "request body is over-late");
+                    Some((Err(late), None))
+                }
+                Ok(None) => {
                     progress.end();
                     None
                 }
-                Some(Err(error)) => {
-                    progress.fail(BodyFault::Incomplete);
+                Ok(Some(Err(error))) => {
+                    progress.fail(TransferFault::RequestCut);
                     Some((Err(error), None))
                 }
-                Some(Ok(chunk)) => {
+                Ok(Some(Ok(chunk))) => {
                     if let Some(left) = left.checked_sub(chunk.len() as u64) {
                         return Some((Ok(chunk), Some((chunks, left, progress))));
                     }
                     *progress.rest.lock() = Some(chunks);
-                    progress.fail(BodyFault::TooLarge);
+                    progress.fail(TransferFault::RequestOverLimit);
                     Some((Err(io::Error::other("request body is over the limit")), None))
                 }
             }
@@ -334,14 +354,21 @@
     pub at: Instant,
     /// Resets the connection of the caller, which may have stopped reading, or to whom the answer is cut.
     closer: ConnectionCloser,
+    report: TransferReport,
 }
 
 impl TransferEnd {
     /// Creates the end of a transfer at a deadline.
-    pub fn new(deadline: TimePoint, now: TimePoint, closer: ConnectionCloser) -> Self {
+    pub fn new(
+        deadline: TimePoint,
+        now: TimePoint,
+        closer: ConnectionCloser,
+        report: TransferReport,
+    ) -> Self {
         Self {
             at: Instant::now() + deadline.remaining_from(now),
             closer,
+            report,
         }
     }
 }
@@ -349,18 +376,18 @@
 /// Item of a streamed body; `None` is its regular end.
 type PumpedItem = Option<io::Result<Bytes>>;
 
-/// Streams chunks until the end of the transfer, and drops `guard` after the body has been sent or given up. A body that
-/// breaks off or passes the deadline ends with an error, which aborts the transfer, so that it can't be taken for a
-/// complete short one.
+/// Streams the chunks of an answer, of `length` bytes if that is known, until the end of the transfer, and drops `guard`
+/// after the body has been sent or given up. A body that breaks off or passes the deadline ends with an error, which aborts
+/// the transfer, so that it can't be taken for a complete short one.
 pub fn stream_until<K: Send + 'static>(
-    chunks: ByteStream,
+    (chunks, length): (ByteStream, Option<u64>),
     end: TransferEnd,
     guard: K,
 ) -> impl Stream<Item = io::Result<Bytes>> + Send {
     let (sender, receiver) = mpsc::channel(1);
     let closer = end.closer.clone();
     // The server asks for no chunk while the caller doesn't read, so the source has a task of its own.
-    tokio::spawn(pump(chunks, sender, end, guard));
+    tokio::spawn(pump((chunks, length), sender, end, guard));
     stream::unfold(Some((receiver, closer)), |state| async {
         let (mut receiver, closer) = state?;
         let error = match receiver.recv().await {
@@ -375,25 +402,52 @@
 }
 
 /// Passes chunks on until they end, the receiver is dropped, or the transfer ends. The source is dropped at once then,
-/// the guard only when the receiver has taken the last chunk or the transfer ends.
-async fn pump<K>(mut chunks: ByteStream, sender: mpsc::Sender<PumpedItem>, end: TransferEnd, guard: K) {
+/// the guard only when the receiver has taken the last chunk or the transfer ends. A broken transfer is counted.
+async fn pump<K>(
+    (mut chunks, length): (ByteStream, Option<u64>),
+    sender: mpsc::Sender<PumpedItem>,
+    end: TransferEnd,
+    guard: K,
+) {
+    let mut left = length;
+    let mut awaited = TransferFault::AnswerLate;
     let transfer = async {
         loop {
+            awaited = TransferFault::AnswerLate;
             let item = chunks.next().await;
-            let is_last = !matches!(item, Some(Ok(_)));
-            if sender.send(item).await.is_err() || is_last {
-                return;
+            let (size, ended) = match &item {
+                Some(Ok(chunk)) => (chunk.len() as u64, None),
+                Some(Err(_)) => (0, Some(Err(TransferFault::AnswerCut))),
+                None => (0, Some(Ok(()))),
+            };
+            awaited = TransferFault::ReceiverStalled;
+            if sender.send(item).await.is_err() {
+                return Err(TransferFault::ReceiverLeft);
+            }
+            left = left.map(|left| left.saturating_sub(size));
+            if let Some(ended) = ended {
+                return ended;
             }
         }
     };
-    tokio::select! {
-        () = transfer => {}
-        () = sender.closed() => {}
-        () = sleep_until(end.at) => {}
-    }
+    let transferred = tokio::select! {
+        transferred = transfer => Some(transferred),
+        () = sender.closed() => Some(Err(TransferFault::ReceiverLeft)),
+        () = sleep_until(end.at) => None,
+    };
+    let transferred = match transferred.unwrap_or(Err(awaited)) {
+        // The server drops a body when its declared length is reached.
+        Err(TransferFault::ReceiverLeft) if left == Some(0) => Ok(()),
+        transferred => transferred,
+    };
     drop(chunks);
-    if timeout_at(end.at, sender.closed()).await.is_err() {
+    let is_taken = timeout_at(end.at, sender.closed()).await.is_ok();
+    if !is_taken {
         end.closer.close();
     }
+    let taken = is_taken.then_some(()).ok_or(TransferFault::ReceiverStalled);
+    if let Err(fault) = transferred.and(taken) {
+        end.report.count(fault);
+    }
     drop(guard);
 }
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -14,6 +14,7 @@
             add_close_header, end_to_end_headers, header_value, keep_connection_if, write_answer,
             write_refusal,
         },
+        transfer_report::TransferReport,
     },
     crate::{
         call::CallOutcome,
@@ -223,9 +224,15 @@
         slot: SlotGuard,
     ) -> Result<(), GateFailure> {
         let shared = &self.shared;
-        let end = TransferEnd::new(hop.deadline, shared.now(), ConnectionCloser::of(req));
+        let report = TransferReport::new(shared, "gate");
+        let end = TransferEnd::new(
+            hop.deadline,
+            shared.now(),
+            ConnectionCloser::of(req),
+            report.clone(),
+        );
         let body = req.take_body();
-        let progress = Arc::new(BodyProgress::default());
+        let progress = Arc::new(BodyProgress::new(report));
         // The proxy has checked the limit of its table, which may be newer than the one here.
         let body = RequestBody::read(req.headers(), body, u64::MAX, end.at, &progress).await;
         let mut forwarded = self.forwarded_request(
--- a/src/daemon/traffic/mod.rs
+++ b/src/daemon/traffic/mod.rs
@@ -9,6 +9,7 @@
 mod outbound;
 mod peer_client;
 mod relay;
+mod transfer_report;
 
 pub use {
     dialect::{
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -19,6 +19,7 @@
             add_close_header, end_to_end_headers, keep_connection_if, refusal_status, request_host,
             write_answer, write_refusal,
         },
+        transfer_report::TransferReport,
     },
     crate::{
         call::{CallOutcome, CallPlan, CallRules, CallStep, RefusalReason},
@@ -132,9 +133,15 @@
         // The body may take long, and the refusal must be judged by the table that the limit is from.
         let snapshot = self.shared.snapshot.load_full();
         let limit = self.body_limit(&snapshot);
-        let end = TransferEnd::new(call.deadline, self.shared.now(), ConnectionCloser::of(req));
+        let report = TransferReport::new(&self.shared, "calls");
+        let end = TransferEnd::new(
+            call.deadline,
+            self.shared.now(),
+            ConnectionCloser::of(req),
+            report.clone(),
+        );
         let body = req.take_body();
-        let progress = Arc::new(BodyProgress::default());
+        let progress = Arc::new(BodyProgress::new(report));
         let body = match RequestBody::read(req.headers(), body, limit, end.at, &progress).await {
             Ok(body) => body,
             Err(fault) => {
--- a/src/daemon/traffic/relay.rs
+++ b/src/daemon/traffic/relay.rs
@@ -111,7 +111,7 @@
                 Some(length) => drop(res.headers_mut().insert(CONTENT_LENGTH, length.into())),
                 None => drop(res.headers_mut().remove(CONTENT_LENGTH)),
             }
-            res.stream(stream_until(chunks, end, guard));
+            res.stream(stream_until((chunks, length), end, guard));
         }
     }
 }
