A call that may have run is not told that every target refused it

Callers saw: 504 with `unknown: refused: every target refused for now; try again later` for a repeatable call whose target broke off while no other target was left. It was counted under `refused`, which docs/OPERATIONS.md knows as a 503.

Cause: the reason is that of the last step, and after a broken attempt the last step was to find no other target.

Evidence: broken_connection_is_the_reason_if_no_other_target_is_left; before, the text above. Found in the output of id_named_as_a_connection_option_reaches_the_target before its fix. Ruled out: the outcome, which was right.

Fix: if an attempt may have run, `refused` becomes `connection-broken`, whose remedy asks to find out whether it ran. Status and outcome are unchanged.

--- a/src/call/plan.rs
+++ b/src/call/plan.rs
@@ -172,6 +172,11 @@
         } else {
             CallOutcome::NotRun
         };
+        let reason = match reason {
+            // What matters to the caller is that an earlier attempt may have run, not that the later ones were refused.
+            RefusalReason::Refused if self.may_have_run => RefusalReason::Broken,
+            reason => reason,
+        };
         CallStep::Refuse { outcome, reason }
     }
 
