The time for a stop may have a fraction

What operators would see: daemons that don't start, as drain_limit_ms in deploy/daemon.ini is the platform's grace in seconds with 000 behind it. 6.5 s would be 6.5000 milliseconds. All sites have whole seconds; found by reading.

Fix: drain_limit_s takes seconds with a fraction, rounded down to milliseconds. drain_limit_ms stays.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -17,6 +17,8 @@
 
 /// Highest value of the `extra_retries` setting.
 const MAX_EXTRA_RETRIES: u32 = 1_000_000;
+/// Highest time limit of a drain, in milliseconds.
+const MAX_DRAIN_MS: u64 = 3_600_000;
 
 /// Settings that can't be loaded.
 #[derive(Debug, Error, miette::Diagnostic)]
@@ -178,7 +180,7 @@
         watchers: take_number(section, "watchers", (1, 1_000), 2, faults) as usize,
         extra_retries: take_extra_retries(section, faults),
         leave_ms: take_number(section, "leave_ms", (0, 3_600_000), 1_000, faults),
-        drain_limit_ms: take_number(section, "drain_limit_ms", (1, 3_600_000), 60_000, faults),
+        drain_limit_ms: take_drain_limit(section, faults),
         target,
     }
 }
@@ -234,6 +236,21 @@
     number.unwrap_or(DEFAULT_EXTRA_RETRIES)
 }
 
+/// Reads the time limit of a drain, in milliseconds: from `drain_limit_s`, which may have a fraction, or `drain_limit_ms`.
+fn take_drain_limit(section: &mut IniSection, faults: &mut Vec<ParseFault>) -> u64 {
+    if !section.has("drain_limit_s") {
+        return take_number(section, "drain_limit_ms", (1, MAX_DRAIN_MS), 60_000, faults);
+    }
+    let remedy = "write seconds from 0.001 to 3600";
+    let limit_ms = section.take_parsed("drain_limit_s", remedy, faults, |text| {
+        let limit_ms = text.parse::<f64>().ok()? * 1e3;
+        (1.0..=MAX_DRAIN_MS as f64)
+            .contains(&limit_ms)
+            .then_some(limit_ms as u64)
+    });
+    limit_ms.unwrap_or(MAX_DRAIN_MS)
+}
+
 fn take_address(section: &mut IniSection, key: &str, faults: &mut Vec<ParseFault>) -> SocketAddr {
     let placeholder = SocketAddr::from(([0, 0, 0, 0], 0));
     if !section.has(key) {
--- a/tests/settings_and_tables.rs
+++ b/tests/settings_and_tables.rs
@@ -68,6 +68,25 @@
     }
 }
 
+/// Guards against daemons that don't start because the platform states the time for a stop in seconds with a fraction.
+#[test]
+fn drain_limit_in_seconds_may_have_a_fraction() {
+    let read = |seconds: &str| {
+        let text = example("daemon.ini");
+        let text = text.replace("drain_limit_ms = 60000", &format!("drain_limit_s = {seconds}"));
+        DaemonSettings::parse("daemon.ini", &text).map(|settings| settings.drain_limit_ms)
+    };
+    for (seconds, expected_ms) in [("6", 6_000), ("6.5", 6_500), ("0.0019", 1), ("3600", 3_600_000)] {
+        assert_eq!(read(seconds), Ok(expected_ms), "{seconds}");
+    }
+    for seconds in ["0", "0.0001", "-1", "3601", "NaN", "inf", "6s", "6,5", ""] {
+        assert!(read(seconds).is_err(), "{seconds}");
+    }
+    let template = include_str!("../deploy/daemon.ini");
+    let line = template.lines().find(|line| line.contains("bounds.grace_s"));
+    assert_eq!(line, Some("drain_limit_s = {{bounds.grace_s}}"));
+}
+
 #[test]
 fn all_faults_of_tables_are_named_at_once() {
     let text = "key = 1\n[route a]\npath = stock\npool = none\ntimeout_ms = 0\nmethods = GET\n\
