The control thread's HTTP clients let others have their turn

What targets, operators and peers saw: a daemon whose store, or whatever has a peer's control address now, writes interim answers without end over a fast link, answered nothing for seconds: 5 to 7 of 10 heartbeats got no answer within their second.

Cause: the library of these clients reads and drops interim answers until tokio's budget of 128 reads is used up, with buffers of up to 400 KB, in one poll on the thread that does all control work. The clients of the traffic threads pause after 64 KiB.

Requests are built as before; timeouts, connect timeout, keepalive and the limits on answers are unchanged. Ruled out: a smaller buffer or another connector can't be set in the library that was used. The built-in store client and the operators' program, which don't share a thread with a target's work on the users' platform, keep that library.

--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -9,7 +9,7 @@
     crate::{
         codec::MAX_MESSAGE_BYTES,
         config::ConfigHead,
-        http::read_body,
+        http::{PacedClient, read_body},
         member::{ProbeMessage, SyncReply},
         moves::{Clearance, PollReply},
         spread::ConfigReply,
@@ -127,7 +127,7 @@
 #[derive(Debug, Clone)]
 pub struct ControlClient {
     shared: Arc<SharedState>,
-    client: reqwest::Client,
+    client: PacedClient,
     events: mpsc::Sender<ControlEvent>,
 }
 
@@ -136,7 +136,7 @@
     pub fn new(shared: Arc<SharedState>, events: mpsc::Sender<ControlEvent>) -> Self {
         Self {
             shared,
-            client: crate::http::plain_client(crate::http::CLIENT_IDLE_TIMEOUT),
+            client: PacedClient::new(crate::http::CLIENT_IDLE_TIMEOUT, None),
             events,
         }
     }
@@ -172,7 +172,10 @@
             .count_control_bytes("sent", "http", bytes.len());
         let url = format!("http://{to}/control");
         let request = self.client.post(url).body(bytes);
-        let response = timeout(REQUEST_TIMEOUT, request.send()).await.ok()?.ok()?;
+        let response = timeout(REQUEST_TIMEOUT, self.client.send(request))
+            .await
+            .ok()?
+            .ok()?;
         if !response.status().is_success() {
             return None;
         }
--- a/src/daemon/traffic/peer_client.rs
+++ b/src/daemon/traffic/peer_client.rs
@@ -8,16 +8,16 @@
             CONNECT_TIMEOUT, HeadLimits, KEEPALIVE_INTERVAL, NON_REPEATABLE_IDLE_TIMEOUT,
             REPEATABLE_IDLE_TIMEOUT,
         },
-        paced_stream::PacedStream,
+        paced_connector::PacedConnector,
         socket_budget::SocketShare,
     },
-    hyper::{Request, Response, Uri, body::Incoming, http::Extensions},
+    hyper::{Request, Response, body::Incoming, http::Extensions},
     hyper_util::{
         client::legacy::{
             Client, Error,
             connect::{CaptureConnection, HttpConnector, capture_connection},
         },
-        rt::{TokioExecutor, TokioIo, TokioTimer},
+        rt::{TokioExecutor, TokioTimer},
     },
     parking_lot::Mutex,
     rustix::io::Errno,
@@ -26,48 +26,14 @@
         error::Error as StdError,
         io,
         net::SocketAddr,
-        pin::Pin,
-        task::{Context, Poll},
         time::{Duration, Instant},
     },
-    tokio::net::TcpStream,
-    tower_service::Service,
 };
 
 /// Idle time after which the clients of a peer are dropped.
 const UNUSED_TTL: Duration = Duration::from_mins(1);
 
 type PeerClient = Client<PacedConnector, ForwardedBody>;
-type PacedConnection = TokioIo<PacedStream<TcpStream>>;
-type ConnectError = Box<dyn StdError + Send + Sync>;
-
-/// Connector whose connections count against a budget, and read at most a share of what a peer sends before others get
-/// their turn.
-#[derive(Debug, Clone)]
-struct PacedConnector {
-    connector: HttpConnector,
-    sockets: SocketShare,
-}
-
-impl Service<Uri> for PacedConnector {
-    type Response = PacedConnection;
-    type Error = ConnectError;
-    type Future = Pin<Box<dyn Future<Output = Result<PacedConnection, ConnectError>> + Send>>;
-
-    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), ConnectError>> {
-        self.connector.poll_ready(cx).map_err(Into::into)
-    }
-
-    fn call(&mut self, peer: Uri) -> Self::Future {
-        let connecting = self.connector.call(peer);
-        let sockets = self.sockets.clone();
-        Box::pin(async move {
-            let permit = sockets.try_take()?;
-            let stream = connecting.await?.into_inner();
-            Ok(TokioIo::new(PacedStream::new(stream, Some(permit))))
-        })
-    }
-}
 
 #[derive(Debug)]
 struct ClientSet {
@@ -218,10 +184,7 @@
         .set_host(false)
         .http1_max_buf_size(limits.bytes)
         .http1_max_headers(limits.headers)
-        .build(PacedConnector {
-            connector,
-            sockets: sockets.clone(),
-        })
+        .build(PacedConnector::new(connector, Some(sockets.clone())))
 }
 
 fn classify_error(error: &Error) -> SendFault {
--- a/src/http.rs
+++ b/src/http.rs
@@ -39,7 +39,10 @@
     },
 };
 
-pub use crate::connection_phase::{ClientTimeouts, ConnectionPhase, TimeoutSource};
+pub use crate::{
+    connection_phase::{ClientTimeouts, ConnectionPhase, TimeoutSource},
+    paced_client::{PacedClient, RequestError},
+};
 
 /// Maximum number of connections waiting for `accept`; enough if all peers of a small service reconnect together.
 const LISTEN_BACKLOG: i32 = 1_024;
@@ -320,13 +323,6 @@
 ///
 /// If the HTTP library can't build a client without TLS, which it always can.
 pub fn plain_client(idle_timeout: Duration) -> reqwest::Client {
-    plain_builder(idle_timeout)
-        .build()
-        .expect("a client without TLS can always be built")
-}
-
-/// Returns the builder behind [`plain_client`], for further options.
-pub fn plain_builder(idle_timeout: Duration) -> reqwest::ClientBuilder {
     reqwest::Client::builder()
         .retry(reqwest::retry::never())
         .redirect(reqwest::redirect::Policy::none())
@@ -336,6 +332,8 @@
         .tcp_nodelay(true)
         .connect_timeout(CONNECT_TIMEOUT)
         .pool_idle_timeout(idle_timeout)
+        .build()
+        .expect("a client without TLS can always be built")
 }
 
 /// Error on reading the body of an answer.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod lab;
 pub mod member;
 pub mod moves;
+mod paced_client;
+mod paced_connector;
 mod paced_stream;
 pub mod settings;
 mod socket_budget;
