--- a/tests/confirmation.rs
+++ b/tests/confirmation.rs
@@ -398,11 +398,13 @@
         for _ in 0..60 {
             let late = |index: &usize| !leading.contains(index) && rng.random_bool(0.25);
             let late: Vec<usize> = (0..22).filter(late).collect();
-            late.iter()
-                .for_each(|index| fleet.daemons[*index].is_frozen = true);
+            for index in &late {
+                fleet.daemons[*index].is_frozen = true;
+            }
             unsure += fleet.run(450) / 60.0;
-            late.iter()
-                .for_each(|index| fleet.daemons[*index].is_frozen = false);
+            for index in &late {
+                fleet.daemons[*index].is_frozen = false;
+            }
             unsure += fleet.run(550) / 60.0;
         }
         let calls_per_s = f64::from(fleet.calls - calls) / 60.0;
