--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -19,7 +19,7 @@
         call::PoolBudgets,
         clock::ProcessClock,
         gate::GateState,
-        http::{CLIENT_TIMEOUTS, ClientTimeouts, HeadLimits, bind, serve_within},
+        http::{CLIENT_TIMEOUTS, ClientTimeouts, HeadLimits, REPEATABLE_IDLE_TIMEOUT, bind, serve_within},
         member::ProbeMessage,
         settings::DaemonSettings,
         socket_budget::{SocketBudget, SocketKind, SocketShare},
@@ -52,6 +52,11 @@
 const EVENT_QUEUE_CAPACITY: usize = 4_096;
 /// Maximum size of a received datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 65_536;
+/// Time limits on other daemons at the gate. They keep idle connections for half of that.
+const GATE_TIMEOUTS: ClientTimeouts = ClientTimeouts {
+    idle: Duration::from_secs(2 * REPEATABLE_IDLE_TIMEOUT.as_secs()),
+    ..CLIENT_TIMEOUTS
+};
 /// Interval between cleanups of unused clients.
 const CLIENT_CLEANUP_INTERVAL: Duration = Duration::from_secs(20);
 
@@ -241,7 +246,7 @@
         let shared = Arc::clone(shared);
         Arc::new(move || client_timeouts(&shared))
     };
-    let gate_timeouts = Arc::new(|| CLIENT_TIMEOUTS);
+    let gate_timeouts = Arc::new(|| GATE_TIMEOUTS);
     let body = move || {
         runtime.block_on(async move {
             tokio::spawn(clean_clients(gate_clients));
--- a/src/daemon/traffic/relay.rs
+++ b/src/daemon/traffic/relay.rs
@@ -173,15 +173,21 @@
     _room: Option<SemaphorePermit<'a>>,
 }
 
-/// Reads a whole body. Returns `None` if it exceeds `limit` bytes, breaks off, or is not complete after [`BODY_LIMIT`].
-/// What it has over [`FREE_BYTES`] needs room among the bodies that are read at the same time.
+/// Reads a whole body. Returns `None` if it exceeds `limit` bytes, breaks off, or is not complete after [`BODY_LIMIT`]. One
+/// that may be over [`FREE_BYTES`] first waits for the room that it needs among the bodies that are read at the same time.
 pub async fn read_limited(mut body: ReqBody, limit: usize, room: &Semaphore) -> Option<WholeBody<'_>> {
-    if body.size_hint().lower() > limit as u64 {
+    let size = body.size_hint();
+    if size.lower() > limit as u64 {
         return None;
     }
+    let needed = size.upper().map_or(limit, |upper| limit.min(upper as usize));
     let reading = async {
+        // All of it at once: bodies that each hold a part would wait for one another.
+        let taken = match needed {
+            0..=FREE_BYTES => None,
+            _ => Some(room.acquire_many(needed as u32).await.ok()?),
+        };
         let mut content = BytesMut::new();
-        let mut taken: Option<SemaphorePermit<'_>> = None;
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.ok()?.into_data() else {
                 continue;
@@ -189,13 +195,6 @@
             if content.len() + data.len() > limit {
                 return None;
             }
-            if content.len() + data.len() > FREE_BYTES {
-                let more = room.acquire_many(data.len() as u32).await.ok()?;
-                match &mut taken {
-                    Some(taken) => taken.merge(more),
-                    None => taken = Some(more),
-                }
-            }
             content.extend_from_slice(&data);
         }
         Some(WholeBody {
--- a/src/http.rs
+++ b/src/http.rs
@@ -26,6 +26,7 @@
         fmt::{Display, Formatter},
         io,
         net::{SocketAddr, TcpListener},
+        pin::pin,
         sync::{
             Arc,
             atomic::{AtomicBool, Ordering},
@@ -306,8 +307,10 @@
         let connection = http.serve_connection(TokioIo::new(PacedStream::new(stream, permit)), handler);
         let on_end = Arc::clone(&on_end);
         tokio::spawn(async move {
+            // The socket is closed after the report, so that whoever sees the end finds it counted.
+            let mut connection = pin!(connection);
             let ended = tokio::select! {
-                ended = connection => ended,
+                ended = &mut connection => ended,
                 () = closer.closed() => return,
             };
             let cause = match phase.passed_limit() {
--- a/src/socket_budget.rs
+++ b/src/socket_budget.rs
@@ -21,6 +21,9 @@
 /// Descriptors that connections of calls don't use, at most half of all: listeners, runtimes, control messages, the store
 /// and operators.
 const CONTROL_DESCRIPTORS: usize = 128;
+/// Share of the budget that is kept for each kind, in percent, so that accepted calls find descriptors for their further
+/// way. The rest is for any kind.
+const RESERVED_PERCENT: usize = 10;
 /// Number of descriptors that a process without a limit, or with a higher one, goes by.
 const MAX_DESCRIPTORS: u64 = 1 << 20;
 /// Interval between attempts to accept a connection while the budget is used up.
@@ -54,16 +57,6 @@
             Self::Target => "target",
         }
     }
-
-    /// Returns the share of the budget, in percent. Each kind has its own, so that accepted calls find descriptors for their
-    /// further way.
-    const fn share_percent(self) -> usize {
-        match self {
-            Self::Caller => 30,
-            Self::Proxy | Self::Gate => 25,
-            Self::Target => 20,
-        }
-    }
 }
 
 /// Counters of the sockets of one kind.
@@ -99,11 +92,10 @@
     }
 
     fn has_room(&self, kind: SocketKind) -> bool {
-        self.open[kind as usize].load(Ordering::Acquire) < self.limit_of(kind)
-    }
-
-    fn limit_of(&self, kind: SocketKind) -> usize {
-        self.limit * kind.share_percent() / 100
+        let reserved = self.limit * RESERVED_PERCENT / 100;
+        let open = self.open.each_ref().map(|open| open.load(Ordering::Acquire));
+        let in_common: usize = open.iter().map(|open| open.saturating_sub(reserved)).sum();
+        open[kind as usize] < reserved || in_common < self.limit - open.len() * reserved
     }
 
     /// Counts a connection for which there is no room, and logs the number of them.
@@ -122,7 +114,7 @@
             kind.as_str(),
             counters.held.get(),
             counters.open.get(),
-            self.limit_of(kind)
+            self.limit
         );
     }
 }
