A version that is overdue has a line, and delays count from when it was heard of

The logs told which version a daemon applied, but not since when it knew of it: after_ms was 0 on every store without notes on changes, the convergence metric with it, and a daemon that stayed behind wrote nothing. A refused table, news that never came and a slow transfer looked alike.

--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -13,7 +13,7 @@
             tasks::ControlEvent,
         },
         member::{CONFIRMATION_TTL_MS, MemberRecord, TargetStatus, WatchMode, best_ranked},
-        spread::{ConfigReply, OfferRefusal},
+        spread::{ConfigReply, OfferRefusal, OverdueVersion},
         store::{StoreError, WriteError},
         timeline::EventKind,
     },
@@ -31,6 +31,9 @@
         let may_watch = self.join.has_synced || now >= self.join.deadline || settings.peers.is_empty();
         let read_due_at = self.spread.read_due_at(now);
         self.members.set_read_due_at(read_due_at);
+        if let Some(overdue) = self.spread.take_overdue(now) {
+            self.log_overdue(overdue, now);
+        }
         let mode = if may_watch {
             self.members.watch_mode(settings.watchers, now)
         } else {
@@ -54,6 +57,23 @@
         }
     }
 
+    /// Logs a version that is not in force in time. What is under way tells a version that no peer offers from a slow
+    /// transfer and from a configuration that was refused, which has a line of its own.
+    fn log_overdue(&self, overdue: OverdueVersion, now: TimePoint) {
+        let OverdueVersion {
+            version: newest,
+            heard_at,
+            sources,
+            pulling,
+        } = overdue;
+        let (version, heard_ms) = (self.spread.version(), now.ms_since(heard_at));
+        let (is_watching, has_taken_over) = (self.is_watching, self.had_taken_over);
+        let age_ms = now.ms_since(self.members.confirmed_at());
+        log::warn!(
+            "event=version-overdue version={version} newest={newest} heard_ms={heard_ms} age_ms={age_ms} sources={sources} pulling={pulling} is_watching={is_watching} has_taken_over={has_taken_over}"
+        );
+    }
+
     /// Records the version of each pool of this daemon's service for which the configuration names none: the most
     /// frequent version among the serving targets, except the one that an open move leads to. Rendezvous hashing
     /// selects the daemon that records it among those beside these targets.
@@ -139,6 +159,7 @@
     /// Handles a peer's reply to a pull; `None` if it did not answer.
     pub(super) fn finish_pull(&mut self, peer: SocketAddr, reply: Option<ConfigReply>, now: TimePoint) {
         let Some(reply) = reply else {
+            log::info!("event=pull-failed peer={peer} version={}", self.spread.version());
             self.spread.fail_pull(peer);
             return;
         };
@@ -171,10 +192,12 @@
         // Peers are notified first: if the process dies now, its successor gets the applied version from them.
         let effects = self.members.set_applied(version);
         self.apply_effects(effects, now);
+        // A store without notes on the changes does not tell when they were requested.
         let requested_at = self
             .spread
             .head()
-            .and_then(|head| head.changes.last().map(|note| note.at));
+            .and_then(|head| head.changes.last().map(|note| note.at))
+            .or(self.spread.heard_at());
         let delay_ms = requested_at.map_or(0, |at| now.ms_since(at));
         self.shared.metrics.convergence.observe(delay_ms as f64 / 1e3);
         self.shared.metrics.version.set(version as i64);
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -7,5 +7,5 @@
 
 pub use {
     message::{ConfigReply, ConfigRequest},
-    state::{OfferRefusal, PullSource, SpreadState},
+    state::{OfferRefusal, OverdueVersion, PullSource, SpreadState},
 };
--- a/src/spread/state.rs
+++ b/src/spread/state.rs
@@ -19,6 +19,8 @@
 /// Time in which peers deliver a newer version, in milliseconds: more than a whole configuration takes over a slow link.
 /// The store, which may share that link, is read after it.
 const DELIVERY_LIMIT_MS: u64 = 7_000;
+/// Time after which a newer version is overdue, in milliseconds: operators are promised that a change is in force within it.
+const OVERDUE_MS: u64 = 2_000;
 /// Maximum number of peers that are listed as having a newer version; further ones are ignored.
 const MAX_SOURCES: usize = 16;
 
@@ -94,6 +96,21 @@
     heard_at: TimePoint,
     /// When it is read from the store.
     read_at: TimePoint,
+    /// Whether [`SpreadState::take_overdue`] has returned it.
+    is_reported: bool,
+}
+
+/// Newer version that is not in force in time, and what this daemon does to get it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OverdueVersion {
+    /// The version.
+    pub version: u64,
+    /// When this daemon heard of it.
+    pub heard_at: TimePoint,
+    /// Number of peers that offer a newer version than the one in force.
+    pub sources: usize,
+    /// Number of those whose reply to a pull is on its way.
+    pub pulling: usize,
 }
 
 /// Configuration in force, the lowest version that may replace it, and the peers that have a newer one.
@@ -113,6 +130,8 @@
     pull_deadline: Option<TimePoint>,
     needs_whole: bool,
     awaited: Option<AwaitedVersion>,
+    /// When the version in force was heard of, if that was before it was offered.
+    heard_at: Option<TimePoint>,
     /// Newest version that was awaited when the store was read: if it is not in force, it can't be used here.
     read_version: u64,
 }
@@ -182,10 +201,31 @@
             version: newest,
             heard_at: now,
             read_at: now.after_ms(DELIVERY_LIMIT_MS),
+            is_reported: false,
         });
         awaited.read_at
     }
 
+    /// Returns when this daemon heard that the version in force, or a later one, exists; `None` if it was offered at once.
+    pub fn heard_at(&self) -> Option<TimePoint> {
+        self.heard_at
+    }
+
+    /// Returns the newer version that is awaited for longer than operators are promised, once.
+    pub fn take_overdue(&mut self, now: TimePoint) -> Option<OverdueVersion> {
+        let awaited = self.awaited.as_mut()?;
+        if awaited.is_reported || now.ms_since(awaited.heard_at) < OVERDUE_MS {
+            return None;
+        }
+        awaited.is_reported = true;
+        Some(OverdueVersion {
+            version: awaited.version,
+            heard_at: awaited.heard_at,
+            sources: self.sources.len(),
+            pulling: self.pulling.len(),
+        })
+    }
+
     /// Records a read of the store that showed every version accepted up to `confirmed_at`.
     pub fn finish_read(&mut self, confirmed_at: TimePoint) {
         if let Some(awaited) = self.awaited.take_if(|awaited| awaited.heard_at <= confirmed_at) {
@@ -216,7 +256,7 @@
         head.check_digest()?;
         let table = CompiledTable::compile(&head)?;
         self.floor = head.version;
-        self.awaited = None;
+        self.heard_at = self.awaited.take().map(|awaited| awaited.heard_at);
         if let Some(base) = &self.head {
             self.history.record(base, &head);
         }
