--- a/src/daemon/edges.rs
+++ b/src/daemon/edges.rs
@@ -211,6 +211,11 @@
         self.shared.now()
     }
 
+    /// Returns the newest version that the daemon has heard of.
+    pub fn newest_version(&self) -> u64 {
+        self.shared.freshness.newest_version()
+    }
+
     /// Counts invalid values that were refused, by kind of source.
     pub fn count_refused_values(&self, kind: &'static str, count: u64) {
         self.shared.metrics.count_refused_values(kind, count);
