Daemons that read the store in place of others take a change from their peers

Callers saw a removed route served for longer than promised by daemons whose data centre had the change. Cause: whoever watches the store waits 0.9 s for its watch before it pulls a version from a peer. While a large change crosses the slow links of those that watch, the confirmations of the whole data centre age, all daemons take over, and then all wait for a read of 1 MB each although a delta from a neighbour takes milliseconds.

A daemon that has taken over pulls like one that does not watch; one that watches by its rank waits 0.4 s within its data centre, the pause between two watches and an answer, and 0.9 s as before for others.

--- a/src/daemon/control/members.rs
+++ b/src/daemon/control/members.rs
@@ -16,9 +16,11 @@
     std::net::SocketAddr,
 };
 
-/// Time that a watch on the store has to deliver a version before it is pulled from a peer, in milliseconds: the pause
-/// in which changes are batched, plus two answers of the store.
+/// Time that a watch on the store has to deliver a version before it is pulled from another data centre, in milliseconds:
+/// the pause in which changes are batched, plus two answers of the store.
 const WATCH_GRACE_MS: u64 = 900;
+/// The same before it is pulled within the data centre, where a delta costs less than the watch: the pause and an answer.
+const LOCAL_WATCH_GRACE_MS: u64 = 400;
 /// Time that the daemons of a data centre have to get a version before it is pulled from another data centre, in
 /// milliseconds.
 const LOCAL_PEERS_GRACE_MS: u64 = 500;
@@ -46,19 +48,21 @@
         }
     }
 
-    /// Schedules a pull from a peer with a newer configuration. A daemon that watches a reachable store first waits
-    /// [`WATCH_GRACE_MS`] for the watch to deliver the version. Other daemons pull at once within their data centre,
-    /// but from another one after [`LOCAL_PEERS_GRACE_MS`], as whole configurations are expensive to transfer between
-    /// data centres.
+    /// Schedules a pull from a peer with a newer configuration. A daemon that watches a reachable store by its rank first
+    /// waits [`LOCAL_WATCH_GRACE_MS`] or [`WATCH_GRACE_MS`] for the watch to deliver the version. Other daemons pull at once
+    /// within their data centre, but from another one after [`LOCAL_PEERS_GRACE_MS`], as whole configurations are expensive
+    /// to transfer between data centres. That holds also while they read the store in place of others: the read may take
+    /// seconds.
     fn schedule_pull(&mut self, peer: SocketAddr, version: u64, now: TimePoint) {
         let own_centre = &self.shared.settings.data_centre;
         let is_local = self
             .members
             .others()
             .any(|record| record.control == peer && record.data_centre == *own_centre);
-        let is_watching = self.is_watching && !self.store_was_down;
+        let is_watching = self.is_watching && !self.had_taken_over && !self.store_was_down;
         let wait_ms = match (is_watching, is_local) {
-            (true, _) => WATCH_GRACE_MS,
+            (true, true) => LOCAL_WATCH_GRACE_MS,
+            (true, false) => WATCH_GRACE_MS,
             (false, true) => 0,
             (false, false) => LOCAL_PEERS_GRACE_MS,
         };
