--- a/review/standin/src/churn.rs
+++ b/review/standin/src/churn.rs
@@ -99,6 +99,7 @@
         kind: "idempotent",
         service: "expedicao",
         timeout_ms: 600,
+        target_latency_ms: 600,
         attempts: 2,
     }];
     put_config(&store, 7, &routes, &["expedicao"]);
--- a/review/standin/src/forgotten.rs
+++ b/review/standin/src/forgotten.rs
@@ -39,6 +39,7 @@
             kind: "non_idempotent",
             service: "expedicao",
             timeout_ms: 1_000,
+            target_latency_ms: 600,
             attempts: 2,
         },
         Route {
@@ -47,6 +48,7 @@
             kind: "idempotent",
             service: "expedicao",
             timeout_ms: 600,
+            target_latency_ms: 600,
             attempts: 2,
         },
     ];
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod mesh;
 mod msgpack;
+mod queued;
 mod soak;
 mod store;
 mod stranded;
@@ -46,6 +47,7 @@
         "soak" => soak::run(&folder_name, &record),
         "churn" => churn::run(&folder_name, &record),
         "stranded" => stranded::run(&folder_name, &record),
+        "queued" => queued::run(&folder_name, &record),
         "forgotten" => forgotten::run(&folder_name, &record),
         _ => Ending::NotRun,
     };
--- a/review/standin/src/mesh.rs
+++ b/review/standin/src/mesh.rs
@@ -237,6 +237,7 @@
     pub id: String,
     service: String,
     version: String,
+    slots: i64,
     address: SocketAddr,
     control: SocketAddr,
     pub born: u64,
@@ -248,7 +249,7 @@
 }
 
 impl Endpoint {
-    /// Starts the endpoint beside a daemon, with a heartbeat each 1.5 s while [`Self::beats`] is set.
+    /// Starts an endpoint of 12 slots.
     pub fn start(
         daemon: &Daemon,
         id: &str,
@@ -256,11 +257,24 @@
         version: &str,
         work: Work,
         record: &Record,
+    ) -> Self {
+        Self::start_with_slots(daemon, id, (service, version), 12, work, record)
+    }
+
+    /// Starts the endpoint beside a daemon, with a heartbeat each 1.5 s while [`Self::beats`] is set.
+    pub fn start_with_slots(
+        daemon: &Daemon,
+        id: &str,
+        (service, version): (&str, &str),
+        slots: i64,
+        work: Work,
+        record: &Record,
     ) -> Self {
         let endpoint = Self {
             id: id.to_owned(),
             service: service.to_owned(),
             version: version.to_owned(),
+            slots,
             address: daemon.app,
             control: daemon.control,
             born: unix_ms(),
@@ -300,7 +314,7 @@
             ("address", text(&self.address.to_string())),
             ("zone", text("caruaru")),
             ("version", text(&self.version)),
-            ("slots", Value::Int(12)),
+            ("slots", Value::Int(self.slots)),
             ("state", text(state)),
             ("cold_ms", Value::Int(0)),
             ("sequence", Value::Int(sequence)),
@@ -410,6 +424,7 @@
     pub kind: &'a str,
     pub service: &'a str,
     pub timeout_ms: i64,
+    pub target_latency_ms: i64,
     pub attempts: i64,
 }
 
@@ -422,7 +437,7 @@
             ("prefix", text(route.prefix)),
             ("repeat", text(route.kind)),
             ("timeout_ms", Value::Int(route.timeout_ms)),
-            ("target_latency_ms", Value::Int(600)),
+            ("target_latency_ms", Value::Int(route.target_latency_ms)),
             ("priority", Value::Int(1)),
             ("service", text(route.service)),
             ("attempts", Value::Int(route.attempts)),
--- a/review/standin/src/soak.rs
+++ b/review/standin/src/soak.rs
@@ -368,6 +368,7 @@
                 kind: "idempotent",
                 service: "balcao",
                 timeout_ms: 1_200,
+                target_latency_ms: 600,
                 attempts: 2,
             },
             Route {
@@ -376,6 +377,7 @@
                 kind: "non_idempotent",
                 service: "balcao",
                 timeout_ms: 1_500,
+                target_latency_ms: 600,
                 attempts: 3,
             },
         ];
--- a/review/standin/src/stranded.rs
+++ b/review/standin/src/stranded.rs
@@ -53,6 +53,7 @@
         kind,
         service,
         timeout_ms: 1_200,
+        target_latency_ms: 600,
         attempts: 2,
     };
     let order = || route("order", "/order/", "non_idempotent", "expedicao");
