--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -9,6 +9,7 @@
 mod mesh;
 mod msgpack;
 mod queued;
+mod rollouts;
 mod soak;
 mod store;
 mod stranded;
@@ -48,6 +49,7 @@
         "churn" => churn::run(&folder_name, &record),
         "stranded" => stranded::run(&folder_name, &record),
         "queued" => queued::run(&folder_name, &record),
+        "rollouts" => rollouts::run(&folder_name, &record),
         "forgotten" => forgotten::run(&folder_name, &record),
         _ => Ending::NotRun,
     };
