--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -4,6 +4,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod churn;
+mod clock;
 mod forgotten;
 mod http;
 mod mesh;
@@ -50,6 +51,7 @@
         "stranded" => stranded::run(&folder_name, &record),
         "queued" => queued::run(&folder_name, &record),
         "rollouts" => rollouts::run(&folder_name, &record),
+        "clock" => clock::run(&folder_name, &record),
         "forgotten" => forgotten::run(&folder_name, &record),
         _ => Ending::NotRun,
     };
--- a/review/standin/src/mesh.rs
+++ b/review/standin/src/mesh.rs
@@ -102,7 +102,8 @@
 fn free_address() -> SocketAddr {
     static NEXT: AtomicU64 = AtomicU64::new(0);
     loop {
-        let number = NEXT.fetch_add(1, Ordering::Relaxed) + u64::from(std::process::id()) * 61;
+        // Drivers that run at the same time begin at different ports.
+        let number = NEXT.fetch_add(1, Ordering::Relaxed) + u64::from(std::process::id() % 100) * 160;
         let port = 16_000 + (number % 16_000) as u16;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         if TcpListener::bind(address).is_ok() && std::net::UdpSocket::bind(address).is_ok() {
@@ -240,7 +241,7 @@
     slots: i64,
     address: SocketAddr,
     control: SocketAddr,
-    pub born: u64,
+    born: Arc<AtomicU64>,
     sequence: Arc<AtomicI64>,
     pub beats: Arc<AtomicBool>,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
@@ -277,7 +278,7 @@
             slots,
             address: daemon.app,
             control: daemon.control,
-            born: unix_ms(),
+            born: Arc::new(AtomicU64::new(unix_ms())),
             sequence: Arc::default(),
             beats: Arc::new(AtomicBool::new(true)),
             arrivals: Arc::default(),
@@ -318,14 +319,14 @@
             ("state", text(state)),
             ("cold_ms", Value::Int(0)),
             ("sequence", Value::Int(sequence)),
-            ("born", Value::Int(self.born as i64)),
+            ("born", Value::Int(self.born.load(Ordering::Relaxed) as i64)),
         ]);
         self.announce("PUT", &body.encode(), &format!("{state} {sequence}"))
     }
 
     /// Says that the endpoint leaves.
     pub fn leave(&self) -> u16 {
-        let body = map([("born", Value::Int(self.born as i64))]).encode();
+        let body = map([("born", Value::Int(self.born.load(Ordering::Relaxed) as i64))]).encode();
         self.announce("DELETE", &body, "leaves")
     }
 
@@ -352,6 +353,16 @@
         self.record.write(&format!("endpoint {} ends", self.id));
     }
 
+    /// Starts the endpoint again after [`Self::end`], under its id and at a time by its clock; it knows nothing of before.
+    pub fn start_again(&self, born: u64) {
+        self.born.store(born, Ordering::Relaxed);
+        self.sequence.store(0, Ordering::Relaxed);
+        self.is_gone.store(false, Ordering::Relaxed);
+        self.beats.store(true, Ordering::Relaxed);
+        self.record
+            .write(&format!("endpoint {} starts again, born {born}", self.id));
+    }
+
     pub fn has_ended(&self) -> bool {
         self.is_gone.load(Ordering::Relaxed)
     }
