--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod churn;
 mod clock;
 mod forgotten;
+mod freshness;
 mod http;
 mod mesh;
 mod msgpack;
@@ -52,6 +53,7 @@
         "queued" => queued::run(&folder_name, &record),
         "rollouts" => rollouts::run(&folder_name, &record),
         "clock" => clock::run(&folder_name, &record),
+        "freshness" => freshness::run(&folder_name, &record),
         "forgotten" => forgotten::run(&folder_name, &record),
         _ => Ending::NotRun,
     };
