A departed target stays gone after the loss of every daemon

Cause: a departure was kept in the memory of the daemons only, so the first announcement at a new process opened the gate.

Change: a departure is written to the store under a lease before it is acknowledged; the gate still closes with the first message. Until the store has answered, a single announcement does not open the gate.

--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod configuration;
+mod departures;
 mod joining;
 mod leaving;
 mod members;
@@ -10,6 +11,7 @@
 mod target;
 
 use {
+    self::departures::HeldReply,
     super::{
         edges::{DaemonEdges, EdgeContext, StoreEdge},
         move_runner::{MoveContext, MoveRunner},
@@ -20,7 +22,9 @@
         clock::TimePoint,
         config::CompiledTable,
         file_watch::FileWatch,
-        member::{JoinProgress, MemberRecord, MemberState, MemberStatus, TargetRecord, TargetStatus},
+        member::{
+            DepartureLog, JoinProgress, MemberRecord, MemberState, MemberStatus, TargetRecord, TargetStatus,
+        },
         moves::WINDOW_MS,
         spread::SpreadState,
         timeline::{EventKind, EventRing},
@@ -124,6 +128,9 @@
     /// Failed readiness probes of the target in a row.
     target_failures: u32,
     announced: Option<AnnouncedTarget>,
+    departures: DepartureLog,
+    /// Replies to a target that leaves, until its departure is recorded.
+    held_replies: Vec<HeldReply>,
     /// Whether the latest read or watch of the head failed.
     store_was_down: bool,
     /// Whether this daemon watches the store.
@@ -179,6 +186,8 @@
             next_target_probe_at: now,
             target_failures: 0,
             announced: None,
+            departures: DepartureLog::new(now),
+            held_replies: Vec::new(),
             store_was_down: false,
             is_watching: false,
             had_taken_over: false,
@@ -250,7 +259,11 @@
             }
             ControlEvent::SeedsRead { near, far } => self.join.add_seeds(near, far, now),
             ControlEvent::TargetReported { message, reply } => {
-                let _ = reply.send(self.handle_target_message(message, now));
+                self.receive_target_message(message, reply, now);
+            }
+            ControlEvent::DepartureRead(result) => self.finish_departure_read(result, now),
+            ControlEvent::DepartureRecorded { departure, result } => {
+                self.finish_departure_record(&departure, result, now);
             }
             ControlEvent::TargetProbed(is_ready) => self.finish_target_probe(is_ready, now),
             ControlEvent::Traffic(TrafficEvent::Ejected { target }) => {
@@ -287,6 +300,7 @@
         self.tick_versions(now);
         self.tick_sync(now);
         self.tick_target(now);
+        self.tick_departures(now);
         self.moves.tick(MoveContext {
             members: &self.members,
             store: &mut *self.store,
--- a/src/daemon/control/target.rs
+++ b/src/daemon/control/target.rs
@@ -9,7 +9,7 @@
             shared::TargetIdentity,
             tasks::ControlEvent,
         },
-        member::{TargetRecord, TargetStatus},
+        member::{TargetDeparture, TargetRecord, TargetStatus},
         timeline::EventKind,
     },
     std::{sync::Arc, time::Duration},
@@ -72,7 +72,7 @@
             TargetMessage::Leave { id, born } => {
                 // A message without a start time ends every start up to now.
                 let born = born.unwrap_or(now.0);
-                self.mark_target_departed(id, born, "the target announced that it stops", now);
+                self.record_target_departed(id, born, "the target announced that it stops", now);
                 true
             }
         }
@@ -80,7 +80,7 @@
 
     /// Marks a target as departed, as a peer's record shows that it departed beside an earlier process of this name.
     pub(super) fn restore_departed_target(&mut self, target: TargetRecord, now: TimePoint) {
-        self.mark_target_departed(
+        self.record_target_departed(
             target.id,
             target.born,
             "a peer reports that the target departed",
@@ -88,9 +88,22 @@
         );
     }
 
-    /// Marks the starts of a target up to `born` as departed, so that late announcements of them are ignored. Has no
-    /// effect if the current target is another one, a later start or departed already.
-    fn mark_target_departed(&mut self, id: Arc<str>, born: u64, reason: &str, now: TimePoint) {
+    /// Marks a target as departed, and records it in the store.
+    fn record_target_departed(&mut self, id: Arc<str>, born: u64, reason: &str, now: TimePoint) {
+        if let Some(departure) = self.mark_target_departed(id, born, reason, now) {
+            self.departures.add(departure, now);
+        }
+    }
+
+    /// Marks the starts of a target up to `born` as departed, so that late announcements of them are ignored. Returns the
+    /// departure, or `None` if the current target is another one, a later start or departed already.
+    pub(super) fn mark_target_departed(
+        &mut self,
+        id: Arc<str>,
+        born: u64,
+        reason: &str,
+        now: TimePoint,
+    ) -> Option<TargetDeparture> {
         let current = self.announced.get_or_insert_with(|| AnnouncedTarget {
             id: Arc::clone(&id),
             born,
@@ -98,15 +111,16 @@
             has_departed: false,
         });
         if current.id != id || current.born > born || current.has_departed {
-            return;
+            return None;
         }
         current.has_departed = true;
         let born = current.born;
         let mut record = self.members.own().target.clone();
-        (record.id, record.born, record.status) = (id, born, TargetStatus::Departed);
+        (record.id, record.born, record.status) = (Arc::clone(&id), born, TargetStatus::Departed);
         self.shared.gate.lock().drain(now);
         self.set_target(record, now);
         self.ring.record(EventKind::TargetLost, reason, now);
+        Some(TargetDeparture { id, born })
     }
 
     /// Updates the target from its announcement. Returns false if it comes from an earlier start than the current one.
@@ -120,6 +134,7 @@
             slots,
             is_leaving,
         } = announcement;
+        let mut was_heard = false;
         if let Some(current) = &mut self.announced {
             let is_same = current.id == id && current.born == born;
             let is_late = born < current.born || (is_same && (seq <= current.seq || current.has_departed));
@@ -130,8 +145,9 @@
             }
             if is_same {
                 current.seq = seq;
+                was_heard = true;
                 if is_leaving {
-                    self.mark_target_departed(id, born, "the target drains", now);
+                    self.record_target_departed(id, born, "the target drains", now);
                     return true;
                 }
                 if self.members.own().target.status == TargetStatus::Serving {
@@ -143,7 +159,7 @@
             id: Arc::clone(&id),
             born,
             seq,
-            has_departed: is_leaving,
+            has_departed: false,
         });
         let identity = TargetIdentity {
             id: Arc::clone(&id),
@@ -153,17 +169,48 @@
         };
         self.shared.target.store(Arc::new(identity));
         let mut record = self.members.own().target.clone();
-        record.id = id;
+        record.id = Arc::clone(&id);
         record.born = born;
         record.version = version;
         record.slots = slots;
+        // One announcement may be a late one of a target whose departure only the store has. A later one shows that the
+        // target goes on.
+        let may_have_departed = !self.departures.is_restored() && !was_heard;
+        if !is_leaving && !may_have_departed {
+            self.open_target(record, now);
+            return true;
+        }
+        record.status = TargetStatus::Starting;
+        self.set_target(record, now);
+        if is_leaving {
+            self.record_target_departed(id, born, "the target drains", now);
+        } else {
+            self.shared.gate.lock().state.close();
+            log::info!("event=target-held target={id} born={born} reason=departures-not-read");
+        }
+        true
+    }
+
+    /// Opens the gate of a target that was held back until the departures were read.
+    pub(super) fn open_held_target(&mut self, now: TimePoint) {
+        let is_present = self
+            .announced
+            .as_ref()
+            .is_some_and(|current| !current.has_departed);
+        let record = self.members.own().target.clone();
+        if is_present && record.status == TargetStatus::Starting {
+            self.open_target(record, now);
+        }
+    }
+
+    /// Opens the gate of the announced target, unless this daemon is leaving and has closed it.
+    fn open_target(&mut self, mut record: TargetRecord, now: TimePoint) {
         record.status = match self.drain {
-            _ if is_leaving => TargetStatus::Departed,
             DrainPhase::Serving | DrainPhase::Announced { .. } => TargetStatus::Serving,
             DrainPhase::Finishing { .. } | DrainPhase::Quiet { .. } => TargetStatus::Leaving,
         };
         if record.status == TargetStatus::Serving {
-            self.shared.gate.lock().state.reopen(slots, now);
+            self.shared.gate.lock().state.reopen(record.slots, now);
         }
         let detail = format!(
             "target={} version={} {}",
@@ -171,7 +218,6 @@
         );
         self.set_target(record, now);
         self.ring.record(EventKind::TargetReady, detail, now);
-        true
     }
 
     /// Replaces the record of this daemon's target and notifies peers.
--- a/src/daemon/edges.rs
+++ b/src/daemon/edges.rs
@@ -11,7 +11,8 @@
     crate::{
         clock::TimePoint,
         config::{ConfigHead, MoveOrder, MoveVerdict},
-        member::WatchMode,
+        macros::key_type,
+        member::{TargetDeparture, WatchMode},
         moves::Clearance,
         settings::DaemonSettings,
         store::{StoreError, WriteError},
@@ -92,6 +93,13 @@
 
     /// Records the version that serves a pool whose configuration names none, unless one is recorded already.
     fn record_version(&mut self, pool: &Arc<str>, version: &Arc<str>);
+
+    /// Reads the departure of the target beside this daemon that an earlier process of its name has recorded.
+    fn read_departure(&mut self);
+
+    /// Records the departure of the target beside this daemon for as long as a late announcement of it may arrive, in place
+    /// of an earlier one.
+    fn record_departure(&mut self, departure: &TargetDeparture);
 }
 
 /// Description of a target, sent by the target itself.
@@ -127,6 +135,29 @@
     },
 }
 
+impl TargetMessage {
+    /// Returns the identity of the target if it announces that it leaves.
+    pub fn departing_target(&self) -> Option<&Arc<str>> {
+        match self {
+            Self::Announce(announcement) => announcement.is_leaving.then_some(&announcement.id),
+            Self::Leave { id, .. } => Some(id),
+        }
+    }
+}
+
+key_type! {
+    /// What became of a message of a target.
+    pub enum MessageOutcome {
+        /// It is in force.
+        Accepted,
+        /// A later start of the target has replaced the one that sent it, or the daemon is shutting down.
+        Superseded,
+        /// The gate is closed to the target that leaves, but its departure is not recorded yet. The target should send the
+        /// message again.
+        Unrecorded,
+    }
+}
+
 /// Channel on which the edges report events to the control thread.
 #[derive(Debug, Clone)]
 pub struct ControlInbox {
@@ -168,12 +199,23 @@
         .await;
     }
 
-    /// Reports a message of the target. Returns false if a later start of the target has replaced the one that sent it,
-    /// or if the daemon is shutting down.
-    pub async fn target_reported(&self, message: TargetMessage) -> bool {
+    /// Reports the departure that is recorded for this daemon's target, or why it could not be read.
+    pub async fn departure_read(&self, result: Result<Option<TargetDeparture>, StoreError>) {
+        self.send(ControlEvent::DepartureRead(result)).await;
+    }
+
+    /// Reports the result of recording a departure.
+    pub async fn departure_recorded(&self, departure: TargetDeparture, result: Result<(), StoreError>) {
+        self.send(ControlEvent::DepartureRecorded { departure, result })
+            .await;
+    }
+
+    /// Reports a message of the target, and returns what became of it. A departure is answered once it is recorded, or
+    /// within [`DEPARTURE_REPLY_MS`](crate::member::DEPARTURE_REPLY_MS).
+    pub async fn target_reported(&self, message: TargetMessage) -> MessageOutcome {
         let (reply, answer) = oneshot::channel();
         self.send(ControlEvent::TargetReported { message, reply }).await;
-        answer.await.unwrap_or(false)
+        answer.await.unwrap_or(MessageOutcome::Superseded)
     }
 
     async fn send(&self, event: ControlEvent) {
--- a/src/daemon/kv_store_edge.rs
+++ b/src/daemon/kv_store_edge.rs
@@ -8,7 +8,7 @@
     crate::{
         codec,
         config::{ConfigHead, EditRequest, MoveOrder, TableEdit},
-        member::{LEAD_WAIT_MS, WatchMode},
+        member::{LEAD_WAIT_MS, TargetDeparture, WatchMode},
         moves::Clearance,
         store::{HEAD_KEY, HttpStore, MOVES_PREFIX, StoreClient, StoreError, write_change},
     },
@@ -126,6 +126,17 @@
     fn record_version(&mut self, _pool: &Arc<str>, _version: &Arc<str>) {
         // Not needed: the tables of this store name the version of every pool.
     }
+
+    fn read_departure(&mut self) {
+        let inbox = self.context.inbox.clone();
+        tokio::spawn(async move { inbox.departure_read(Ok(None)).await });
+    }
+
+    fn record_departure(&mut self, departure: &TargetDeparture) {
+        // Not needed: targets beside this edge don't announce themselves.
+        let (inbox, departure) = (self.context.inbox.clone(), departure.clone());
+        tokio::spawn(async move { inbox.departure_recorded(departure, Ok(())).await });
+    }
 }
 
 /// Watches the head as long as the mode says so, and reports each answer or failure to the control thread.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -23,7 +23,7 @@
 
 pub use {
     edges::{
-        ControlInbox, DaemonEdges, EdgeContext, MoveCloseRequest, StoreEdge, StoreReading,
+        ControlInbox, DaemonEdges, EdgeContext, MessageOutcome, MoveCloseRequest, StoreEdge, StoreReading,
         TargetAnnouncement, TargetMessage,
     },
     envelope::{
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        edges::{StoreReading, TargetMessage},
+        edges::{MessageOutcome, StoreReading, TargetMessage},
         envelope::{ControlReply, ControlRequest, Envelope, decode_envelope, encode_envelope},
         metrics::ControlLabels,
         shared::{SharedState, TrafficEvent},
@@ -11,7 +11,7 @@
         codec::MAX_MESSAGE_BYTES,
         config::ConfigHead,
         http::{PacedClient, read_body},
-        member::{ProbeMessage, SyncReply},
+        member::{ProbeMessage, SyncReply, TargetDeparture},
         moves::{Clearance, PollReply},
         spread::ConfigReply,
         store::{StoreError, WriteError},
@@ -105,8 +105,17 @@
     TargetReported {
         /// The message.
         message: TargetMessage,
-        /// Receives whether the message was accepted.
-        reply: oneshot::Sender<bool>,
+        /// Receives what became of the message.
+        reply: oneshot::Sender<MessageOutcome>,
+    },
+    /// A read of the departure that an earlier process recorded ended.
+    DepartureRead(Result<Option<TargetDeparture>, StoreError>),
+    /// An attempt to record a departure ended.
+    DepartureRecorded {
+        /// The departure.
+        departure: TargetDeparture,
+        /// Whether it is recorded, or the error.
+        result: Result<(), StoreError>,
     },
     /// A traffic thread reported an event.
     Traffic(TrafficEvent),
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -4,6 +4,7 @@
 //! with anti-entropy by bucket digests. [`MemberState`] does no I/O: it returns effects for the daemon to perform.
 
 mod confirmation;
+mod departure;
 mod digest;
 mod join;
 mod message;
@@ -13,6 +14,7 @@
 
 pub use {
     confirmation::{CONFIRMATION_TTL_MS, KnownVersion, LEAD_WAIT_MS, WatchMode},
+    departure::{DEPARTURE_REPLY_MS, DepartureLog, DepartureStep, TargetDeparture},
     digest::{BUCKETS, bucket_digests, bucket_of},
     join::{JOIN_TIMEOUT_MS, JoinContacts, JoinProgress},
     message::{ProbeKind, ProbeMessage, SyncReply, SyncRequest},
