Calls that wait for a slot are refused before the exit of their daemon

Cause: such a call keeps its full deadline, as its caller can't know of the stop, and the gate at which it waits knew only that deadline. Its queue held the call beyond the exit of the daemon that had to pass on the refusal.

Change: the hop between proxy and gate says until when the call must have a slot. While no shutdown has begun, that is as late as one that began at that moment would still allow; in a shutdown, 0.75 s before the exit, or the known run time of the route if that is longer. A gate then refuses it as not run; a proxy sends no attempt after it, and refuses a call whose body is still coming. What a target has is left to it until the exit. Daemons of earlier builds ignore the word.

--- a/src/call/plan.rs
+++ b/src/call/plan.rs
@@ -157,11 +157,24 @@
     /// Returns the step after [`CallStep::Send`] if no eligible target is left; `has_answer` is set if an answer was
     /// received.
     pub fn after_no_target(&self, has_answer: bool) -> CallStep {
+        let reason = if self.tried.is_empty() {
+            RefusalReason::NoTarget
+        } else {
+            RefusalReason::Refused
+        };
+        self.without_send(reason, has_answer)
+    }
+
+    /// Returns the step after [`CallStep::Send`] if the daemon exits before another attempt could end.
+    pub fn after_no_time(&self, has_answer: bool) -> CallStep {
+        self.without_send(RefusalReason::Leaving, has_answer)
+    }
+
+    fn without_send(&self, reason: RefusalReason, has_answer: bool) -> CallStep {
         match (self.in_flight, has_answer) {
             (1.., _) => CallStep::Wait,
             (0, true) => CallStep::Answer,
-            (0, false) if self.tried.is_empty() => self.refuse(RefusalReason::NoTarget),
-            (0, false) => self.refuse(RefusalReason::Refused),
+            (0, false) => self.refuse(reason),
         }
     }
 
@@ -174,7 +187,7 @@
         };
         let reason = match reason {
             // What matters to the caller is that an earlier attempt may have run, not that the later ones were refused.
-            RefusalReason::Refused if self.may_have_run => RefusalReason::Broken,
+            RefusalReason::Refused | RefusalReason::Leaving if self.may_have_run => RefusalReason::Broken,
             reason => reason,
         };
         CallStep::Refuse { outcome, reason }
--- a/src/call/selector.rs
+++ b/src/call/selector.rs
@@ -233,6 +233,11 @@
         }
     }
 
+    /// Returns the mean run time of a route at a target, in milliseconds; `None` if its gate has not reported it.
+    pub fn route_run_ms(&self, name: &str, route: &str) -> Option<f64> {
+        self.stats.get(name)?.route_run_ms.get(route).copied()
+    }
+
     /// Records that a gate refused a call of a rank as full, or that the call expired in its queue.
     pub fn record_full(&mut self, name: &Arc<str>, priority: u8, now: TimePoint) {
         let stats = self.stats.entry(Arc::clone(name)).or_default();
--- a/src/daemon/control/leaving.rs
+++ b/src/daemon/control/leaving.rs
@@ -13,8 +13,6 @@
 /// Time before the drain limit from which all new calls are refused, in milliseconds. Before that, [`LeaveSchedule`]
 /// refuses those that might not end in time.
 const REFUSE_MARGIN_MS: u64 = 1_700;
-/// Time before the drain limit at which the process exits in any case, in milliseconds.
-const EXIT_MARGIN_MS: u64 = 150;
 
 /// Time for notifying the other daemons of the closed gate, in milliseconds: several rounds of notices.
 const GATE_CLOSED_NOTICE_MS: u64 = 200;
@@ -28,7 +26,8 @@
         let settings = &self.shared.settings;
         let (leave_ms, limit_ms) = (settings.leave_ms, settings.drain_limit_ms);
         let refuse_at = now.after_ms(limit_ms.saturating_sub(REFUSE_MARGIN_MS));
-        let exit_at = now.after_ms(limit_ms.saturating_sub(EXIT_MARGIN_MS));
+        let schedule = LeaveSchedule::starting_at(now, settings);
+        let exit_at = schedule.exit_at;
         // A target that announces itself is not stopped with the daemon: its gate stays open while callers move to
         // other daemons.
         let target_lives_on = settings.announcements.is_some();
@@ -39,10 +38,7 @@
             ),
             now,
         );
-        self.shared.leaving.get_or_init(|| LeaveSchedule {
-            callers_leave_by: now.after_ms(leave_ms),
-            exit_at,
-        });
+        self.shared.begin_leaving(schedule);
         self.moves.release(&self.members, &mut self.ring, now);
         if target_lives_on {
             self.drain = DrainPhase::Announced {
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -43,7 +43,7 @@
         net::UdpSocket,
         runtime::{Builder, Runtime},
         signal::unix::{SignalKind, signal},
-        sync::mpsc,
+        sync::{Notify, mpsc},
         time::interval,
     },
 };
@@ -209,6 +209,7 @@
         refusal_lines: RefusalLines::default(),
         active_calls: AtomicUsize::new(0),
         leaving: OnceLock::new(),
+        leaving_begun: Notify::new(),
         is_closed: AtomicBool::new(false),
         traffic_events,
     }
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -25,7 +25,10 @@
             atomic::{AtomicBool, AtomicUsize, Ordering},
         },
     },
-    tokio::sync::{mpsc, oneshot},
+    tokio::{
+        sync::{Notify, mpsc, oneshot},
+        time::sleep,
+    },
 };
 
 /// Time for which a proxy sends no calls to a version after a gate refused it as stopped, in milliseconds.
@@ -199,6 +202,8 @@
     pub active_calls: AtomicUsize,
     /// Set once the daemon is leaving; callers' connections are closed after each answer then.
     pub leaving: OnceLock<LeaveSchedule>,
+    /// Notified when `leaving` is set.
+    pub leaving_begun: Notify,
     /// Whether the daemon is about to exit; new calls from callers are refused then.
     pub is_closed: AtomicBool,
     /// Channel to the control thread.
@@ -234,6 +239,24 @@
     pub fn is_leaving(&self) -> bool {
         self.leaving.get().is_some()
     }
+
+    /// Begins the shutdown, unless it has begun.
+    pub fn begin_leaving(&self, schedule: LeaveSchedule) {
+        self.leaving.get_or_init(|| schedule);
+        self.leaving_begun.notify_waiters();
+    }
+
+    /// Waits until what is not at a target has to be refused, as the daemon is about to exit.
+    pub async fn wait_for_last_refusal(&self) {
+        let schedule = loop {
+            let begun = self.leaving_begun.notified();
+            if let Some(schedule) = self.leaving.get() {
+                break schedule;
+            }
+            begun.await;
+        };
+        sleep(schedule.start_by(0).remaining_from(self.now())).await;
+    }
 }
 
 /// Counts a call from a caller as active until dropped.
--- a/src/daemon/traffic/hop.rs
+++ b/src/daemon/traffic/hop.rs
@@ -51,13 +51,15 @@
     pub useful_until: TimePoint,
     /// Time at which the call is given up.
     pub deadline: TimePoint,
+    /// Time by which the call must have a slot, else the gate refuses it: the daemon that took it may exit after that.
+    pub start_by: TimePoint,
 }
 
 impl HopCall {
     /// Writes the properties into the headers of a request. Times are sent as milliseconds left.
     pub fn write(&self, headers: &mut HeaderMap, now: TimePoint) {
         let text = format!(
-            "{} {} {} {} {} {} {} {} {}",
+            "{} {} {} {} {} {} {} {} {} {}",
             self.id,
             encode_word(&self.route),
             encode_word(&self.pool),
@@ -67,6 +69,7 @@
             self.priority,
             self.useful_until.ms_since(now),
             self.deadline.ms_since(now).max(1),
+            self.start_by.ms_since(now),
         );
         headers.insert(header::HOP, header_value(&text));
     }
@@ -76,7 +79,7 @@
     pub fn read(headers: &HeaderMap, now: TimePoint) -> Option<Self> {
         let mut words = text_header(headers, header::HOP)?.split(' ');
         let mut next = || words.next().filter(|word| !word.is_empty());
-        Some(Self {
+        let mut call = Self {
             id: next()?.into(),
             route: decode_word(next()?)?,
             pool: decode_word(next()?)?,
@@ -86,7 +89,13 @@
             priority: next()?.parse().ok()?,
             useful_until: now.after_ms(next()?.parse().ok()?),
             deadline: now.after_ms(next()?.parse().ok()?),
-        })
+            start_by: TimePoint::FAR_FUTURE,
+        };
+        // Earlier versions send no such word.
+        if let Some(word) = next() {
+            call.start_by = now.after_ms(word.parse().ok()?);
+        }
+        Some(call)
     }
 }
 
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -152,6 +152,7 @@
             priority: hop.priority,
             useful_until: hop.useful_until,
             deadline: hop.deadline,
+            start_by: hop.start_by,
         };
         let (ticket, receiver) = {
             let mut gate = shared.gate.lock();
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -26,6 +26,7 @@
         clock::TimePoint,
         config::{CompiledPool, CompiledRoute, RouteMatch},
         daemon::{
+            leave_schedule::LeaveSchedule,
             refusals::request_subject,
             shared::{ActiveCall, SharedState},
             snapshot::{ServingTarget, TrafficSnapshot},
@@ -145,10 +146,22 @@
         );
         let body = req.take_body();
         let progress = Arc::new(BodyProgress::new(report));
-        let body = match RequestBody::read(req.headers(), body, limit, end.at, &progress).await {
+        let read = async {
+            RequestBody::read(req.headers(), body, limit, end.at, &progress)
+                .await
+                .map_err(|fault| body_refusal(fault, limit))
+        };
+        let read = tokio::select! {
+            biased;
+            read = read => read,
+            () = self.shared.wait_for_last_refusal() => {
+                Err(CallRefusal::not_run(RefusalReason::Leaving, "the body is not here yet"))
+            }
+        };
+        let body = match read {
             Ok(body) => body,
-            Err(fault) => {
-                let refusal = self.unless_stale(&snapshot, body_refusal(fault, limit));
+            Err(refusal) => {
+                let refusal = self.unless_stale(&snapshot, refusal);
                 self.refuse(req, Some(&call), &refusal, res);
                 return keep_connection_if(progress.has_ended(), res);
             }
@@ -288,6 +301,9 @@
                     plan.tried(),
                     std::mem::take(&mut is_hedge),
                 ) {
+                    Some(target) if self.start_by(call, &target) <= shared.now() => {
+                        plan.after_no_time(received.is_some())
+                    }
                     Some(target) => {
                         if !plan.tried().is_empty() {
                             shared.metrics.retries.inc();
@@ -340,6 +356,23 @@
         }
     }
 
+    /// Returns the time by which a call must have a slot at a target, so that this daemon does not exit before it can answer
+    /// or refuse the call. One whose deadline comes before the exit ends in time anyway.
+    fn start_by(&self, call: &RoutedCall, target: &ServingTarget) -> TimePoint {
+        let shared = &self.shared;
+        let Some(leaving) = shared.leaving.get() else {
+            return LeaveSchedule::wait_limit(shared.now(), &shared.settings);
+        };
+        if call.deadline <= leaving.answer_by() {
+            return call.deadline;
+        }
+        let run_ms = shared
+            .selector
+            .lock()
+            .route_run_ms(&target.name, &call.route.name);
+        leaving.start_by(run_ms.unwrap_or_default() as u64)
+    }
+
     fn attempt(
         &self,
         call: &RoutedCall,
@@ -347,6 +380,8 @@
         body_progress: Arc<BodyProgress>,
     ) -> CallAttempt {
         let shared = &self.shared;
+        let leaving = shared.leaving.get();
+        let answer_by = leaving.map_or(TimePoint::FAR_FUTURE, LeaveSchedule::answer_by);
         CallAttempt {
             shared: Arc::clone(shared),
             clients: Arc::clone(&self.clients),
@@ -359,8 +394,9 @@
                 caller: Arc::clone(&shared.settings.target.service),
                 repeatable: call.repeatable,
                 priority: call.route.priority,
-                useful_until: call.useful_until,
+                useful_until: call.useful_until.min(answer_by),
                 deadline: call.deadline,
+                start_by: self.start_by(call, &target),
             },
             in_flight_guard: InFlightGuard::new(shared, &target, call.route.priority),
             target,
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -117,6 +117,8 @@
     pub useful_until: TimePoint,
     /// Time at which the call is given up.
     pub deadline: TimePoint,
+    /// Time by which it must have a slot in any case.
+    pub start_by: TimePoint,
 }
 
 #[derive(Debug, Clone)]
@@ -137,13 +139,15 @@
 }
 
 impl GateArrival {
-    /// Returns the time at which the call is refused if it is still queued: halfway between `useful_until` and the
-    /// deadline, as it would hardly be served after that, but early enough for the refusal to arrive before the
-    /// deadline.
+    /// Returns the time at which the call is refused if it is still queued: at `start_by`, or halfway between
+    /// `useful_until` and the deadline, as it would hardly be served after that, but early enough for the refusal to arrive
+    /// before the deadline.
     pub fn wait_until(&self) -> TimePoint {
         let margin_ms = self.deadline.ms_since(self.useful_until);
         let halfway = self.useful_until.after_ms(margin_ms / 2);
-        halfway.min(self.deadline.before_ms(REFUSAL_RETURN_MS))
+        halfway
+            .min(self.deadline.before_ms(REFUSAL_RETURN_MS))
+            .min(self.start_by)
     }
 }
 
--- a/src/lab/admission/rule.rs
+++ b/src/lab/admission/rule.rs
@@ -56,18 +56,21 @@
                 priority: kind.priority,
                 useful_until,
                 deadline,
+                start_by: deadline,
             },
             Self::OneMean => GateArrival {
                 route: "all".into(),
                 priority: kind.priority,
                 useful_until,
                 deadline,
+                start_by: deadline,
             },
             Self::FirstCome | Self::FixedQueue => GateArrival {
                 route: "all".into(),
                 priority: 0,
                 useful_until: useful_until.after_ms(60_000 - kind.useful_ms),
                 deadline,
+                start_by: deadline,
             },
         }
     }
--- a/tests/gate_kinds.rs
+++ b/tests/gate_kinds.rs
@@ -19,6 +19,7 @@
         priority,
         useful_until: now.after_ms(useful_ms),
         deadline: now.after_ms(useful_ms * 3),
+        start_by: TimePoint::FAR_FUTURE,
     }
 }
 
--- a/tests/request_fuzz.rs
+++ b/tests/request_fuzz.rs
@@ -368,6 +368,7 @@
             priority: self.calls[key.call].priority,
             useful_until: deadline,
             deadline,
+            start_by: deadline,
         };
         let (admission, evicted) = self.gates[target].arrive(arrival, self.now);
         match admission {
