Failed calls to the store for a departure pause longer each time

A store that refuses charges for each call. Four attempts still come before the departure is acknowledged without a record. tests/departure_log.rs has the times of the calls; the count of 20 in 3 s, which it had for the constant pause, is replaced by the exact list over 8 s.

--- a/src/member/departure.rs
+++ b/src/member/departure.rs
@@ -12,8 +12,10 @@
 /// Time after the first message that a target leaves from which it is acknowledged without a record, in milliseconds: a
 /// target that gets no acknowledgement stops without one.
 const ACKNOWLEDGE_MS: u64 = 2_500;
-/// Pause after a failed call to the store, in milliseconds.
-const RETRY_PAUSE_MS: u64 = 300;
+/// Pause after a failed call to the store, in milliseconds; doubled with each further failure.
+const FIRST_PAUSE_MS: u64 = 300;
+/// Longest pause, in milliseconds: refused calls cost the store as much as others.
+const MAX_PAUSE_MS: u64 = 2_400;
 
 value_type! {
     /// Departure of a target: this start of it, and each earlier one, never accepts calls again.
@@ -41,6 +43,8 @@
     record_at: TimePoint,
     /// From when on it is acknowledged without a record.
     acknowledge_at: TimePoint,
+    /// Failed attempts to record it.
+    failures: u32,
 }
 
 /// What the store has of the departures of one daemon's target.
@@ -50,6 +54,8 @@
     is_restored: bool,
     /// When the store is read next; [`TimePoint::FAR_FUTURE`] while a call is in flight or after the last one.
     read_at: TimePoint,
+    /// Failed reads.
+    read_failures: u32,
     unrecorded: Option<UnrecordedDeparture>,
 }
 
@@ -59,6 +65,7 @@
         Self {
             is_restored: false,
             read_at: now,
+            read_failures: 0,
             unrecorded: None,
         }
     }
@@ -89,7 +96,8 @@
         if is_answered {
             self.is_restored = true;
         } else {
-            self.read_at = now.after_ms(RETRY_PAUSE_MS);
+            self.read_at = now.after_ms(pause_ms(self.read_failures));
+            self.read_failures += 1;
         }
     }
 
@@ -99,6 +107,7 @@
             departure,
             record_at: now,
             acknowledge_at: now.after_ms(ACKNOWLEDGE_MS),
+            failures: 0,
         });
     }
 
@@ -111,7 +120,8 @@
         if is_recorded {
             self.unrecorded = None;
         } else {
-            current.record_at = now.after_ms(RETRY_PAUSE_MS);
+            current.record_at = now.after_ms(pause_ms(current.failures));
+            current.failures += 1;
         }
     }
 
@@ -127,3 +137,7 @@
         current.is_none_or(|current| *current.departure.id != *id || current.acknowledge_at <= now)
     }
 }
+
+fn pause_ms(failures: u32) -> u64 {
+    (FIRST_PAUSE_MS << failures.min(8)).min(MAX_PAUSE_MS)
+}
--- a/tests/departure_log.rs
+++ b/tests/departure_log.rs
@@ -37,18 +37,24 @@
     let mut log = DepartureLog::new(NOW);
     let gone = departure("i-0");
     log.add(gone.clone(), NOW);
-    let (mut now, mut calls) = (NOW, 0);
-    for _ in 0..60 {
+    let (mut now, mut read_after, mut recorded_after) = (NOW, Vec::new(), Vec::new());
+    for _ in 0..160 {
         for step in log.tick(now) {
-            calls += 1;
             match step {
-                DepartureStep::Read => log.finish_read(false, now),
-                DepartureStep::Record(departure) => log.finish_record(&departure, false, now),
+                DepartureStep::Read => {
+                    read_after.push(now.ms_since(NOW));
+                    log.finish_read(false, now);
+                }
+                DepartureStep::Record(departure) => {
+                    recorded_after.push(now.ms_since(NOW));
+                    log.finish_record(&departure, false, now);
+                }
             }
         }
         now = now.after_ms(50);
     }
-    assert_eq!(calls, 20, "two calls each 300 ms");
+    assert_eq!(recorded_after, [0, 300, 900, 2_100, 4_500, 6_900]);
+    assert_eq!(read_after, recorded_after);
     assert!(!log.is_restored());
     assert!(log.is_unrecorded("i-0"));
     // A late answer to the record of an earlier departure does not count for the present one.
