Requests that end their targets are held back by the whole fleet

Callers saw a whole service go down under a few requests: each daemon repeated a request whose target had ended at the next one, and its callers sent it again through others.

Cause: nothing in the product knew of it. A gate saw a broken connection where its target had ended, and a proxy a reason to try elsewhere.

Change: a quarantine, decided without I/O (src/quarantine). A gate whose runs all break and whose target does not listen any more accuses what was running there, by fingerprints of route, method, host and path, with and without the body, and tells all daemons. A suspect runs at the one target that rendezvous hashing selects, one run at a time; a good run ends the suspicion. After three ends without one it is held back everywhere: 503 at once, with the time until the next trial in retry-after, or 504 where the call had run. One trial follows after quarantine_ms, then after twice that, and at once at another version. A frequent request that had run well is accused only by ends that are not of one moment.

Tests: quarantine_mesh.rs with real processes, quarantine_model.rs at 10, 12, 88 and 295 daemons with lost and late notices, restarts, suspensions, crashes of targets and of the whole service.

--- a/src/call/outcome.rs
+++ b/src/call/outcome.rs
@@ -74,6 +74,8 @@
         BodyIncomplete,
         /// This daemon is leaving and accepts no more calls.
         Leaving,
+        /// Targets ended under this request, so it is held back.
+        Quarantined,
     }
 }
 
@@ -95,6 +97,7 @@
             Self::BodyTooLarge => "body-too-large",
             Self::BodyIncomplete => "body-incomplete",
             Self::Leaving => "leaving",
+            Self::Quarantined => "quarantined",
         }
     }
 
@@ -123,6 +126,9 @@
             Self::BodyTooLarge => "the request body is over the limit; send less:",
             Self::BodyIncomplete => "the body did not arrive whole before the deadline; send it again",
             Self::Leaving => "this daemon is leaving; use another one",
+            Self::Quarantined => {
+                "targets ended under this request, so it is held back; don't repeat it before the time in retry-after"
+            }
         }
     }
 }
--- a/src/call/plan.rs
+++ b/src/call/plan.rs
@@ -130,15 +130,9 @@
         budget: &mut RetryBudget,
         now: TimePoint,
     ) -> CallStep {
-        self.in_flight = self.in_flight.saturating_sub(1);
-        match outcome {
-            AttemptOutcome::Answered => return CallStep::Answer,
-            AttemptOutcome::NotRun => {}
-            AttemptOutcome::Rejected => self.reached += 1,
-            AttemptOutcome::Failed | AttemptOutcome::Broken | AttemptOutcome::Stalled => {
-                self.reached += 1;
-                self.may_have_run = true;
-            }
+        self.record_outcome(outcome);
+        if outcome == AttemptOutcome::Answered {
+            return CallStep::Answer;
         }
         if self.in_flight > 0 {
             return CallStep::Wait;
@@ -154,6 +148,20 @@
         }
     }
 
+    /// Records the end of an attempt of a request that is held back, and returns the next step. No retry follows.
+    pub fn after_quarantined(&mut self, outcome: AttemptOutcome) -> CallStep {
+        self.record_outcome(outcome);
+        match outcome {
+            AttemptOutcome::Answered => CallStep::Answer,
+            _ => self.without_send(RefusalReason::Quarantined, outcome == AttemptOutcome::Failed),
+        }
+    }
+
+    /// Returns the step after [`CallStep::Send`] if the request is held back at every eligible target.
+    pub fn after_held_back(&self, has_answer: bool) -> CallStep {
+        self.without_send(RefusalReason::Quarantined, has_answer)
+    }
+
     /// Returns the step after [`CallStep::Send`] if no eligible target is left; `has_answer` is set if an answer was
     /// received.
     pub fn after_no_target(&self, has_answer: bool) -> CallStep {
@@ -170,6 +178,18 @@
         self.without_send(RefusalReason::Leaving, has_answer)
     }
 
+    fn record_outcome(&mut self, outcome: AttemptOutcome) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        match outcome {
+            AttemptOutcome::Answered | AttemptOutcome::NotRun => {}
+            AttemptOutcome::Rejected => self.reached += 1,
+            AttemptOutcome::Failed | AttemptOutcome::Broken | AttemptOutcome::Stalled => {
+                self.reached += 1;
+                self.may_have_run = true;
+            }
+        }
+    }
+
     fn without_send(&self, reason: RefusalReason, has_answer: bool) -> CallStep {
         match (self.in_flight, has_answer) {
             (1.., _) => CallStep::Wait,
@@ -187,7 +207,11 @@
         };
         let reason = match reason {
             // What matters to the caller is that an earlier attempt may have run, not that the later ones were refused.
-            RefusalReason::Refused | RefusalReason::Leaving if self.may_have_run => RefusalReason::Broken,
+            RefusalReason::Refused | RefusalReason::Leaving | RefusalReason::Quarantined
+                if self.may_have_run =>
+            {
+                RefusalReason::Broken
+            }
             reason => reason,
         };
         CallStep::Refuse { outcome, reason }
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -1,9 +1,16 @@
 //! `fuchsiashore status`.
 
-use super::{
-    daemons::{fetch_status, operator_addresses, query_all},
-    error::CmdError,
-    options::OperatorOptions,
+use {
+    super::{
+        daemons::{fetch_status, operator_addresses, query_all},
+        error::CmdError,
+        options::OperatorOptions,
+    },
+    crate::{
+        daemon::DaemonStatus,
+        quarantine::{RequestFingerprint, SuspectRecord},
+    },
+    std::collections::BTreeMap,
 };
 
 /// Prints every daemon with its target and the version in force.
@@ -44,5 +51,30 @@
     for daemon in silent {
         println!("{daemon} does not answer");
     }
+    for line in held_lines(&statuses) {
+        println!("{line}");
+    }
     Ok(())
 }
+
+/// Describes the requests that are held back, each once, with the number of daemons that do so.
+fn held_lines(statuses: &[DaemonStatus]) -> Vec<String> {
+    let mut held: BTreeMap<RequestFingerprint, (usize, &SuspectRecord)> = BTreeMap::new();
+    let suspects = statuses.iter().flat_map(|status| &status.suspects);
+    for suspect in suspects.filter(|suspect| suspect.held_ms > 0) {
+        let entry = held.entry(suspect.fingerprint).or_insert((0, suspect));
+        entry.0 += 1;
+        if suspect.held_ms > entry.1.held_ms {
+            entry.1 = suspect;
+        }
+    }
+    let lines = held.into_iter().map(|(fingerprint, (daemons, suspect))| {
+        format!(
+            "request {fingerprint} held back by {daemons} daemons for {} s more: {} targets of versions {} ended under it",
+            suspect.held_ms.div_ceil(1_000),
+            suspect.ends.len(),
+            suspect.versions.join(", "),
+        )
+    });
+    lines.collect()
+}
--- a/src/daemon/control/answers.rs
+++ b/src/daemon/control/answers.rs
@@ -28,6 +28,7 @@
                 ControlReply::Sync(reply)
             }
             ControlRequest::Config(request) => ControlReply::Config(self.spread.answer_pull(&request)),
+            ControlRequest::Suspects => ControlReply::Suspects(self.shared.quarantine.lock().records(now)),
             ControlRequest::Poll(request) => {
                 if request.clearance.as_ref().is_some_and(Clearance::is_released) {
                     self.moves.schedule_takeover_check(&request.pool, now);
@@ -45,9 +46,9 @@
     }
 
     /// Answers a query of an operator.
-    pub(super) fn answer_query(&self, query: OperatorQuery) {
+    pub(super) fn answer_query(&self, query: OperatorQuery, now: TimePoint) {
         match query {
-            OperatorQuery::Status(reply) => send_json(reply, &self.status()),
+            OperatorQuery::Status(reply) => send_json(reply, &self.status(now)),
             OperatorQuery::Timeline(reply) => {
                 let events: Vec<&TimelineEvent> = self.ring.events().collect();
                 send_json(reply, &events);
@@ -59,7 +60,7 @@
     }
 
     /// Returns the state of the daemon as shown to operators.
-    pub(super) fn status(&self) -> DaemonStatus {
+    pub(super) fn status(&self, now: TimePoint) -> DaemonStatus {
         let head = self.spread.head();
         let open = head.map(|head| head.moves.clone()).unwrap_or_default();
         let registry = self.shared.moves.lock();
@@ -86,6 +87,7 @@
             members: self.members.others().cloned().collect(),
             moves: moves.collect(),
             closed: head.map(|head| head.closed.clone()).unwrap_or_default(),
+            suspects: self.shared.quarantine.lock().records(now),
         }
     }
 }
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -7,11 +7,12 @@
 mod joining;
 mod leaving;
 mod members;
+mod quarantine;
 mod reloading;
 mod target;
 
 use {
-    self::departures::HeldReply,
+    self::{departures::HeldReply, quarantine::RepeatedNotice},
     super::{
         edges::{DaemonEdges, EdgeContext, StoreEdge},
         move_runner::{MoveContext, MoveRunner},
@@ -23,7 +24,8 @@
         config::CompiledTable,
         file_watch::FileWatch,
         member::{
-            DepartureLog, JoinProgress, MemberRecord, MemberState, MemberStatus, TargetRecord, TargetStatus,
+            DepartureLog, JoinProgress, MemberRecord, MemberState, MemberStatus, ProbeKind, TargetRecord,
+            TargetStatus,
         },
         moves::WINDOW_MS,
         spread::SpreadState,
@@ -131,6 +133,10 @@
     departures: DepartureLog,
     /// Replies to a target that leaves, until its departure is recorded.
     held_replies: Vec<HeldReply>,
+    repeated_notices: Vec<RepeatedNotice>,
+    next_suspects_expiry_at: TimePoint,
+    /// Whether a peer is to be asked for its suspects.
+    needs_suspects: bool,
     /// Whether the latest read or watch of the head failed.
     store_was_down: bool,
     /// Whether this daemon watches the store.
@@ -188,6 +194,9 @@
             announced: None,
             departures: DepartureLog::new(now),
             held_replies: Vec::new(),
+            repeated_notices: Vec::new(),
+            next_suspects_expiry_at: now,
+            needs_suspects: true,
             store_was_down: false,
             is_watching: false,
             had_taken_over: false,
@@ -222,6 +231,9 @@
         match event {
             ControlEvent::Datagram { from, message } => {
                 self.ring.observe(message.stamp, now);
+                if let ProbeKind::Quarantine(notice) = &message.body.kind {
+                    self.receive_notice(from, notice, now);
+                }
                 self.members.set_newest_version(self.spread.newest_version());
                 let effects = self.members.receive(from, message.body, now);
                 self.apply_effects(effects, now);
@@ -270,8 +282,10 @@
                 self.ring
                     .record(EventKind::Ejected, format!("target={target}"), now);
             }
+            ControlEvent::Traffic(TrafficEvent::Quarantine(notice)) => self.publish_notice(&notice, now),
+            ControlEvent::SuspectsReceived(records) => self.finish_suspects(records, now),
             ControlEvent::Traffic(TrafficEvent::TargetRefuses) => self.finish_target_probe(false, now),
-            ControlEvent::Query(query) => self.answer_query(query),
+            ControlEvent::Query(query) => self.answer_query(query, now),
             ControlEvent::Drain => self.start_drain(now),
             ControlEvent::Reload => self.reload(now),
         }
@@ -290,6 +304,7 @@
         }
         if now.ms_since(self.last_tick_at) > STALL_MS {
             self.members.resume(now);
+            self.needs_suspects = true;
         }
         self.last_tick_at = now;
         self.tick_settings(now);
@@ -301,6 +316,7 @@
         self.tick_sync(now);
         self.tick_target(now);
         self.tick_departures(now);
+        self.tick_quarantine(now);
         self.moves.tick(MoveContext {
             members: &self.members,
             store: &mut *self.store,
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -150,6 +150,12 @@
     pub version: Gauge,
     /// Number of daemons present in the mesh.
     pub members: Gauge,
+    /// Unannounced ends of the target beside this daemon.
+    pub target_ends: Counter,
+    /// Requests that were held back.
+    pub held_requests: Counter,
+    /// Requests that ran well here after several targets had ended under them.
+    pub cleared_requests: Counter,
     /// Retries sent.
     pub retries: Counter,
     /// Latency of answered calls by pool, in seconds.
@@ -179,6 +185,9 @@
             refused_values: Family::default(),
             version: Gauge::default(),
             members: Gauge::default(),
+            target_ends: Counter::default(),
+            held_requests: Counter::default(),
+            cleared_requests: Counter::default(),
             retries: Counter::default(),
             latency: Family::new_with_constructor(latency_histogram),
         };
@@ -244,6 +253,7 @@
             "Configuration version in force",
             metrics.version.clone(),
         );
+        register_quarantine(&mut registry, &metrics);
         registry.register("members", "Daemons present", metrics.members.clone());
         registry.register("retries", "Retries sent", metrics.retries.clone());
         registry.register(
@@ -256,6 +266,25 @@
     }
 }
 
+/// Registers the metrics of requests that end targets.
+fn register_quarantine(registry: &mut Registry, metrics: &DaemonMetrics) {
+    registry.register(
+        "target_ends",
+        "Unannounced ends of the target beside this daemon",
+        metrics.target_ends.clone(),
+    );
+    registry.register(
+        "held_requests",
+        "Requests that were held back",
+        metrics.held_requests.clone(),
+    );
+    registry.register(
+        "cleared_requests",
+        "Requests that ran well here after several targets had ended under them",
+        metrics.cleared_requests.clone(),
+    );
+}
+
 /// Registers the metrics of control traffic.
 fn register_control(registry: &mut Registry, metrics: &DaemonMetrics) {
     registry.register(
--- a/src/daemon/operators.rs
+++ b/src/daemon/operators.rs
@@ -13,6 +13,7 @@
         config::{ClosedMove, MoveOrder},
         macros::value_type,
         member::MemberRecord,
+        quarantine::SuspectRecord,
     },
     bytes::Bytes,
     salvo::{
@@ -62,6 +63,9 @@
         pub moves: Vec<MoveStatus>,
         /// Recently ended moves, oldest first.
         pub closed: Vec<ClosedMove>,
+        /// Requests under which targets ended.
+        #[serde(default)]
+        pub suspects: Vec<SuspectRecord>,
     }
 }
 
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -21,6 +21,7 @@
         gate::GateState,
         http::{CLIENT_TIMEOUTS, ClientTimeouts, HeadLimits, REPEATABLE_IDLE_TIMEOUT, bind, serve_within},
         member::ProbeMessage,
+        quarantine::QuarantineState,
         settings::DaemonSettings,
         socket_budget::{SocketBudget, SocketKind, SocketShare},
     },
@@ -188,9 +189,11 @@
     let budget = PoolBudgets::new(settings.extra_retries, 1);
     let clock = ProcessClock::start();
     let metrics = DaemonMetrics::default();
+    let started_at = clock.now();
+    let quarantine = QuarantineState::new(Arc::clone(&settings.name), started_at.0, settings.quarantine_ms);
     SharedState {
         settings: Arc::new(settings),
-        started_at: clock.now(),
+        started_at,
         clock,
         dialect: Arc::clone(&edges.dialect),
         target: ArcSwap::from_pointee(identity),
@@ -205,6 +208,8 @@
         evidence: Mutex::default(),
         moves: Mutex::new(MoveRegistry::default()),
         sockets: Arc::new(SocketBudget::of_process(metrics.socket_counters())),
+        quarantine: Mutex::new(quarantine),
+        turn_ended: Notify::new(),
         metrics,
         refusal_lines: RefusalLines::default(),
         active_calls: AtomicUsize::new(0),
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -10,6 +10,7 @@
         clock::{ProcessClock, TimePoint},
         gate::{DequeueOutcome, GateRefusal, GateState, TicketId},
         moves::{Clearance, GateLease},
+        quarantine::{QuarantineNotice, QuarantineState},
         settings::DaemonSettings,
         socket_budget::SocketBudget,
     },
@@ -150,6 +151,8 @@
     },
     /// The target beside this daemon refuses connections.
     TargetRefuses,
+    /// There is news about requests that end targets.
+    Quarantine(QuarantineNotice),
 }
 
 /// The target beside the daemon, as described by the settings or by its announcements.
@@ -192,6 +195,10 @@
     pub evidence: Mutex<EvidenceRecorder>,
     /// State of open moves.
     pub moves: Mutex<MoveRegistry>,
+    /// Requests that end targets.
+    pub quarantine: Mutex<QuarantineState>,
+    /// Notified when a suspect may have its turn at this daemon's target.
+    pub turn_ended: Notify,
     /// Metrics of the daemon.
     pub metrics: DaemonMetrics,
     /// File descriptors for connections of calls.
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -17,6 +17,7 @@
         },
         gate::GateRefusal,
         moves::Clearance,
+        quarantine::{CallFingerprints, QuarantineNotice},
     },
     hyper::{
         Request, Response, Uri,
@@ -262,7 +263,7 @@
                     self.record_route_run(&mut selector, load);
                 }
             }
-            Some(GateRefusal::Stopped) => {}
+            Some(GateRefusal::Stopped | GateRefusal::Quarantined) => {}
             // The target has not seen the request.
             None if reason == BODY_INCOMPLETE => {}
             Some(GateRefusal::Shed) => selector.record_shed(&self.target.name),
@@ -297,6 +298,8 @@
                 if let Some(load) = load {
                     self.record_route_run(&mut selector, load);
                 }
+                drop(selector);
+                self.clear_suspect();
             }
             AttemptResult::Failure {
                 outcome: AttemptOutcome::NotRun | AttemptOutcome::Rejected,
@@ -316,6 +319,17 @@
         }
     }
 
+    /// Ends the suspicion that this daemon has of an answered request; its gate tells others, where that matters.
+    fn clear_suspect(&self) {
+        let mut quarantine = self.shared.quarantine.lock();
+        if quarantine.is_quiet() {
+            return;
+        }
+        for fingerprint in self.hop.fingerprints.iter().flat_map(CallFingerprints::iter) {
+            quarantine.receive(&QuarantineNotice::Cleared(fingerprint), self.shared.now());
+        }
+    }
+
     fn record_route_run(&self, selector: &mut TargetSelector, load: LoadReport) {
         if load.route_run_ms > 0.0 {
             selector.record_route_run(&self.target.name, &self.hop.route, load.route_run_ms);
--- a/src/daemon/traffic/body.rs
+++ b/src/daemon/traffic/body.rs
@@ -161,6 +161,14 @@
         matches!(self, Self::Buffered(_))
     }
 
+    /// Returns a buffered body.
+    pub fn buffered(&self) -> Option<&[u8]> {
+        match self {
+            Self::Buffered(bytes) => Some(bytes),
+            Self::Streaming(_) | Self::Consumed => None,
+        }
+    }
+
     /// Returns the size of a buffered body in bytes, otherwise [`MAX_BUFFERED_BYTES`], which a streamed body exceeds.
     pub fn buffered_bytes(&self) -> usize {
         match self {
--- a/src/daemon/traffic/hop.rs
+++ b/src/daemon/traffic/hop.rs
@@ -2,7 +2,7 @@
 
 use {
     super::relay::{header_value, text_header},
-    crate::clock::TimePoint,
+    crate::{clock::TimePoint, quarantine::CallFingerprints},
     salvo::http::HeaderMap,
     std::{borrow::Cow, fmt::Write as _, sync::Arc},
 };
@@ -30,6 +30,9 @@
 /// Reason of a gate for which the body of a request did not arrive whole.
 pub const BODY_INCOMPLETE: &str = "body-incomplete";
 
+/// Reason of a gate whose target ended while it ran the request.
+pub const TARGET_ENDED: &str = "target-ended";
+
 /// Properties of one attempt of a call, sent from an outbound proxy to a gate.
 #[derive(Debug, Clone)]
 pub struct HopCall {
@@ -53,12 +56,14 @@
     pub deadline: TimePoint,
     /// Time by which the call must have a slot, else the gate refuses it: the daemon that took it may exit after that.
     pub start_by: TimePoint,
+    /// Fingerprints of the request; `None` if the proxy is of an earlier version.
+    pub fingerprints: Option<CallFingerprints>,
 }
 
 impl HopCall {
     /// Writes the properties into the headers of a request. Times are sent as milliseconds left.
     pub fn write(&self, headers: &mut HeaderMap, now: TimePoint) {
-        let text = format!(
+        let mut text = format!(
             "{} {} {} {} {} {} {} {} {} {}",
             self.id,
             encode_word(&self.route),
@@ -71,6 +76,10 @@
             self.deadline.ms_since(now).max(1),
             self.start_by.ms_since(now),
         );
+        if let Some(fingerprints) = &self.fingerprints {
+            // Writing to a string can't fail.
+            let _ = write!(text, " {fingerprints}");
+        }
         headers.insert(header::HOP, header_value(&text));
     }
 
@@ -90,11 +99,15 @@
             useful_until: now.after_ms(next()?.parse().ok()?),
             deadline: now.after_ms(next()?.parse().ok()?),
             start_by: TimePoint::FAR_FUTURE,
+            fingerprints: None,
         };
-        // Earlier versions send no such word.
+        // Earlier versions send fewer words.
         if let Some(word) = next() {
             call.start_by = now.after_ms(word.parse().ok()?);
         }
+        if let Some(word) = next() {
+            call.fingerprints = word.parse().ok();
+        }
         Some(call)
     }
 }
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -1,14 +1,18 @@
 //! The inbound handler: admits calls through the gate to this daemon's target and records their outcomes.
 
+mod runs;
 mod slots;
 
 use {
-    self::slots::{QueueGuard, SlotGuard, SlotWaiter},
+    self::{
+        runs::{RunGuard, wait_for_turn},
+        slots::{QueueGuard, SlotGuard, SlotWaiter},
+    },
     super::{
         attempt::ForwardedRequest,
         body::{AnswerBody, AnswerFault, BodyProgress, RequestBody, TransferEnd, discard_arrived},
         dialect::{AnswerVerdict, CallContext},
-        hop::{BODY_INCOMPLETE, HopCall, header},
+        hop::{BODY_INCOMPLETE, HopCall, TARGET_ENDED, header},
         peer_client::{ConnectionReuse, PeerClients, SendFault, retire_connection},
         relay::{
             add_close_header, end_to_end_headers, header_value, keep_connection_if, write_answer,
@@ -90,6 +94,8 @@
     NotRun(GateRefusal),
     /// The request may have run; the text describes the failure.
     Unknown(&'static str),
+    /// The target ended while it ran the request.
+    Ended,
     /// The body of the request broke off or came late after a part of it was sent to the target.
     BodyBroken,
     /// The body of the request did not arrive whole, and no part of it was sent to the target.
@@ -126,8 +132,8 @@
             add_outcome_headers(res, CallOutcome::NotRun, "bad-request");
             return;
         };
-        let result = match self.wait_for_slot(&hop).await {
-            Ok((slot, identity)) => self.run(req, res, &hop, &identity, slot).await,
+        let result = match self.admit(req, &hop).await {
+            Ok(AdmittedRun { slot, identity, run }) => self.run(req, res, &hop, &identity, (slot, run)).await,
             Err(refusal) => {
                 let body = req.take_body();
                 keep_connection_if(discard_arrived(req.headers(), body).await, res);
@@ -141,19 +147,25 @@
         self.add_load_and_clearance(res, &hop);
     }
 
+    /// Waits for the turn of a suspect, then for a slot, and lists the run.
+    async fn admit(&self, req: &Request, hop: &HopCall) -> Result<AdmittedRun, GateRefusal> {
+        let wait_until = arrival(hop).wait_until();
+        loop {
+            let turn = wait_for_turn(&self.shared, hop, wait_until).await?;
+            let (slot, identity) = self.wait_for_slot(hop).await?;
+            if let Some(run) = RunGuard::start(&self.shared, req, hop, &identity.version, turn)? {
+                return Ok(AdmittedRun { slot, identity, run });
+            }
+        }
+    }
+
     /// Returns a slot and the target, after queueing the call if necessary. After a wait in the queue, the target is
     /// checked again, as it or the move may have changed.
     async fn wait_for_slot(&self, hop: &HopCall) -> Result<(SlotGuard, Arc<TargetIdentity>), GateRefusal> {
         let shared = &self.shared;
         let now = shared.now();
         self.check_target(hop, now)?;
-        let arrival = GateArrival {
-            route: Arc::clone(&hop.route),
-            priority: hop.priority,
-            useful_until: hop.useful_until,
-            deadline: hop.deadline,
-            start_by: hop.start_by,
-        };
+        let arrival = arrival(hop);
         let (ticket, receiver) = {
             let mut gate = shared.gate.lock();
             let (admission, evicted) = gate.state.arrive(arrival.clone(), now);
@@ -224,7 +236,7 @@
         res: &mut Response,
         hop: &HopCall,
         identity: &TargetIdentity,
-        slot: SlotGuard,
+        (slot, mut run): (SlotGuard, RunGuard),
     ) -> Result<(), GateFailure> {
         let shared = &self.shared;
         let report = TransferReport::new(shared, "gate");
@@ -238,6 +250,9 @@
         let progress = Arc::new(BodyProgress::new(report));
         // The proxy has checked the limit of its table, which may be newer than the one here.
         let body = RequestBody::read(req.headers(), body, u64::MAX, end.at, &progress).await;
+        if body.is_err() {
+            run.finish();
+        }
         let mut forwarded = self.forwarded_request(
             req,
             hop,
@@ -267,11 +282,13 @@
             Ok(Ok(answer)) => answer,
             Ok(Err(SendFault::NotSent)) => {
                 recorder.outcome = RecordedOutcome::NotRun;
+                run.finish();
                 shared.report_event(TrafficEvent::TargetRefuses);
                 return Err(GateFailure::NotRun(GateRefusal::Starting));
             }
             Ok(Err(SendFault::NoDescriptor)) => {
                 recorder.outcome = RecordedOutcome::NotRun;
+                run.finish();
                 return Err(GateFailure::NotRun(GateRefusal::Full));
             }
             Ok(Err(SendFault::Broken)) if forwarded.progress.fault().is_some() => {
@@ -280,7 +297,7 @@
             }
             Ok(Err(SendFault::Broken)) => {
                 recorder.outcome = RecordedOutcome::Failed;
-                return Err(GateFailure::Unknown("the connection to the target broke"));
+                return Err(broken_off(&mut run, identity, "the connection to the target broke").await);
             }
             Err(_) if forwarded.progress.is_awaited() || forwarded.progress.fault().is_some() => {
                 recorder.outcome = RecordedOutcome::NotRun;
@@ -295,7 +312,7 @@
             }
         };
         let ForwardedRequest { method, headers, .. } = forwarded;
-        self.return_answer((&method, &headers), res, end, answer, &mut recorder, slot)
+        self.return_answer((&method, &headers), res, end, answer, &mut recorder, (slot, run))
             .await
     }
 
@@ -307,7 +324,7 @@
         end: TransferEnd,
         answer: Answer<Incoming>,
         recorder: &mut CallRecorder,
-        mut slot: SlotGuard,
+        (mut slot, mut run): (SlotGuard, RunGuard),
     ) -> Result<(), GateFailure> {
         let shared = &self.shared;
         let (head, body) = answer.into_parts();
@@ -320,6 +337,7 @@
                 // If the target sends the refusal once more, no other request may meet it.
                 retire_connection(&head.extensions);
                 recorder.outcome = RecordedOutcome::NotRun;
+                run.finish();
                 return Err(GateFailure::NotRun(GateRefusal::Shed));
             }
             AnswerVerdict::Foreign => {
@@ -341,13 +359,19 @@
                 };
                 slot.is_successful = !failed;
                 let is_streaming = matches!(body, AnswerBody::Streaming { .. });
+                if is_streaming {
+                    run.finish();
+                } else {
+                    run.finish_well();
+                }
                 let slot = is_streaming.then_some(slot);
                 write_answer(res, head.status, headers, body, end, slot);
                 Ok(())
             }
             Err(AnswerFault::Cut) => {
                 recorder.outcome = RecordedOutcome::Failed;
-                Err(GateFailure::Unknown("the target's answer broke off"))
+                let identity = shared.target.load_full();
+                Err(broken_off(&mut run, &identity, "the target's answer broke off").await)
             }
             Err(AnswerFault::Late) => {
                 recorder.outcome = RecordedOutcome::Failed;
@@ -420,6 +444,32 @@
     }
 }
 
+/// Call with all that it needs to run.
+struct AdmittedRun {
+    slot: SlotGuard,
+    identity: Arc<TargetIdentity>,
+    run: RunGuard,
+}
+
+fn arrival(hop: &HopCall) -> GateArrival {
+    GateArrival {
+        route: Arc::clone(&hop.route),
+        priority: hop.priority,
+        useful_until: hop.useful_until,
+        deadline: hop.deadline,
+        start_by: hop.start_by,
+    }
+}
+
+/// Returns the failure of a run whose connection broke.
+async fn broken_off(run: &mut RunGuard, identity: &TargetIdentity, text: &'static str) -> GateFailure {
+    if run.finish_broken(identity).await {
+        GateFailure::Ended
+    } else {
+        GateFailure::Unknown(text)
+    }
+}
+
 fn add_outcome_headers(res: &mut Response, outcome: CallOutcome, reason: &str) {
     let headers: &mut HeaderMap = res.headers_mut();
     headers.insert(header::OUTCOME, header_value(&outcome.to_string()));
@@ -440,6 +490,12 @@
             "target-broken",
             *text,
         ),
+        GateFailure::Ended => (
+            StatusCode::GATEWAY_TIMEOUT,
+            CallOutcome::Unknown,
+            TARGET_ENDED,
+            "the target ended while it ran the request",
+        ),
         GateFailure::BodyBroken => (
             StatusCode::GATEWAY_TIMEOUT,
             CallOutcome::Unknown,
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -7,13 +7,14 @@
 use {
     self::{
         checks::{check_expected_body, check_form, check_head},
+        choosing::TargetChoice,
         logging::{LoggedRefusal, admit_answer, log_answer, log_failed_attempt, log_refusal},
     },
     super::{
         attempt::{AttemptResult, CallAttempt, ForwardedRequest, InFlightGuard},
         body::{AnswerBody, BodyFault, BodyProgress, RequestBody, TransferEnd, discard_arrived},
         dialect::{CallOptions, call_deadline},
-        hop::HopCall,
+        hop::{HopCall, TARGET_ENDED},
         peer_client::PeerClients,
         relay::{
             add_close_header, end_to_end_headers, keep_connection_if, refusal_status, request_host,
@@ -31,7 +32,9 @@
             shared::{ActiveCall, SharedState},
             snapshot::{ServingTarget, TrafficSnapshot},
         },
+        gate::GateRefusal,
         http::ConnectionCloser,
+        quarantine::{CallFingerprints, RequestHead},
     },
     futures_util::{StreamExt, stream::FuturesUnordered},
     hyper::{header::HOST, http::uri::PathAndQuery},
@@ -54,6 +57,12 @@
 /// milliseconds.
 const RETRY_AFTER_UNREADY_MS: u64 = 500;
 
+/// Time after which a caller may try again if a gate holds its request back of which this daemon has not heard, in
+/// milliseconds.
+const RETRY_AFTER_HELD_MS: u64 = 1_000;
+/// Number of targets that may end under one call; other calls show whether the request is to blame.
+const MAX_ENDS_OF_CALL: u32 = 2;
+
 /// Handler of the listener for callers on one traffic thread.
 #[derive(Debug)]
 pub struct OutboundHandler {
@@ -96,6 +105,12 @@
     useful_until: TimePoint,
     /// Time at which the call is given up.
     deadline: TimePoint,
+    /// Known once the body is there.
+    fingerprints: Option<CallFingerprints>,
+    /// Number of targets that ended under it.
+    ends: u32,
+    /// Whether a gate holds it back, of which this daemon may not have heard.
+    is_held_back: bool,
 }
 
 /// Answer that may be returned to the caller.
@@ -174,6 +189,7 @@
             body,
             progress,
         };
+        call.fingerprints = Some(fingerprints(&request, &call.route.name));
         match self.run_plan(&mut request, &mut call).await {
             Ok(answer) => self.respond(answer, &call, (active, end), res),
             Err(refusal) => {
@@ -241,6 +257,9 @@
             pool,
             options,
             deadline,
+            fingerprints: None,
+            ends: 0,
+            is_held_back: false,
         })
     }
 
@@ -301,10 +320,10 @@
                     plan.tried(),
                     std::mem::take(&mut is_hedge),
                 ) {
-                    Some(target) if self.start_by(call, &target) <= shared.now() => {
+                    TargetChoice::Target(target) if self.start_by(call, &target) <= shared.now() => {
                         plan.after_no_time(received.is_some())
                     }
-                    Some(target) => {
+                    TargetChoice::Target(target) => {
                         if !plan.tried().is_empty() {
                             shared.metrics.retries.inc();
                         }
@@ -314,7 +333,8 @@
                         in_flight.push(self.attempt(call, target, progress).run(forwarded));
                         CallStep::Wait
                     }
-                    None => plan.after_no_target(received.is_some()),
+                    TargetChoice::HeldBack => plan.after_held_back(received.is_some()),
+                    TargetChoice::None => plan.after_no_target(received.is_some()),
                 },
                 CallStep::Wait => {
                     let hedge_at = Instant::now() + plan.hedge_at().remaining_from(shared.now());
@@ -336,14 +356,20 @@
                                 }
                                 AttemptResult::Failure { reason, .. } => {
                                     log_failed_attempt(call, &attempt.target, &attempt.hop, outcome, &reason);
+                                    call.ends += u32::from(&*reason == TARGET_ENDED);
+                                    call.is_held_back |= &*reason == GateRefusal::Quarantined.as_str();
                                     detail = reason;
                                 }
                             }
-                            plan.after_attempt(
-                                outcome,
-                                shared.budget.lock().for_pool(&call.pool.name),
-                                shared.now(),
-                            )
+                            if call.ends >= MAX_ENDS_OF_CALL || call.is_held_back {
+                                plan.after_quarantined(outcome)
+                            } else {
+                                plan.after_attempt(
+                                    outcome,
+                                    shared.budget.lock().for_pool(&call.pool.name),
+                                    shared.now(),
+                                )
+                            }
                         }
                         () = sleep_until(hedge_at), if can_hedge => {
                             is_hedge = true;
@@ -397,6 +423,7 @@
                 useful_until: call.useful_until.min(answer_by),
                 deadline: call.deadline,
                 start_by: self.start_by(call, &target),
+                fingerprints: call.fingerprints,
             },
             in_flight_guard: InFlightGuard::new(shared, &target, call.route.priority),
             target,
@@ -472,6 +499,7 @@
             | RefusalReason::StaleTable
             | RefusalReason::NoTarget
             | RefusalReason::Leaving => RETRY_AFTER_UNREADY_MS,
+            RefusalReason::Quarantined => self.held_ms(call).max(RETRY_AFTER_HELD_MS),
             _ => RETRY_AFTER_MS,
         };
         write_refusal(
@@ -490,6 +518,14 @@
         );
     }
 
+    fn held_ms(&self, call: Option<&RoutedCall>) -> u64 {
+        let fingerprints = call.and_then(|call| call.fingerprints);
+        fingerprints.map_or(0, |fingerprints| {
+            let now = self.shared.now();
+            self.shared.quarantine.lock().held_ms(&fingerprints, now)
+        })
+    }
+
     fn new_attempt_id(&self) -> Arc<str> {
         let number = self.next_attempt.fetch_add(1, Ordering::Relaxed);
         format!("{:x}-{}-{number:x}", self.shared.started_at.0 as u16, self.worker).into()
@@ -513,6 +549,17 @@
     }
 }
 
+fn fingerprints(request: &ForwardedRequest, route: &str) -> CallFingerprints {
+    let host = request.host.as_ref().and_then(|host| host.to_str().ok());
+    let head = RequestHead {
+        route,
+        method: request.method.as_str(),
+        host: host.unwrap_or(""),
+        path: request.path.as_str(),
+    };
+    CallFingerprints::of(head, request.body.buffered())
+}
+
 fn forwarded_path(req: &Request) -> PathAndQuery {
     let path = req.uri().path_and_query();
     path.cloned().unwrap_or_else(|| PathAndQuery::from_static("/"))
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -43,11 +43,13 @@
         OtherTarget,
         /// The target itself rejected the call without running it.
         Shed,
+        /// Targets ended under this request, so it is held back.
+        Quarantined,
     }
 }
 
 impl GateRefusal {
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 8] = [
         Self::Full,
         Self::Leaving,
         Self::Starting,
@@ -55,6 +57,7 @@
         Self::Stopped,
         Self::OtherTarget,
         Self::Shed,
+        Self::Quarantined,
     ];
 
     /// Returns the reason as written to the `fuchsiashore-reason` header.
@@ -67,6 +70,7 @@
             Self::Stopped => "version-stopped",
             Self::OtherTarget => "other-target",
             Self::Shed => "target-shed",
+            Self::Quarantined => "quarantined",
         }
     }
 
@@ -264,6 +268,11 @@
         self.refuse_waiting(GateRefusal::Leaving)
     }
 
+    /// Returns whether the target is expected to end.
+    pub fn is_leaving(&self) -> bool {
+        self.mode == GateMode::Leaving
+    }
+
     /// Returns whether the gate is leaving and no call is running.
     pub fn is_drained(&self) -> bool {
         self.mode == GateMode::Leaving && self.running.is_empty()
--- a/src/lab/run.rs
+++ b/src/lab/run.rs
@@ -20,7 +20,7 @@
 Usage: fuchsiashore-lab COMMAND [OPTIONS]
 
   kv --listen A                        the platform's key-value service
-  target --listen A --version V [--behaviour good|failing|slow|silent|failing-after:SECONDS]
+  target --listen A --version V [--behaviour good|failing|slow|silent|fragile|failing-after:SECONDS]
   call --daemons A,B --requests 'GET /stock,POST /order' --rate N --count N --name NAME [--keep FILE]
   verify --targets A,B --keep FILE     check the runs counted by targets against the answers to callers
   figures --trials N --seed N [--length long|short] [--only TEXT]
--- a/src/lab/target.rs
+++ b/src/lab/target.rs
@@ -38,6 +38,8 @@
     FailingAfter(u64),
     /// Never answers.
     Silent,
+    /// Ends under a call with the query `deadly`.
+    Fragile,
 }
 
 impl FromStr for TargetBehaviour {
@@ -49,11 +51,12 @@
             None if text == "failing" => Ok(Self::Failing),
             None if text == "slow" => Ok(Self::Slow),
             None if text == "silent" => Ok(Self::Silent),
+            None if text == "fragile" => Ok(Self::Fragile),
             Some(("failing-after", seconds)) => seconds
                 .parse()
                 .map(Self::FailingAfter)
                 .map_err(|error| error.to_string()),
-            _ => Err("write good, failing, slow, silent or failing-after:SECONDS".to_owned()),
+            _ => Err("write good, failing, slow, silent, fragile or failing-after:SECONDS".to_owned()),
         }
     }
 }
@@ -97,7 +100,10 @@
         match self.behaviour {
             TargetBehaviour::Failing => true,
             TargetBehaviour::FailingAfter(seconds) => self.started.elapsed().as_secs() >= seconds,
-            TargetBehaviour::Good | TargetBehaviour::Slow | TargetBehaviour::Silent => false,
+            TargetBehaviour::Good
+            | TargetBehaviour::Slow
+            | TargetBehaviour::Silent
+            | TargetBehaviour::Fragile => false,
         }
     }
 
@@ -126,6 +132,9 @@
         if !work.is_zero() {
             tokio::time::sleep(work).await;
         }
+        if self.behaviour == TargetBehaviour::Fragile && req.query::<String>("deadly").is_some() {
+            std::process::exit(1);
+        }
         if self.is_failing() && rand::rng().random::<f64>() < FAILURE_RATE {
             respond(res, StatusCode::INTERNAL_SERVER_ERROR, "bad version\n");
             return;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 mod paced_client;
 mod paced_connector;
 mod paced_stream;
+pub mod quarantine;
 pub mod settings;
 mod socket_budget;
 pub mod spread;
--- a/src/member/message.rs
+++ b/src/member/message.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{confirmation::KnownVersion, record::MemberRecord},
-    crate::macros::value_type,
+    crate::{macros::value_type, quarantine::QuarantineNotice},
     std::{net::SocketAddr, sync::Arc},
 };
 
@@ -43,6 +43,8 @@
             /// What the sender knows.
             known: KnownVersion,
         },
+        /// News about requests that end targets; not acknowledged. A process that does not know this kind drops the datagram.
+        Quarantine(QuarantineNotice),
     }
 }
 
@@ -56,6 +58,7 @@
             Self::Notice => "notice",
             Self::Inquiry { .. } => "inquiry",
             Self::Confirmation { .. } => "confirmation",
+            Self::Quarantine(_) => "quarantine",
         }
     }
 }
--- a/src/member/state/mod.rs
+++ b/src/member/state/mod.rs
@@ -259,7 +259,7 @@
             ProbeKind::Ping { seq } => self.answer_ping(from, seq),
             ProbeKind::Ack { seq } => self.finish_probe(seq),
             ProbeKind::PingRequest { seq, address, .. } => self.relay_probe(from, seq, address, now),
-            ProbeKind::Notice => {}
+            ProbeKind::Notice | ProbeKind::Quarantine(_) => {}
             ProbeKind::Inquiry { seq } => self.answer_inquiry(from, seq, now),
             ProbeKind::Confirmation { seq, known } => self.finish_inquiry(from, seq, &known, now),
         }
@@ -342,12 +342,20 @@
         self.send_with(to, kind, updates);
     }
 
-    fn send_with(&mut self, to: SocketAddr, kind: ProbeKind, updates: Vec<MemberRecord>) {
-        let message = ProbeMessage {
+    /// Returns a datagram without records.
+    pub fn message(&self, kind: ProbeKind) -> ProbeMessage {
+        ProbeMessage {
             from: Arc::clone(&self.own.name),
             applied: self.own.applied,
             kind,
+            updates: Vec::new(),
+        }
+    }
+
+    fn send_with(&mut self, to: SocketAddr, kind: ProbeKind, updates: Vec<MemberRecord>) {
+        let message = ProbeMessage {
             updates,
+            ..self.message(kind)
         };
         self.effects.push(MemberEffect::Send { to, message });
     }
--- a/src/member/state/reaching.rs
+++ b/src/member/state/reaching.rs
@@ -24,6 +24,8 @@
 const MAX_FLAT_OTHERS: usize = 40;
 /// Number of daemons of a data centre that carry its changes to the others. The loss of two of them delays nothing.
 const RELAYS: usize = 3;
+/// Number of daemons of another data centre that are told directly of what concerns the whole fleet.
+const BROADCAST_RELAYS: usize = 2;
 /// Time between two rounds of a relay, in milliseconds.
 const RELAY_INTERVAL_MS: u64 = 500;
 /// Number of rounds of a relay between two pings of daemons in other data centres.
@@ -244,7 +246,7 @@
 
     /// Returns up to `count` random present daemons with which this one exchanges directly, without `except`; any others
     /// if there are none.
-    pub(super) fn direct_peers(&mut self, count: usize, except: Option<&str>) -> Vec<SocketAddr> {
+    pub fn direct_peers(&mut self, count: usize, except: Option<&str>) -> Vec<SocketAddr> {
         let wanted = self
             .others()
             .filter(|record| record.status.is_present() && except != Some(&*record.name));
@@ -256,6 +258,36 @@
         near.sample(&mut self.rng, count).copied().collect()
     }
 
+    /// Returns the daemons that are told of what concerns the whole fleet at once: all of a small fleet, otherwise those of
+    /// the own data centre and two relays of each other one, which tell the rest.
+    pub fn broadcast_peers(&mut self) -> Vec<SocketAddr> {
+        let mut peers = self.near_peers();
+        for centre in self.far_centres() {
+            let relays = self.relays_of(&centre);
+            peers.extend(relays.sample(&mut self.rng, BROADCAST_RELAYS).copied());
+        }
+        peers
+    }
+
+    /// Returns all present daemons with which this one exchanges directly.
+    pub fn near_peers(&self) -> Vec<SocketAddr> {
+        let present = self.others().filter(|record| record.status.is_present());
+        let near = present.filter(|record| self.exchanges_with(record));
+        near.map(|record| record.control).collect()
+    }
+
+    /// Returns whether this daemon exchanges directly with the one at a control address.
+    pub fn is_near(&self, control: SocketAddr) -> bool {
+        self.exchanges_at(control)
+    }
+
+    fn far_centres(&self) -> Vec<Arc<str>> {
+        if self.is_flat() {
+            return Vec::new();
+        }
+        self.other_centres()
+    }
+
     /// Returns one relay of each other data centre, which is told of a change of this daemon at once.
     pub(super) fn far_contacts(&mut self) -> Vec<SocketAddr> {
         if self.is_flat() {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -77,6 +77,8 @@
     pub watchers: usize,
     /// Retries per pool that all daemons together may make in a short time beyond the budgeted share of the calls.
     pub extra_retries: u32,
+    /// Time for which a request is held back first after targets ended under it, in milliseconds; 0 if none is.
+    pub quarantine_ms: u64,
     /// Time that callers have to move away from a daemon that stops, in milliseconds.
     pub leave_ms: u64,
     /// Maximum time of a drain, in milliseconds; the process exits then even if calls are still in flight.
@@ -179,6 +181,7 @@
         store_calls_per_s: take_number(section, "store_calls_per_s", (1, 1_000), 2, faults) as u32,
         watchers: take_number(section, "watchers", (1, 1_000), 2, faults) as usize,
         extra_retries: take_extra_retries(section, faults),
+        quarantine_ms: take_number(section, "quarantine_ms", (0, 3_600_000), 30_000, faults),
         leave_ms: take_number(section, "leave_ms", (0, 3_600_000), 1_000, faults),
         drain_limit_ms: take_drain_limit(section, faults),
         target,
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -39,6 +39,12 @@
         TargetReady,
         /// The target is no longer ready.
         TargetLost,
+        /// The target ended without notice while it ran requests.
+        TargetEnded,
+        /// A request is held back, as targets ended under it.
+        RequestHeld,
+        /// A request under which several targets had ended ran well.
+        RequestCleared,
         /// A target was ejected because of its failures.
         Ejected,
         /// The store answers again.
@@ -76,6 +82,9 @@
             Self::NameTaken => "name-taken",
             Self::TargetReady => "target-ready",
             Self::TargetLost => "target-lost",
+            Self::TargetEnded => "target-ended",
+            Self::RequestHeld => "request-held",
+            Self::RequestCleared => "request-cleared",
             Self::Ejected => "ejected",
             Self::StoreUp => "store-up",
             Self::StoreDown => "store-down",
--- a/tests/common/mesh.rs
+++ b/tests/common/mesh.rs
@@ -45,6 +45,11 @@
 impl Mesh {
     /// Starts a key-value service and `count` pairs of service `booking` at version `v1`, and waits until they serve.
     pub fn start(test: &str, count: usize) -> Self {
+        Self::start_with(test, count, "good")
+    }
+
+    /// Like [`Self::start`], with a behaviour of the targets.
+    pub fn start_with(test: &str, count: usize, behaviour: &str) -> Self {
         let folder = std::env::temp_dir().join(format!("fuchsiashore-{test}-{}", std::process::id()));
         fs::create_dir_all(&folder).unwrap();
         let store = free_ports(1)[0];
@@ -61,7 +66,7 @@
             kv,
         };
         for _ in 0..count {
-            mesh.add_pair("v1", "good", None);
+            mesh.add_pair("v1", behaviour, None);
         }
         mesh.wait_for_serving(count);
         mesh
