Quarantine: each version is judged apart

A request that ends the targets of a new version runs well at the old one; while a move is under way each good run there took back the ends at the new version, so they were never three in a row. Suspects are now kept by fingerprint and version, and what is held back at one version begins at another with one trial. held_request_is_let_go_by_one_trial_and_at_once_at_another_version covers the return.

--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -59,21 +59,21 @@
 
 /// Describes the requests that are held back, each once, with the number of daemons that do so.
 fn held_lines(statuses: &[DaemonStatus]) -> Vec<String> {
-    let mut held: BTreeMap<RequestFingerprint, (usize, &SuspectRecord)> = BTreeMap::new();
+    let mut held: BTreeMap<(RequestFingerprint, &str), (usize, &SuspectRecord)> = BTreeMap::new();
     let suspects = statuses.iter().flat_map(|status| &status.suspects);
     for suspect in suspects.filter(|suspect| suspect.held_ms > 0) {
-        let entry = held.entry(suspect.fingerprint).or_insert((0, suspect));
+        let key = (suspect.fingerprint, &*suspect.version);
+        let entry = held.entry(key).or_insert((0, suspect));
         entry.0 += 1;
         if suspect.held_ms > entry.1.held_ms {
             entry.1 = suspect;
         }
     }
-    let lines = held.into_iter().map(|(fingerprint, (daemons, suspect))| {
+    let lines = held.into_iter().map(|((fingerprint, version), (daemons, suspect))| {
         format!(
-            "request {fingerprint} held back by {daemons} daemons for {} s more: {} targets of versions {} ended under it",
+            "request {fingerprint} held back by {daemons} daemons for {} s more: {} targets of version {version} ended under it",
             suspect.held_ms.div_ceil(1_000),
             suspect.ends.len(),
-            suspect.versions.join(", "),
         )
     });
     lines.collect()
--- a/src/daemon/control/quarantine.rs
+++ b/src/daemon/control/quarantine.rs
@@ -43,9 +43,9 @@
                 let held = self.shared.quarantine.lock().held_by(end, now);
                 self.record_held(&held, now);
             }
-            QuarantineNotice::Cleared(fingerprint) => {
+            QuarantineNotice::Cleared { fingerprint, version } => {
                 self.shared.metrics.cleared_requests.inc();
-                let detail = format!("fingerprint={fingerprint} it ran well here");
+                let detail = format!("fingerprint={fingerprint} version={version} it ran well here");
                 self.ring.record(EventKind::RequestCleared, detail, now);
             }
         }
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -17,7 +17,6 @@
         },
         gate::GateRefusal,
         moves::Clearance,
-        quarantine::{CallFingerprints, QuarantineNotice},
     },
     hyper::{
         Request, Response, Uri,
@@ -322,11 +321,8 @@
     /// Ends the suspicion that this daemon has of an answered request; its gate tells others, where that matters.
     fn clear_suspect(&self) {
         let mut quarantine = self.shared.quarantine.lock();
-        if quarantine.is_quiet() {
-            return;
-        }
-        for fingerprint in self.hop.fingerprints.iter().flat_map(CallFingerprints::iter) {
-            quarantine.receive(&QuarantineNotice::Cleared(fingerprint), self.shared.now());
+        if let Some(fingerprints) = self.hop.fingerprints.filter(|_| !quarantine.is_quiet()) {
+            quarantine.end_suspicion(&fingerprints, &self.target.version);
         }
     }
 
--- a/src/daemon/traffic/inbound/runs.rs
+++ b/src/daemon/traffic/inbound/runs.rs
@@ -82,6 +82,8 @@
     /// `None` for a request without fingerprints, or once its end is known.
     id: Option<RunId>,
     fingerprints: Option<CallFingerprints>,
+    /// Version of the target.
+    version: Arc<str>,
     turn: Option<TurnGuard>,
 }
 
@@ -91,13 +93,14 @@
         shared: &Arc<SharedState>,
         req: &Request,
         hop: &HopCall,
-        version: &str,
+        version: &Arc<str>,
         turn: Option<TurnGuard>,
     ) -> Result<Option<Self>, GateRefusal> {
         let mut run = Self {
             shared: Arc::clone(shared),
             id: None,
             fingerprints: hop.fingerprints,
+            version: Arc::clone(version),
             turn,
         };
         let Some(fingerprints) = hop.fingerprints else {
@@ -127,7 +130,7 @@
         let (Some(_), Some(fingerprints)) = (self.id, self.fingerprints) else {
             return;
         };
-        let notices = self.shared.quarantine.lock().clear(&fingerprints);
+        let notices = self.shared.quarantine.lock().clear(&fingerprints, &self.version);
         for notice in notices {
             self.shared.report_event(TrafficEvent::Quarantine(notice));
         }
--- a/src/quarantine/message.rs
+++ b/src/quarantine/message.rs
@@ -51,20 +51,25 @@
     pub enum QuarantineNotice {
         /// A target ended.
         Ended(TargetEnd),
-        /// A suspect ran well.
-        Cleared(RequestFingerprint),
+        /// A suspect ran well at a target of this version.
+        Cleared {
+            /// Its fingerprint.
+            fingerprint: RequestFingerprint,
+            /// The version.
+            version: Arc<str>,
+        },
     }
 }
 
 value_type! {
-    /// What a daemon knows of one suspect, for a daemon that has just started.
+    /// What a daemon knows of one suspect at targets of one version, for a daemon that has just started.
     pub struct SuspectRecord {
         /// Its fingerprint.
         pub fingerprint: RequestFingerprint,
+        /// Version of the targets that ended.
+        pub version: Arc<str>,
         /// Ends since its last good run.
         pub ends: Vec<EndId>,
-        /// Versions of the targets that ended.
-        pub versions: Vec<Arc<str>>,
         /// Whether it had run well before the first of them.
         pub is_proven: bool,
         /// How often it has been held back.
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -7,9 +7,10 @@
         proven::ProvenRequests,
         runs::{GateRun, GateRuns, RunId},
     },
-    crate::clock::TimePoint,
+    crate::{clock::TimePoint, macros::key_type},
     indexmap::IndexMap,
     std::{collections::VecDeque, sync::Arc},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// Number of ends without a good run in between after which a request is held back.
@@ -26,7 +27,7 @@
 const SAME_MOMENT_MS: u64 = 500;
 /// Number of ends that are remembered, so that a repeated notice is recognised.
 const MAX_SEEN_ENDS: usize = 512;
-/// Maximum number of ends, and of versions, that are remembered of one suspect.
+/// Maximum number of ends that are remembered of one suspect.
 const MAX_REMEMBERED: usize = 16;
 /// Maximum number of requests that one end accuses.
 const MAX_ACCUSED: usize = 64;
@@ -55,13 +56,24 @@
     Held(TimePoint),
 }
 
-/// Request that targets were running when they ended.
+key_type! {
+    /// Hash of a fingerprint and a version. What ends the targets of one version may run well at those of another.
+    pub(super) struct SuspectKey(u64);
+}
+
+impl SuspectKey {
+    fn new(fingerprint: RequestFingerprint, version: &str) -> Self {
+        Self(xxh3_64_with_seed(version.as_bytes(), fingerprint.0))
+    }
+}
+
+/// Request that targets of one version were running when they ended.
 #[derive(Debug, Clone)]
 struct SuspectEntry {
+    fingerprint: RequestFingerprint,
+    version: Arc<str>,
     /// Ends since its last good run, the latest ones.
     ends: Vec<EndId>,
-    /// Versions of the targets that ended.
-    versions: Vec<Arc<str>>,
     /// Whether it had run well before.
     is_proven: bool,
     last_end_at: TimePoint,
@@ -71,29 +83,42 @@
 }
 
 impl SuspectEntry {
-    fn standing(&self, version: &str, now: TimePoint) -> RequestStanding {
-        let is_held = self.held_until > now;
-        let has_ended = |other: &Arc<str>| **other == *version;
+    fn new(
+        fingerprint: RequestFingerprint,
+        version: &Arc<str>,
+        is_proven: bool,
+        last_end_at: TimePoint,
+    ) -> Self {
+        Self {
+            fingerprint,
+            version: Arc::clone(version),
+            ends: Vec::new(),
+            is_proven,
+            last_end_at,
+            holds: 0,
+            held_until: TimePoint::default(),
+        }
+    }
+
+    fn standing(&self, now: TimePoint) -> RequestStanding {
         match () {
-            () if is_held && self.versions.iter().any(has_ended) => RequestStanding::Held(self.held_until),
+            () if self.held_until > now => RequestStanding::Held(self.held_until),
             () if self.is_proven && self.holds == 0 => RequestStanding::Free,
             () => RequestStanding::Suspect,
         }
     }
 
-    /// Adds an end. Returns whether the request is held back from now on.
-    fn add_end(&mut self, id: EndId, version: &Arc<str>, hold_ms: u64, now: TimePoint) -> bool {
+    /// Adds an end. Returns whether the request is held back from now on; `is_held_elsewhere` tells whether it is at
+    /// another version.
+    fn add_end(&mut self, id: EndId, hold_ms: u64, is_held_elsewhere: bool, now: TimePoint) -> bool {
         push_bounded(&mut self.ends, id);
-        let is_new_version = !self.versions.contains(version);
-        if is_new_version {
-            push_bounded(&mut self.versions, Arc::clone(version));
-        }
         self.last_end_at = now;
         // Runs that began before the request was held back end with it.
-        if self.held_until > now && !is_new_version {
+        if self.held_until > now || hold_ms == 0 {
             return false;
         }
-        if hold_ms == 0 || (self.holds == 0 && self.ends.len() < ENDS_TO_HOLD) {
+        let is_trial = self.holds > 0 || is_held_elsewhere;
+        if !is_trial && self.ends.len() < ENDS_TO_HOLD {
             return false;
         }
         let doubled_ms = hold_ms.saturating_mul(1 << self.holds.min(16));
@@ -120,7 +145,9 @@
     instance: u64,
     /// Time for which a request is held back first, in milliseconds; 0 if none is.
     hold_ms: u64,
-    suspects: IndexMap<RequestFingerprint, SuspectEntry>,
+    suspects: IndexMap<SuspectKey, SuspectEntry>,
+    /// Time from which no suspect is held back any more.
+    holds_end_at: TimePoint,
     runs: GateRuns,
     /// Suspects whose turn it is at this daemon's target.
     turns: Vec<CallFingerprints>,
@@ -139,6 +166,7 @@
             instance,
             hold_ms,
             suspects: IndexMap::new(),
+            holds_end_at: TimePoint::default(),
             runs: GateRuns::default(),
             turns: Vec::new(),
             proven: ProvenRequests::default(),
@@ -159,24 +187,39 @@
         version: &str,
         now: TimePoint,
     ) -> RequestStanding {
-        let known = fingerprints
-            .iter()
-            .filter_map(|fingerprint| self.suspects.get(&fingerprint));
-        let standings = known.map(|entry| entry.standing(version, now));
+        if self.is_quiet() {
+            return RequestStanding::Free;
+        }
+        let standings = fingerprints.iter().map(|fingerprint| {
+            let key = SuspectKey::new(fingerprint, version);
+            match self.suspects.get(&key) {
+                Some(entry) => entry.standing(now),
+                None if !self.proven.contains(key) && self.is_held(fingerprint, now) => {
+                    RequestStanding::Suspect
+                }
+                None => RequestStanding::Free,
+            }
+        });
         standings.max().unwrap_or(RequestStanding::Free)
     }
 
-    /// Returns how long a request is held back for, in milliseconds; 0 if it is not.
+    /// Returns how long a request is held back for at some version, in milliseconds; 0 if it is not.
     pub fn held_ms(&self, fingerprints: &CallFingerprints, now: TimePoint) -> u64 {
-        let known = fingerprints
-            .iter()
-            .filter_map(|fingerprint| self.suspects.get(&fingerprint));
+        let entries = self.suspects.values();
+        let known = entries.filter(|entry| fingerprints.iter().any(|own| own == entry.fingerprint));
         known
             .map(|entry| entry.held_until.ms_since(now))
             .max()
             .unwrap_or(0)
     }
 
+    /// Returns whether a request is held back at some version.
+    fn is_held(&self, fingerprint: RequestFingerprint, now: TimePoint) -> bool {
+        let mut entries = self.suspects.values();
+        self.holds_end_at > now
+            && entries.any(|entry| entry.fingerprint == fingerprint && entry.held_until > now)
+    }
+
     /// Returns whether a run may begin at this daemon's target, and takes the turn of a suspect.
     pub fn take_turn(&mut self, fingerprints: &CallFingerprints, version: &str, now: TimePoint) -> RunTurn {
         match self.standing(fingerprints, version, now) {
@@ -205,20 +248,31 @@
         &mut self.runs
     }
 
-    /// Records that a request ran and its target lived on. Returns the notices for other daemons: about suspects that
-    /// several targets had ended under, and frequent requests.
-    pub fn clear(&mut self, fingerprints: &CallFingerprints) -> Vec<QuarantineNotice> {
+    /// Records that a request ran at a target of a version, which lived on. Returns the notices for other daemons: about
+    /// suspects that several targets had ended under, and frequent requests.
+    pub fn clear(&mut self, fingerprints: &CallFingerprints, version: &Arc<str>) -> Vec<QuarantineNotice> {
         let mut notices = Vec::new();
         for fingerprint in fingerprints.iter() {
-            self.proven.insert(fingerprint);
-            let cleared = self.suspects.swap_remove(&fingerprint);
+            let key = SuspectKey::new(fingerprint, version);
+            self.proven.insert(key);
+            let cleared = self.suspects.swap_remove(&key);
             if cleared.is_some_and(|entry| entry.ends.len() > 1 || entry.holds > 0 || entry.is_proven) {
-                notices.push(QuarantineNotice::Cleared(fingerprint));
+                notices.push(QuarantineNotice::Cleared {
+                    fingerprint,
+                    version: Arc::clone(version),
+                });
             }
         }
         notices
     }
 
+    /// Records that a request of this daemon's callers ran well at a target of a version.
+    pub fn end_suspicion(&mut self, fingerprints: &CallFingerprints, version: &str) {
+        for fingerprint in fingerprints.iter() {
+            self.suspects.swap_remove(&SuspectKey::new(fingerprint, version));
+        }
+    }
+
     /// Records that the target beside this daemon ended while the run `id` was under way. Returns the end, for other
     /// daemons, and the runs that it accuses; `None` if it is recorded already.
     pub fn end_target(
@@ -243,7 +297,7 @@
                 accused.push(AccusedRequest {
                     fingerprint,
                     ran_ms: now.ms_since(run.started_at),
-                    is_proven: self.proven.contains(fingerprint),
+                    is_proven: self.proven.contains(SuspectKey::new(fingerprint, version)),
                 });
             }
         }
@@ -269,8 +323,9 @@
         }
         self.seen_ends.push_back(end.id);
         for accused in &end.accused {
-            let is_proven = accused.is_proven || self.proven.contains(accused.fingerprint);
-            let known = self.suspects.get(&accused.fingerprint);
+            let key = SuspectKey::new(accused.fingerprint, &end.version);
+            let is_proven = accused.is_proven || self.proven.contains(key);
+            let known = self.suspects.get(&key);
             if known.is_some_and(|entry| entry.ends.contains(&end.id)) {
                 continue;
             }
@@ -281,22 +336,17 @@
             if is_proven && known.is_some_and(|entry| !is_later(entry)) {
                 continue;
             }
+            let is_held_elsewhere = known.is_none() && !is_proven && self.is_held(accused.fingerprint, now);
             self.make_room(now);
             let entry = self
                 .suspects
-                .entry(accused.fingerprint)
-                .or_insert_with(|| SuspectEntry {
-                    ends: Vec::new(),
-                    versions: Vec::new(),
-                    is_proven,
-                    last_end_at: now,
-                    holds: 0,
-                    held_until: TimePoint::default(),
-                });
+                .entry(key)
+                .or_insert_with(|| SuspectEntry::new(accused.fingerprint, &end.version, is_proven, now));
             entry.is_proven |= is_proven;
-            if entry.add_end(end.id, &end.version, self.hold_ms, now) {
+            if entry.add_end(end.id, self.hold_ms, is_held_elsewhere, now) {
                 held.push(accused.fingerprint);
             }
+            self.holds_end_at = self.holds_end_at.max(entry.held_until);
         }
         held
     }
@@ -305,7 +355,7 @@
     pub fn held_by(&self, end: &TargetEnd, now: TimePoint) -> Vec<RequestFingerprint> {
         let accused = end.accused.iter().map(|accused| accused.fingerprint);
         let is_held = |fingerprint: &RequestFingerprint| {
-            let entry = self.suspects.get(fingerprint);
+            let entry = self.suspects.get(&SuspectKey::new(*fingerprint, &end.version));
             entry.is_some_and(|entry| entry.held_until > now)
         };
         accused.filter(is_held).collect()
@@ -314,8 +364,9 @@
     /// Handles a notice of another daemon. Returns whether it was new, and the requests that are held back from now on.
     pub fn receive(&mut self, notice: &QuarantineNotice, now: TimePoint) -> (bool, Vec<RequestFingerprint>) {
         match notice {
-            QuarantineNotice::Cleared(fingerprint) => {
-                let was_suspect = self.suspects.swap_remove(fingerprint).is_some();
+            QuarantineNotice::Cleared { fingerprint, version } => {
+                let key = SuspectKey::new(*fingerprint, version);
+                let was_suspect = self.suspects.swap_remove(&key).is_some();
                 (was_suspect, Vec::new())
             }
             QuarantineNotice::Ended(end) => {
@@ -327,10 +378,10 @@
 
     /// Returns the suspects, for a daemon that has just started and for operators.
     pub fn records(&self, now: TimePoint) -> Vec<SuspectRecord> {
-        let records = self.suspects.iter().map(|(fingerprint, entry)| SuspectRecord {
-            fingerprint: *fingerprint,
+        let records = self.suspects.values().map(|entry| SuspectRecord {
+            fingerprint: entry.fingerprint,
+            version: Arc::clone(&entry.version),
             ends: entry.ends.clone(),
-            versions: entry.versions.clone(),
             is_proven: entry.is_proven,
             holds: entry.holds,
             held_ms: entry.held_until.ms_since(now),
@@ -342,7 +393,7 @@
     /// Adds what another daemon knows.
     pub fn merge(&mut self, records: Vec<SuspectRecord>, now: TimePoint) {
         for record in records {
-            if record.ends.len() > MAX_REMEMBERED || record.versions.len() > MAX_REMEMBERED {
+            if record.ends.len() > MAX_REMEMBERED {
                 continue;
             }
             self.make_room(now);
@@ -353,25 +404,15 @@
             let last_end_at = now.before_ms(record.quiet_ms);
             let entry = self
                 .suspects
-                .entry(record.fingerprint)
-                .or_insert_with(|| SuspectEntry {
-                    ends: Vec::new(),
-                    versions: Vec::new(),
-                    is_proven: record.is_proven,
-                    last_end_at,
-                    holds: 0,
-                    held_until,
+                .entry(SuspectKey::new(record.fingerprint, &record.version))
+                .or_insert_with(|| {
+                    SuspectEntry::new(record.fingerprint, &record.version, record.is_proven, last_end_at)
                 });
             for id in record.ends {
                 if !entry.ends.contains(&id) {
                     push_bounded(&mut entry.ends, id);
                 }
             }
-            for version in record.versions {
-                if !entry.versions.contains(&version) {
-                    push_bounded(&mut entry.versions, version);
-                }
-            }
             entry.last_end_at = entry.last_end_at.max(last_end_at);
             entry.holds = entry.holds.max(record.holds);
             if self.hold_ms == 0 {
@@ -383,6 +424,7 @@
                 entry.holds = 1;
                 entry.held_until = now.after_ms(self.hold_ms);
             }
+            self.holds_end_at = self.holds_end_at.max(entry.held_until);
         }
     }
 
--- a/tests/quarantine_model.rs
+++ b/tests/quarantine_model.rs
@@ -28,6 +28,8 @@
 const REPEATS_MS: [u64; 2] = [250, 1_000];
 /// Time after a restart or a suspension for which a daemon may not have heard of everything, in milliseconds.
 const OUT_OF_TOUCH_MS: u64 = 3_000;
+/// Version of the targets.
+const VERSION: &str = "v1";
 /// Slots of each target.
 const SLOTS: usize = 12;
 /// Time for which a deadly request is held back first, in milliseconds: longer than a day.
@@ -297,7 +299,7 @@
         }
         let standing = self.daemons[proxy]
             .state
-            .standing(&call.fingerprints, "v1", self.time());
+            .standing(&call.fingerprints, VERSION, self.time());
         let untried: Vec<usize> = (0..self.daemons.len())
             .filter(|gate| !call.tried.contains(gate))
             .collect();
@@ -326,7 +328,7 @@
         if !daemon.is_up || daemon.running.len() >= SLOTS {
             return self.send(proxy, call);
         }
-        let turn = daemon.state.take_turn(&call.fingerprints, "v1", now);
+        let turn = daemon.state.take_turn(&call.fingerprints, VERSION, now);
         let has_turn = match turn {
             RunTurn::Held(_) => return self.note_held(&call),
             RunTurn::Wait => return daemon.waiting.push((proxy, call)),
@@ -360,13 +362,11 @@
             return;
         };
         daemon.state.runs().finish(run);
-        let notices = daemon.state.clear(&call.fingerprints);
+        let notices = daemon.state.clear(&call.fingerprints, &VERSION.into());
         self.report.served += 1;
-        for fingerprint in call.fingerprints.iter() {
-            let cleared = QuarantineNotice::Cleared(fingerprint);
-            let now = self.time();
-            self.daemons[proxy].state.receive(&cleared, now);
-        }
+        self.daemons[proxy]
+            .state
+            .end_suspicion(&call.fingerprints, VERSION);
         self.release(gate, &call, has_turn);
         for notice in &notices {
             self.publish(gate, notice);
@@ -398,7 +398,7 @@
             daemon.state.runs().break_off(*run);
         }
         let first = running.keys().next().copied();
-        let end = first.and_then(|run| daemon.state.end_target(run, &"v1".into(), now));
+        let end = first.and_then(|run| daemon.state.end_target(run, &VERSION.into(), now));
         self.push(RESTART_MS, Event::TargetStarts { gate });
         let deadly = running.values().find(|(_, call, _)| call.is_deadly);
         if let Some((_, deadly, _)) = deadly.filter(|_| !is_frozen) {
@@ -548,3 +548,60 @@
         }
     }
 }
+
+/// Ends `count` targets of a version under a request, one after the other.
+fn end_under(state: &mut QuarantineState, call: CallFingerprints, version: &str, count: u64, now: TimePoint) {
+    for number in 0..count {
+        let at = now.after_ms(1_000 * number);
+        let run = state.runs().start(call, "GET /stock/deadly".into(), at);
+        state.runs().break_off(run);
+        state.end_target(run, &version.into(), at.after_ms(50)).unwrap();
+    }
+}
+
+/// Guards against a request that ends the targets of a new version without end, as it runs well at the old one.
+#[test]
+fn good_run_at_one_version_proves_nothing_about_another() {
+    let (start, call) = (TimePoint(1_000_000), fingerprints("/stock/deadly", None));
+    let mut state = QuarantineState::new("daemon-0".into(), 1, HOLD_MS);
+    end_under(&mut state, call, "v2", 3, start);
+    let now = start.after_ms(5_000);
+    state.clear(&call, &"v1".into());
+    assert_eq!(state.standing(&call, "v1", now), RequestStanding::Free);
+    assert!(matches!(
+        state.standing(&call, "v2", now),
+        RequestStanding::Held(_)
+    ));
+}
+
+/// Guards against a request that is held back for good, or let go at once by all daemons.
+#[test]
+fn held_request_is_let_go_by_one_trial_and_at_once_at_another_version() {
+    let (start, call) = (TimePoint(1_000_000), fingerprints("/stock/deadly", None));
+    let mut state = QuarantineState::new("daemon-0".into(), 1, HOLD_MS);
+    end_under(&mut state, call, "v1", 3, start);
+    let now = start.after_ms(5_000);
+    assert_eq!(state.take_turn(&call, "v2", now), RunTurn::Taken);
+    assert_eq!(state.take_turn(&call, "v2", now), RunTurn::Wait);
+    state.end_turn(&call);
+    end_under(&mut state, call, "v2", 1, now);
+    assert!(matches!(
+        state.standing(&call, "v2", now.after_ms(60)),
+        RequestStanding::Held(_)
+    ));
+
+    let trial_at = start.after_ms(3_000 + HOLD_MS);
+    assert_eq!(state.take_turn(&call, "v1", trial_at), RunTurn::Taken);
+    assert_eq!(state.take_turn(&call, "v1", trial_at), RunTurn::Wait);
+    state.end_turn(&call);
+    end_under(&mut state, call, "v1", 1, trial_at);
+    let second_at = trial_at.after_ms(50 + 2 * HOLD_MS);
+    assert!(matches!(
+        state.standing(&call, "v1", second_at.before_ms(1)),
+        RequestStanding::Held(_)
+    ));
+    assert_eq!(state.take_turn(&call, "v1", second_at), RunTurn::Taken);
+    let notices = state.clear(&call, &"v1".into());
+    assert_eq!(notices.len(), 1);
+    assert_eq!(state.standing(&call, "v1", second_at), RequestStanding::Free);
+}
