Quarantine: a suspect is not sent again; daemons of earlier builds are not asked

A call of a suspect now ends with the first end under it; one that was none before has one further attempt, as before.

Whoever answers an exchange of digests now sends its suspects along, as a datagram and only if there are any, which also brings a lost notice to daemons that run.

--- a/src/daemon/control/answers.rs
+++ b/src/daemon/control/answers.rs
@@ -23,12 +23,12 @@
     pub(super) fn answer(&mut self, request: Envelope<ControlRequest>, now: TimePoint) -> ControlReply {
         match request.body {
             ControlRequest::Sync(request) => {
+                self.send_suspects(request.own.control, now);
                 let (reply, effects) = self.members.answer_sync(*request, now);
                 self.apply_effects(effects, now);
                 ControlReply::Sync(reply)
             }
             ControlRequest::Config(request) => ControlReply::Config(self.spread.answer_pull(&request)),
-            ControlRequest::Suspects => ControlReply::Suspects(self.shared.quarantine.lock().records(now)),
             ControlRequest::Poll(request) => {
                 if request.clearance.as_ref().is_some_and(Clearance::is_released) {
                     self.moves.schedule_takeover_check(&request.pool, now);
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -135,8 +135,6 @@
     held_replies: Vec<HeldReply>,
     repeated_notices: Vec<RepeatedNotice>,
     next_suspects_expiry_at: TimePoint,
-    /// Whether a peer is to be asked for its suspects.
-    needs_suspects: bool,
     /// Whether the latest read or watch of the head failed.
     store_was_down: bool,
     /// Whether this daemon watches the store.
@@ -196,7 +194,6 @@
             held_replies: Vec::new(),
             repeated_notices: Vec::new(),
             next_suspects_expiry_at: now,
-            needs_suspects: true,
             store_was_down: false,
             is_watching: false,
             had_taken_over: false,
@@ -283,7 +280,6 @@
                     .record(EventKind::Ejected, format!("target={target}"), now);
             }
             ControlEvent::Traffic(TrafficEvent::Quarantine(notice)) => self.publish_notice(&notice, now),
-            ControlEvent::SuspectsReceived(records) => self.finish_suspects(records, now),
             ControlEvent::Traffic(TrafficEvent::TargetRefuses) => self.finish_target_probe(false, now),
             ControlEvent::Query(query) => self.answer_query(query, now),
             ControlEvent::Drain => self.start_drain(now),
@@ -304,7 +300,6 @@
         }
         if now.ms_since(self.last_tick_at) > STALL_MS {
             self.members.resume(now);
-            self.needs_suspects = true;
         }
         self.last_tick_at = now;
         self.tick_settings(now);
--- a/src/daemon/control/quarantine.rs
+++ b/src/daemon/control/quarantine.rs
@@ -1,15 +1,11 @@
-//! Quarantine: tells other daemons of requests that end targets, and asks them after a start.
+//! Quarantine: tells other daemons of requests that end targets.
 
 use {
     super::ControlState,
     crate::{
         clock::TimePoint,
-        daemon::{
-            envelope::{ControlReply, ControlRequest},
-            tasks::ControlEvent,
-        },
         member::ProbeKind,
-        quarantine::{QuarantineNotice, RequestFingerprint, SuspectRecord},
+        quarantine::{QuarantineNotice, RequestFingerprint},
         timeline::EventKind,
     },
     std::net::SocketAddr,
@@ -17,8 +13,6 @@
 
 /// Times after which a notice is sent once more, as datagrams may be lost, in milliseconds.
 const REPEATS_MS: [u64; 2] = [250, 1_000];
-/// Number of peers that are asked for their suspects.
-const ASKED_PEERS: usize = 2;
 /// Time after which a repetition is left out, as this process was suspended, in milliseconds.
 const REPEAT_LIMIT_MS: u64 = 5_000;
 /// Time between two removals of outdated suspects, in milliseconds.
@@ -48,6 +42,7 @@
                 let detail = format!("fingerprint={fingerprint} version={version} it ran well here");
                 self.ring.record(EventKind::RequestCleared, detail, now);
             }
+            QuarantineNotice::Known(_) => {}
         }
         self.send_notice(notice, now);
         if self.repeated_notices.len() < MAX_REPEATED {
@@ -72,7 +67,7 @@
         }
     }
 
-    /// Repeats notices, removes outdated suspects, and asks a peer for its suspects after a start.
+    /// Repeats notices and removes outdated suspects.
     pub(super) fn tick_quarantine(&mut self, now: TimePoint) {
         let is_due = |repeated: &mut RepeatedNotice| repeated.due_at <= now;
         let due: Vec<RepeatedNotice> = self.repeated_notices.extract_if(.., is_due).collect();
@@ -85,33 +80,17 @@
             self.next_suspects_expiry_at = now.after_ms(EXPIRY_INTERVAL_MS);
             self.shared.quarantine.lock().expire(now);
         }
-        if self.needs_suspects && self.join.has_synced {
-            self.needs_suspects = false;
-            // Several, as one may have been away itself.
-            for peer in self.members.direct_peers(ASKED_PEERS, None) {
-                self.request_suspects(peer, now);
-            }
-        }
     }
 
-    /// Handles a peer's suspects; `None` if it did not answer, or is of an earlier version.
-    pub(super) fn finish_suspects(&mut self, records: Option<Vec<SuspectRecord>>, now: TimePoint) {
-        if let Some(records) = records {
-            self.shared.quarantine.lock().merge(records, now);
+    /// Tells a daemon that compares its members with this one's of suspects, which it may have missed: it has just started,
+    /// or notices were lost.
+    pub(super) fn send_suspects(&mut self, peer: SocketAddr, now: TimePoint) {
+        let news = self.shared.quarantine.lock().news(now);
+        if let Some(notice) = news {
+            self.send_plain(peer, ProbeKind::Quarantine(notice), now);
         }
     }
 
-    fn request_suspects(&mut self, peer: SocketAddr, now: TimePoint) {
-        let stamp = self.ring.stamp(now);
-        let to = self.control_peer(peer);
-        self.client.request(to, stamp, ControlRequest::Suspects, |reply| {
-            ControlEvent::SuspectsReceived(match reply {
-                Some(ControlReply::Suspects(records)) => Some(records),
-                _ => None,
-            })
-        });
-    }
-
     fn record_held(&mut self, held: &[RequestFingerprint], now: TimePoint) {
         for fingerprint in held {
             self.shared.metrics.held_requests.inc();
--- a/src/daemon/envelope.rs
+++ b/src/daemon/envelope.rs
@@ -7,7 +7,6 @@
         macros::value_type,
         member::{SyncReply, SyncRequest},
         moves::{PollReply, PollRequest},
-        quarantine::SuspectRecord,
         spread::{ConfigReply, ConfigRequest},
         timeline::HybridStamp,
     },
@@ -42,8 +41,6 @@
         Config(ConfigRequest),
         /// Poll of a gate by a move's controller.
         Poll(PollRequest),
-        /// Question for the requests that are suspects.
-        Suspects,
     }
 }
 
@@ -56,8 +53,6 @@
         Config(ConfigReply),
         /// Reply to [`ControlRequest::Poll`].
         Poll(Box<PollReply>),
-        /// Reply to [`ControlRequest::Suspects`].
-        Suspects(Vec<SuspectRecord>),
     }
 }
 
@@ -69,7 +64,6 @@
             Self::Sync(_) => "sync-delivery",
             Self::Config(_) => "pull",
             Self::Poll(_) => "poll",
-            Self::Suspects => "suspects",
         }
     }
 }
@@ -83,7 +77,6 @@
             Self::Config(ConfigReply::Delta(_)) => "pull-delta",
             Self::Config(ConfigReply::Whole(_)) => "pull-whole",
             Self::Poll(_) => "poll-reply",
-            Self::Suspects(_) => "suspects-reply",
         }
     }
 }
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -13,7 +13,6 @@
         http::{PacedClient, read_body},
         member::{ProbeMessage, SyncReply, TargetDeparture},
         moves::{Clearance, PollReply},
-        quarantine::SuspectRecord,
         spread::ConfigReply,
         store::{StoreError, WriteError},
         timeline::HybridStamp,
@@ -118,8 +117,6 @@
         /// Whether it is recorded, or the error.
         result: Result<(), StoreError>,
     },
-    /// A question for the suspects of a peer ended.
-    SuspectsReceived(Option<Vec<SuspectRecord>>),
     /// A traffic thread reported an event.
     Traffic(TrafficEvent),
     /// An operator sent a query.
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -34,7 +34,7 @@
         },
         gate::GateRefusal,
         http::ConnectionCloser,
-        quarantine::{CallFingerprints, RequestHead},
+        quarantine::{CallFingerprints, RequestHead, RequestStanding},
     },
     futures_util::{StreamExt, stream::FuturesUnordered},
     hyper::{header::HOST, http::uri::PathAndQuery},
@@ -60,7 +60,8 @@
 /// Time after which a caller may try again if a gate holds its request back of which this daemon has not heard, in
 /// milliseconds.
 const RETRY_AFTER_HELD_MS: u64 = 1_000;
-/// Number of targets that may end under one call; other calls show whether the request is to blame.
+/// Number of targets that may end under one call that was no suspect; other calls show whether the request is to blame.
+/// A suspect is not sent again, as the next gate may not have heard of the end so soon.
 const MAX_ENDS_OF_CALL: u32 = 2;
 
 /// Handler of the listener for callers on one traffic thread.
@@ -109,6 +110,8 @@
     fingerprints: Option<CallFingerprints>,
     /// Number of targets that ended under it.
     ends: u32,
+    /// Whether targets had ended under other calls of the same request before.
+    is_suspect: bool,
     /// Whether a gate holds it back, of which this daemon may not have heard.
     is_held_back: bool,
 }
@@ -259,6 +262,7 @@
             deadline,
             fingerprints: None,
             ends: 0,
+            is_suspect: false,
             is_held_back: false,
         })
     }
@@ -327,6 +331,7 @@
                         if !plan.tried().is_empty() {
                             shared.metrics.retries.inc();
                         }
+                        call.is_suspect |= call.ends == 0 && self.is_suspect(call, &target);
                         plan.record_attempt(Arc::clone(&target.name), shared.now());
                         let forwarded = request.request_to(target.gate);
                         let progress = Arc::clone(&request.progress);
@@ -361,7 +366,8 @@
                                     detail = reason;
                                 }
                             }
-                            if call.ends >= MAX_ENDS_OF_CALL || call.is_held_back {
+                            let max_ends = if call.is_suspect { 1 } else { MAX_ENDS_OF_CALL };
+                            if call.ends >= max_ends || call.is_held_back {
                                 plan.after_quarantined(outcome)
                             } else {
                                 plan.after_attempt(
@@ -518,6 +524,14 @@
         );
     }
 
+    fn is_suspect(&self, call: &RoutedCall, target: &ServingTarget) -> bool {
+        call.fingerprints.is_some_and(|fingerprints| {
+            let now = self.shared.now();
+            let quarantine = self.shared.quarantine.lock();
+            quarantine.standing(&fingerprints, &target.version, now) != RequestStanding::Free
+        })
+    }
+
     fn held_ms(&self, call: Option<&RoutedCall>) -> u64 {
         let fingerprints = call.and_then(|call| call.fingerprints);
         fingerprints.map_or(0, |fingerprints| {
--- a/src/member/state/reaching.rs
+++ b/src/member/state/reaching.rs
@@ -246,7 +246,7 @@
 
     /// Returns up to `count` random present daemons with which this one exchanges directly, without `except`; any others
     /// if there are none.
-    pub fn direct_peers(&mut self, count: usize, except: Option<&str>) -> Vec<SocketAddr> {
+    pub(super) fn direct_peers(&mut self, count: usize, except: Option<&str>) -> Vec<SocketAddr> {
         let wanted = self
             .others()
             .filter(|record| record.status.is_present() && except != Some(&*record.name));
--- a/src/quarantine/message.rs
+++ b/src/quarantine/message.rs
@@ -58,11 +58,13 @@
             /// The version.
             version: Arc<str>,
         },
+        /// What the sender knows, for a daemon that may have missed it.
+        Known(Vec<SuspectRecord>),
     }
 }
 
 value_type! {
-    /// What a daemon knows of one suspect at targets of one version, for a daemon that has just started.
+    /// What a daemon knows of one suspect at targets of one version.
     pub struct SuspectRecord {
         /// Its fingerprint.
         pub fingerprint: RequestFingerprint,
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -29,6 +29,8 @@
 const MAX_SEEN_ENDS: usize = 512;
 /// Maximum number of ends that are remembered of one suspect.
 const MAX_REMEMBERED: usize = 16;
+/// Maximum number of suspects that another daemon is told of in one datagram.
+const MAX_NEWS: usize = 16;
 /// Maximum number of requests that one end accuses.
 const MAX_ACCUSED: usize = 64;
 
@@ -369,6 +371,10 @@
                 let was_suspect = self.suspects.swap_remove(&key).is_some();
                 (was_suspect, Vec::new())
             }
+            QuarantineNotice::Known(records) => {
+                self.merge(records.clone(), now);
+                (false, Vec::new())
+            }
             QuarantineNotice::Ended(end) => {
                 let is_new = !self.seen_ends.contains(&end.id);
                 (is_new, self.record_end(end, now))
@@ -376,7 +382,7 @@
         }
     }
 
-    /// Returns the suspects, for a daemon that has just started and for operators.
+    /// Returns the suspects.
     pub fn records(&self, now: TimePoint) -> Vec<SuspectRecord> {
         let records = self.suspects.values().map(|entry| SuspectRecord {
             fingerprint: entry.fingerprint,
@@ -390,6 +396,16 @@
         records.collect()
     }
 
+    /// Returns the suspects under which several targets ended, for a daemon that may not have heard of them; those that are
+    /// held back first.
+    pub fn news(&self, now: TimePoint) -> Option<QuarantineNotice> {
+        let mut records = self.records(now);
+        records.retain(|record| record.ends.len() > 1 || record.holds > 0);
+        records.sort_by_key(|record| std::cmp::Reverse((record.holds, record.ends.len())));
+        records.truncate(MAX_NEWS);
+        (!records.is_empty()).then_some(QuarantineNotice::Known(records))
+    }
+
     /// Adds what another daemon knows.
     pub fn merge(&mut self, records: Vec<SuspectRecord>, now: TimePoint) {
         for record in records {
