Logs tell a store that came back from an older copy from a compaction

Nothing in the logs distinguished a store that has lost what it acknowledged from one that dropped its history: both showed watch-restarted. The number that the store's answers state is now read: store-generation at the first one, store-returned when it rises, store-answer-outdated for an answer of before, with a gauge and a counter. Decisions are unchanged.

--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -139,6 +139,10 @@
                         .record(EventKind::StoreUp, "the store answers again", now);
                 }
                 if let Some(head) = reading.head {
+                    let (offered, present) = (head.version, self.spread.version());
+                    if offered < present {
+                        log::warn!("event=store-behind offered={offered} present={present}");
+                    }
                     let offer = self.spread.offer_stored(*head);
                     self.finish_offer(offer, "store", now);
                 }
--- a/src/daemon/edges.rs
+++ b/src/daemon/edges.rs
@@ -15,7 +15,7 @@
         member::{TargetDeparture, WatchMode},
         moves::Clearance,
         settings::DaemonSettings,
-        store::{StoreError, WriteError},
+        store::{GenerationChange, StoreError, WriteError},
     },
     futures_util::future::BoxFuture,
     salvo::Handler,
@@ -263,6 +263,24 @@
         self.shared.metrics.count_refused_values(kind, count);
     }
 
+    /// Logs and counts what the generation that an answer of the store states has changed.
+    pub fn note_generation(&self, generation: u64, change: GenerationChange) {
+        let metrics = &self.shared.metrics;
+        match change {
+            GenerationChange::Same => return,
+            GenerationChange::First => log::info!("event=store-generation generation={generation}"),
+            GenerationChange::Returned { former } => {
+                log::warn!("event=store-returned generation={generation} former={former}");
+                metrics.store_returns.inc();
+            }
+            GenerationChange::Outdated { latest } => {
+                log::info!("event=store-answer-outdated generation={generation} latest={latest}");
+                return;
+            }
+        }
+        metrics.store_generation.set(generation as i64);
+    }
+
     /// Counts a call to the store, by kind of call.
     pub fn count_store_call(&self, kind: &'static str) {
         self.shared.metrics.count_store_call(kind);
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -140,6 +140,10 @@
     control_counts: Mutex<BTreeMap<ControlLabels, ControlCount>>,
     /// Calls to the store by kind.
     store_calls: Family<KindLabels, Counter>,
+    /// Latest generation of the store.
+    pub store_generation: Gauge,
+    /// Times at which the store came back from an older copy.
+    pub store_returns: Counter,
     /// Moves closed by this daemon as their controller, by verdict.
     pub closed_moves: Family<MoveLabels, Counter>,
     /// Configurations that this daemon refused.
@@ -180,6 +184,8 @@
             control_messages: Family::default(),
             control_counts: Mutex::default(),
             store_calls: Family::default(),
+            store_generation: Gauge::default(),
+            store_returns: Counter::default(),
             closed_moves: Family::default(),
             refused_offers: Counter::default(),
             refused_values: Family::default(),
@@ -216,23 +222,14 @@
             "Answers of targets that were passed on to callers, by status",
             metrics.answers.clone(),
         );
-        registry.register(
-            "open_connections",
-            "Open connections of calls, by whose they are",
-            metrics.open_connections.clone(),
-        );
-        registry.register(
-            "held_connections",
-            "Connections of calls that were not accepted at once, or not opened, for lack of file descriptors",
-            metrics.held_connections.clone(),
-        );
+        register_connections(&mut registry, &metrics);
         registry.register(
             "convergence_seconds",
             "Time from an accepted change until it was in force here",
             metrics.convergence.clone(),
         );
         register_control(&mut registry, &metrics);
-        registry.register("store_calls", "Calls to the store", metrics.store_calls.clone());
+        register_store(&mut registry, &metrics);
         registry.register(
             "closed_moves",
             "Moves closed by this daemon",
@@ -286,6 +283,33 @@
 }
 
 /// Registers the metrics of control traffic.
+fn register_connections(registry: &mut Registry, metrics: &DaemonMetrics) {
+    registry.register(
+        "open_connections",
+        "Open connections of calls, by whose they are",
+        metrics.open_connections.clone(),
+    );
+    registry.register(
+        "held_connections",
+        "Connections of calls that were not accepted at once, or not opened, for lack of file descriptors",
+        metrics.held_connections.clone(),
+    );
+}
+
+fn register_store(registry: &mut Registry, metrics: &DaemonMetrics) {
+    registry.register("store_calls", "Calls to the store", metrics.store_calls.clone());
+    registry.register(
+        "store_generation",
+        "Latest generation of the store",
+        metrics.store_generation.clone(),
+    );
+    registry.register(
+        "store_returns",
+        "Times at which the store came back from an older copy",
+        metrics.store_returns.clone(),
+    );
+}
+
 fn register_control(registry: &mut Registry, metrics: &DaemonMetrics) {
     registry.register(
         "control_bytes",
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,11 +1,13 @@
 //! The platform's key-value service: its client, and writes of configuration changes by compare-and-swap.
 
+mod generation;
 mod http_store;
 mod writer;
 
 use {std::time::Duration, thiserror::Error};
 
 pub use {
+    generation::{GenerationChange, StoreGeneration},
     http_store::{HttpStore, KvRow},
     writer::{ChangeWriter, EditRefusal, WriteError, WriteEvent, WriteStep, write_change},
 };
