Versions keep their order over a return of the store

Callers saw: after the store had come back from an older copy, no further configuration came into force. A removed route was run in each request that followed, an added one answered 404, and the daemons held their table to be the newest one.

Cause: versions of the configuration were the store's revisions, everywhere: in the local copy of its keys, in offers, floors, announcements and confirmations. A store that has lost its latest writes gives their revisions out again, so that what it accepts afterwards counts as older than what is in force. Where others write past the lost revisions before a watch asks, the watch continues from a revision that stands for something else, and the change is missed without a sign.

Change: a version is ordered by generation, index and lead (VersionRank). The generation is the number that each answer of the store states; it is the upper part of the version, so all that compares versions, in messages too, follows without a change. Without that number a version is the plain revision, as before. Tables never go back to an older edition (the operators' own number, carried as the head's latest change note): a head with older tables than those in force is applied with these, under a version that leads by the difference, which is the same at each daemon that does so.

--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -1,7 +1,10 @@
 //! The head: the accepted configuration as a single value of the platform's store.
 
 use {
-    super::tables::{ConfigTables, MovePolicy, PoolEntry, RouteEntry, TableKind},
+    super::{
+        tables::{ConfigTables, MovePolicy, PoolEntry, RouteEntry, TableKind},
+        version_rank::VersionRank,
+    },
     crate::{
         clock::TimePoint,
         codec::{self, CodecError},
@@ -21,6 +24,8 @@
 pub const MAX_HEAD_BYTES: usize = 720 * 1024;
 /// Maximum number of change notes in a head, and likewise of closed moves and of tombstones.
 pub const HISTORY_LIMIT: usize = 64;
+/// Identity of a note of an edition, before its number.
+const EDITION_PREFIX: &str = "edition-";
 
 value_type! {
     /// A table entry with the configuration version that last changed it.
@@ -60,6 +65,24 @@
     }
 }
 
+impl ChangeNote {
+    /// Returns the note of tables that were written whole, as an edition with a number of its own. Its time is unknown.
+    pub fn of_edition(edition: u64, version: u64) -> Self {
+        Self {
+            change_id: format!("{EDITION_PREFIX}{edition}").into(),
+            version,
+            author: "operators".into(),
+            message: "".into(),
+            at: TimePoint::default(),
+        }
+    }
+
+    /// Returns the number of the edition, if the note is of one.
+    fn edition(&self) -> Option<u64> {
+        self.change_id.strip_prefix(EDITION_PREFIX)?.parse().ok()
+    }
+}
+
 key_type! {
     /// How a move ended.
     pub enum MoveVerdict {
@@ -207,6 +230,12 @@
         }
     }
 
+    /// Returns the number that the operators gave these tables, which rises with each edition of them; 0 if they gave none.
+    pub fn edition(&self) -> u64 {
+        let latest = self.changes.last();
+        latest.and_then(ChangeNote::edition).unwrap_or_default()
+    }
+
     /// Returns the note of a change by its identity, if it is among the recent changes.
     pub fn find_change(&self, change_id: &str) -> Option<&ChangeNote> {
         self.changes.iter().find(|note| &*note.change_id == change_id)
@@ -222,6 +251,29 @@
         Ok(xxh3_64(&codec::encode(&content)?))
     }
 
+    /// Returns this head with the tables and limits of `newer`, which the store had lost when this one was read from it. The
+    /// versions of pools and the open moves remain those of this head where it has the pool.
+    pub fn with_tables_of(mut self, newer: &Self) -> Result<Self, HeadError> {
+        let rank = VersionRank::of(self.version);
+        let lead = rank.lead + newer.edition().saturating_sub(self.edition());
+        self.version = VersionRank { lead, ..rank }.version();
+        self.delta_floor = self.version;
+        self.changes = vec![ChangeNote::of_edition(newer.edition(), self.version)];
+        self.limits = newer.limits;
+        self.routes.clone_from(&newer.routes);
+        let stored_pools = std::mem::replace(&mut self.pools, newer.pools.clone());
+        for (name, row) in &mut self.pools {
+            let stored = stored_pools.get(name).map(|row| &row.entry);
+            row.entry.finish_by = stored.and_then(|stored| stored.finish_by);
+            if let Some(stored) = stored {
+                row.entry.version = Arc::clone(&stored.version);
+            }
+        }
+        let pools = &self.pools;
+        self.moves.retain(|pool, _| pools.contains_key(pool));
+        self.with_digest()
+    }
+
     /// Returns the head with its digest set.
     pub fn with_digest(mut self) -> Result<Self, HeadError> {
         self.digest = self.compute_digest()?;
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -9,6 +9,7 @@
 mod host;
 mod parse;
 mod tables;
+mod version_rank;
 
 pub use {
     change::{AppliedEdit, EditError, EditRequest, HeadEdit, TableEdit, apply_edit},
@@ -24,4 +25,5 @@
         ANY_VERSION, ConfigTables, MAX_TIMEOUT_MS, MovePolicy, PoolEntry, PoolShare, RepeatRule, RouteEntry,
         TableFault, TableKind,
     },
+    version_rank::VersionRank,
 };
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -4,7 +4,7 @@
     super::{ControlState, SEEDS_WRITE_INTERVAL_MS, STALL_MS, VERSION_CHECK_INTERVAL_MS},
     crate::{
         clock::TimePoint,
-        config::{ANY_VERSION, CompiledPool, CompiledTable},
+        config::{ANY_VERSION, CompiledPool, CompiledTable, VersionRank},
         daemon::{
             edges::StoreReading,
             envelope::{ControlReply, ControlRequest},
@@ -201,13 +201,22 @@
             .spread
             .head()
             .and_then(|head| head.changes.last().map(|note| note.at))
+            .filter(|at| *at > TimePoint::default())
             .or(self.spread.heard_at());
         let delay_ms = requested_at.map_or(0, |at| now.ms_since(at));
+        let edition = self.spread.head().map_or(0, |head| head.edition());
+        let rank = VersionRank::of(version);
+        if rank.lead > 0 {
+            let (generation, lead) = (rank.generation, rank.lead);
+            log::warn!(
+                "event=tables-kept version={version} generation={generation} edition={edition} lead={lead}"
+            );
+        }
         self.shared.metrics.convergence.observe(delay_ms as f64 / 1e3);
         self.shared.metrics.version.set(version as i64);
         self.ring.record(
             EventKind::Applied,
-            format!("version={version} source={source} after_ms={delay_ms}"),
+            format!("version={version} source={source} after_ms={delay_ms} edition={edition}"),
             now,
         );
         let table = Arc::new(table);
--- a/src/spread/state.rs
+++ b/src/spread/state.rs
@@ -1,4 +1,5 @@
-//! State machine of the dissemination, without I/O: versions only rise, and each is applied as a whole or not at all.
+//! State machine of the dissemination, without I/O: versions only rise, and each is applied as a whole or not at all. Tables
+//! that operators replaced don't come back, whatever version a store that has lost the newer ones gives them.
 
 use {
     super::{
@@ -7,7 +8,7 @@
     },
     crate::{
         clock::TimePoint,
-        config::{CompileError, CompiledTable, ConfigHead, DeltaError, HeadDelta, HeadError},
+        config::{CompileError, CompiledTable, ConfigHead, DeltaError, HeadDelta, HeadError, VersionRank},
     },
     indexmap::{IndexMap, IndexSet},
     std::{net::SocketAddr, sync::Arc},
@@ -182,11 +183,17 @@
         self.pending_head.take().map(|head| self.offer(head))
     }
 
-    /// Offers a head read from the store. That is the newest accepted one, so it also ends joining.
+    /// Offers a head read from the store. That is the newest accepted one, so it also ends joining. Only a head of peers
+    /// with tables that the store has lost is offered before it.
     pub fn offer_stored(&mut self, head: ConfigHead) -> Result<CompiledTable, OfferRefusal> {
         self.has_joined = true;
-        self.pending_head = None;
-        self.offer(head)
+        let held = self.pending_head.take();
+        let held = held.filter(|held| is_lost_edition(&head, held));
+        let held_offer = held.map(|held| self.offer(held));
+        match (self.offer(head), held_offer) {
+            (Err(_), Some(Ok(table))) => Ok(table),
+            (offer, _) => offer,
+        }
     }
 
     /// Returns when this daemon reads the store itself, as no peer delivers a newer version that it knows of;
@@ -254,8 +261,10 @@
             });
         }
         head.check_digest()?;
+        let head = self.keep_tables(head)?;
         let table = CompiledTable::compile(&head)?;
         self.floor = head.version;
+        self.newest = self.newest.max(head.version);
         self.heard_at = self.awaited.take().map(|awaited| awaited.heard_at);
         if let Some(base) = &self.head {
             self.history.record(base, &head);
@@ -264,6 +273,15 @@
         Ok(table)
     }
 
+    /// Returns an offered head with the tables in force if these are of a newer edition: the store came back from an older
+    /// copy, and its operators have not written them again so far. Each daemon that does so gets the same head.
+    fn keep_tables(&self, head: ConfigHead) -> Result<ConfigHead, HeadError> {
+        match &self.head {
+            Some(present) if is_lost_edition(&head, present) => head.with_tables_of(present),
+            _ => Ok(head),
+        }
+    }
+
     /// Holds a head until the daemon has joined, unless a newer one is held.
     fn hold(&mut self, head: ConfigHead) -> OfferRefusal {
         let offered = head.version;
@@ -374,3 +392,10 @@
         })
     }
 }
+
+/// Returns whether the store of `stored` had lost the tables of `known`: it is of a generation, and its tables are of an older
+/// edition.
+fn is_lost_edition(stored: &ConfigHead, known: &ConfigHead) -> bool {
+    let is_older = stored.edition() > 0 && stored.edition() < known.edition();
+    is_older && VersionRank::of(stored.version).generation > 0
+}
