--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -66,8 +66,8 @@
     pub fn stamp(self) -> u64 {
         match self {
             Self::Unrecorded => 0,
-            Self::Ended(count) => 2 * count + 1,
-            Self::Open(count) => 2 * count,
+            Self::Ended(count) => count.saturating_mul(2).saturating_add(1),
+            Self::Open(count) => count.saturating_mul(2),
             Self::Unknown => u64::MAX,
         }
     }
@@ -303,12 +303,12 @@
         }
         let lost_editions = self.restore_tables(known);
         let lost_moves = self.restore_moves(known);
-        if lost_editions + lost_moves == 0 {
+        if (lost_editions, lost_moves) == (0, 0) {
             return Ok(self);
         }
         let restored = VersionRank {
-            lost_editions: rank.lost_editions + lost_editions,
-            lost_moves: rank.lost_moves + lost_moves,
+            lost_editions: rank.lost_editions.saturating_add(lost_editions),
+            lost_moves: rank.lost_moves.saturating_add(lost_moves),
             ..rank
         };
         self.version = restored.version();
@@ -348,7 +348,7 @@
                 continue;
             };
             if MoveStamp::of(known.stamp).is_lost_in(MoveStamp::of(row.stamp)) {
-                lost += known.stamp - row.stamp;
+                lost = u64::saturating_add(lost, known.stamp - row.stamp);
                 row.stamp = known.stamp;
                 row.entry.version = Arc::clone(&known.entry.version);
                 row.entry.finish_by = None;
