--- a/src/call/load.rs
+++ b/src/call/load.rs
@@ -7,6 +7,8 @@
 
 /// Number of ranks counted separately; less urgent ones count as the last. The users' routes have three.
 const RANKS: usize = 4;
+/// Hundredths in a whole, as slowdowns are written.
+const PERCENT: f64 = 100.0;
 
 /// Number of calls per rank of their routes.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -40,7 +42,7 @@
 }
 
 /// Load of a target, which its gate reports with each answer and refusal.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadReport {
     /// Number of calls that the target is running.
     pub running: u32,
@@ -50,6 +52,33 @@
     pub run_ms: f64,
     /// Mean time of a run of the route of the call that the report was sent with, in milliseconds; 0 if unknown.
     pub route_run_ms: f64,
+    /// How long work takes on the target's VM at this moment, relative to its usual time; 1 if the target doesn't tell.
+    pub slowdown: f64,
+}
+
+impl Default for LoadReport {
+    fn default() -> Self {
+        Self {
+            running: 0,
+            waiting: RankCounts::default(),
+            run_ms: 0.0,
+            route_run_ms: 0.0,
+            slowdown: 1.0,
+        }
+    }
+}
+
+/// Load that a target states itself in its answers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TargetLoad {
+    /// Number of calls that it is running.
+    pub running: u32,
+    /// Number of calls that it has queued.
+    pub waiting: u32,
+    /// Number of calls that it runs concurrently.
+    pub slots: u32,
+    /// How long work takes on its VM at this moment, relative to its usual time; `None` if it doesn't tell.
+    pub slowdown: Option<f64>,
 }
 
 impl Display for LoadReport {
@@ -59,7 +88,7 @@
             .0
             .iter()
             .try_for_each(|count| write!(f, ",{count}"))?;
-        write!(f, ",{:.0}", self.route_run_ms)
+        write!(f, ",{:.0},{:.0}", self.route_run_ms, self.slowdown * PERCENT)
     }
 }
 
@@ -81,11 +110,14 @@
         }
         // Gates of earlier builds don't report it.
         let route_run_ms = next().ok().and_then(|word| word.parse().ok()).unwrap_or_default();
+        let slowdown = next().ok().and_then(|word| word.parse::<f64>().ok());
+        let slowdown = slowdown.map_or(1.0, |percent| percent / PERCENT);
         Ok(Self {
             running,
             waiting,
             run_ms,
             route_run_ms,
+            slowdown,
         })
     }
 }
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -11,7 +11,7 @@
 
 pub use {
     budget::{DEFAULT_EXTRA_RETRIES, PoolBudgets, RetryBudget},
-    load::{LoadReport, RankCounts},
+    load::{LoadReport, RankCounts, TargetLoad},
     outcome::{AttemptOutcome, CallOutcome, RefusalReason},
     plan::{CallPlan, CallRules, CallStep},
     selector::{CandidateTarget, TargetCriteria, TargetSelector, TargetStats},
--- a/src/daemon/traffic/dialect.rs
+++ b/src/daemon/traffic/dialect.rs
@@ -3,7 +3,7 @@
 use {
     super::{hop::header, relay::header_value},
     crate::{
-        call::{CallOutcome, RefusalReason},
+        call::{CallOutcome, RefusalReason, TargetLoad},
         clock::TimePoint,
     },
     salvo::http::{HeaderMap, StatusCode},
@@ -26,6 +26,8 @@
     pub target: &'a str,
     /// Service whose daemon accepted the call from the caller.
     pub caller: &'a str,
+    /// Organisation whose key the caller has shown.
+    pub organisation: Option<&'a str>,
     /// Time left for the call, in milliseconds.
     pub left_ms: u64,
 }
@@ -75,6 +77,11 @@
 
     /// Decides from the head of the target's answer whether it belongs to the request, and whether the request ran.
     fn classify_answer(&self, request: &HeaderMap, status: StatusCode, answer: &HeaderMap) -> AnswerVerdict;
+
+    /// Returns the load that the target states in an answer; `None` if it states none or none that can be read.
+    fn target_load(&self, _answer: &HeaderMap) -> Option<TargetLoad> {
+        None
+    }
 }
 
 /// Default dialect: `fuchsiashore-` headers for callers and targets, without any header required from targets.
--- a/src/daemon/traffic/hop.rs
+++ b/src/daemon/traffic/hop.rs
@@ -58,6 +58,8 @@
     pub start_by: TimePoint,
     /// Fingerprints of the request; `None` if the proxy is of an earlier version.
     pub fingerprints: Option<CallFingerprints>,
+    /// Organisation whose key the caller has shown.
+    pub organisation: Option<Arc<str>>,
 }
 
 impl HopCall {
@@ -80,6 +82,9 @@
             // Writing to a string can't fail.
             let _ = write!(text, " {fingerprints}");
         }
+        if let Some(organisation) = &self.organisation {
+            let _ = write!(text, " organisation={}", encode_word(organisation));
+        }
         headers.insert(header::HOP, header_value(&text));
     }
 
@@ -100,13 +105,19 @@
             deadline: now.after_ms(next()?.parse().ok()?),
             start_by: TimePoint::FAR_FUTURE,
             fingerprints: None,
+            organisation: None,
         };
         // Earlier versions send fewer words.
         if let Some(word) = next() {
             call.start_by = now.after_ms(word.parse().ok()?);
         }
-        if let Some(word) = next() {
-            call.fingerprints = word.parse().ok();
+        for word in words {
+            match word.split_once('=') {
+                Some(("organisation", name)) => call.organisation = Some(decode_word(name)?),
+                // A word of a later version.
+                Some(_) => {}
+                None => call.fingerprints = word.parse().ok(),
+            }
         }
         Some(call)
     }
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -331,6 +331,12 @@
         // Judged is what is passed on, as the target may name any header as one of its connection.
         let headers = end_to_end_headers(&head.headers, &[]);
         let verdict = shared.dialect.classify_answer(request, head.status, &headers);
+        let stated_load = shared.dialect.target_load(&headers);
+        if let Some(slowdown) = stated_load.and_then(|load| load.slowdown)
+            && verdict != AnswerVerdict::Foreign
+        {
+            shared.gate.lock().state.record_slowdown(slowdown);
+        }
         match verdict {
             AnswerVerdict::Ran => {}
             AnswerVerdict::NotRun => {
@@ -398,6 +404,7 @@
         let call = CallContext {
             target: &identity.id,
             caller: &hop.caller,
+            organisation: hop.organisation.as_deref(),
             left_ms: hop.deadline.ms_since(self.shared.now()).max(1),
         };
         self.shared.dialect.add_request_headers(&call, &mut headers);
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -430,6 +430,7 @@
                 deadline: call.deadline,
                 start_by: self.start_by(call, &target),
                 fingerprints: call.fingerprints,
+                organisation: None,
             },
             in_flight_guard: InFlightGuard::new(shared, &target, call.route.priority),
             target,
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -176,6 +176,8 @@
     /// Number of the last ticket issued.
     last_ticket: u64,
     run_times: RunTimes,
+    /// How long work takes on the VM, relative to its usual time, as the target stated last; 1 if it has not.
+    slowdown: f64,
 }
 
 impl GateState {
@@ -189,9 +191,15 @@
             queue: Vec::new(),
             last_ticket: 0,
             run_times: RunTimes::default(),
+            slowdown: 1.0,
         }
     }
 
+    /// Records how long work takes on the VM at this moment, relative to its usual time.
+    pub fn record_slowdown(&mut self, slowdown: f64) {
+        self.slowdown = slowdown;
+    }
+
     /// Returns the number of calls that the target is running.
     pub fn in_flight(&self) -> u32 {
         self.running.len() as u32
@@ -221,6 +229,7 @@
                 self.run_times.mean_ms()
             },
             route_run_ms: self.run_times.of_route(route).unwrap_or_default(),
+            slowdown: self.slowdown,
         }
     }
 
@@ -257,6 +266,7 @@
     pub fn reopen(&mut self, slots: u32, now: TimePoint) {
         self.slots = slots;
         self.run_times = RunTimes::default();
+        self.slowdown = 1.0;
         self.mode = GateMode::Serving {
             since: now.before_ms(SLOW_START_MS),
         };
--- a/tests/target_choice.rs
+++ b/tests/target_choice.rs
@@ -33,7 +33,7 @@
         running: calls.min(SLOTS),
         waiting,
         run_ms: 60.0,
-        route_run_ms: 0.0,
+        ..LoadReport::default()
     }
 }
 
