gate reports its expected wait

A proxy that is refused as target-full knows neither how long the gate is full nor which gate is full for a shorter time. LoadReport gets a last word: the wait of a further call of that rank by the gate's own forecast. Gates of earlier builds send none. The types of arrivals and refusals move to modules of their own.

--- a/src/call/load.rs
+++ b/src/call/load.rs
@@ -54,6 +54,9 @@
     pub route_run_ms: f64,
     /// How long work takes on the target's VM at this moment, relative to its usual time; 1 if the target doesn't tell.
     pub slowdown: f64,
+    /// Expected wait of a new call of the rank of the call that the report was sent with, in milliseconds, until it has
+    /// a slot; `None` from gates of earlier builds.
+    pub wait_ms: Option<f64>,
 }
 
 impl Default for LoadReport {
@@ -64,6 +67,7 @@
             run_ms: 0.0,
             route_run_ms: 0.0,
             slowdown: 1.0,
+            wait_ms: None,
         }
     }
 }
@@ -88,7 +92,8 @@
             .0
             .iter()
             .try_for_each(|count| write!(f, ",{count}"))?;
-        write!(f, ",{:.0},{:.0}", self.route_run_ms, self.slowdown * PERCENT)
+        write!(f, ",{:.0},{:.0}", self.route_run_ms, self.slowdown * PERCENT)?;
+        self.wait_ms.map_or(Ok(()), |wait_ms| write!(f, ",{wait_ms:.0}"))
     }
 }
 
@@ -112,12 +117,14 @@
         let route_run_ms = next().ok().and_then(|word| word.parse().ok()).unwrap_or_default();
         let slowdown = next().ok().and_then(|word| word.parse::<f64>().ok());
         let slowdown = slowdown.map_or(1.0, |percent| percent / PERCENT);
+        let wait_ms = next().ok().and_then(|word| word.parse().ok());
         Ok(Self {
             running,
             waiting,
             run_ms,
             route_run_ms,
             slowdown,
+            wait_ms,
         })
     }
 }
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -421,7 +421,8 @@
 
     /// Adds the gate's load and, during a move, the pool's clearance to an answer, for the proxy that receives it.
     fn add_load_and_clearance(&self, res: &mut Response, hop: &HopCall) {
-        let load = self.shared.gate.lock().state.load(&hop.route);
+        let now = self.shared.now();
+        let load = self.shared.gate.lock().state.load(&hop.route, hop.priority, now);
         let headers = res.headers_mut();
         headers.insert(header::LOAD, header_value(&load.to_string()));
         let snapshot = self.shared.snapshot.load();
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{
+        arrival::GateArrival,
         forecast::{time_left_ms, wait_ms},
+        refusal::GateRefusal,
         run_times::RunTimes,
     },
     crate::{
@@ -18,68 +20,11 @@
 pub const SLOW_START_MS: u64 = 3_000;
 /// Median run time as a fraction of the mean; below 1, as run times have a long tail.
 const MEDIAN_RUN_FRACTION: f64 = 0.7;
-/// Time that a refusal takes to reach the proxy, in milliseconds: two hops and a timer.
-const REFUSAL_RETURN_MS: u64 = 60;
-
 key_type! {
     /// Identifies an admitted or queued call.
     pub struct TicketId(pub u64);
 }
 
-key_type! {
-    /// Reason for which a gate refuses a call. None of these calls ran.
-    pub enum GateRefusal {
-        /// The queue is full, or the call would be answered too late.
-        Full,
-        /// The target is leaving.
-        Leaving,
-        /// The target is not ready.
-        Starting,
-        /// The call reached its [`GateArrival::wait_until`] before a slot was free.
-        Expired,
-        /// The target's version is stopped or not cleared for the pool.
-        Stopped,
-        /// The target beside this gate is not the one that the request names.
-        OtherTarget,
-        /// The target itself rejected the call without running it.
-        Shed,
-        /// Targets ended under this request, so it is held back.
-        Quarantined,
-    }
-}
-
-impl GateRefusal {
-    const ALL: [Self; 8] = [
-        Self::Full,
-        Self::Leaving,
-        Self::Starting,
-        Self::Expired,
-        Self::Stopped,
-        Self::OtherTarget,
-        Self::Shed,
-        Self::Quarantined,
-    ];
-
-    /// Returns the reason as written to the `fuchsiashore-reason` header.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Full => "target-full",
-            Self::Leaving => "target-leaving",
-            Self::Starting => "target-starting",
-            Self::Expired => "deadline-passed",
-            Self::Stopped => "version-stopped",
-            Self::OtherTarget => "other-target",
-            Self::Shed => "target-shed",
-            Self::Quarantined => "quarantined",
-        }
-    }
-
-    /// Returns the refusal for a reason from the `fuchsiashore-reason` header.
-    pub fn parse(text: &str) -> Option<Self> {
-        Self::ALL.into_iter().find(|refusal| refusal.as_str() == text)
-    }
-}
-
 /// Admission decision for an arriving call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GateAdmission {
@@ -110,21 +55,6 @@
     Leaving,
 }
 
-/// Call that arrives at the gate.
-#[derive(Debug, Clone)]
-pub struct GateArrival {
-    /// Name of its route.
-    pub route: Arc<str>,
-    /// Rank of its route; 0 is the most urgent.
-    pub priority: u8,
-    /// Time after which an answer counts as late. A call that would be queued and not answered by then is refused.
-    pub useful_until: TimePoint,
-    /// Time at which the call is given up.
-    pub deadline: TimePoint,
-    /// Time by which it must have a slot in any case.
-    pub start_by: TimePoint,
-}
-
 #[derive(Debug, Clone)]
 struct WaitingCall {
     ticket: TicketId,
@@ -142,19 +72,6 @@
     expected_ms: f64,
 }
 
-impl GateArrival {
-    /// Returns the time at which the call is refused if it is still queued: at `start_by`, or halfway between
-    /// `useful_until` and the deadline, as it would hardly be served after that, but early enough for the refusal to arrive
-    /// before the deadline.
-    pub fn wait_until(&self) -> TimePoint {
-        let margin_ms = self.deadline.ms_since(self.useful_until);
-        let halfway = self.useful_until.after_ms(margin_ms / 2);
-        halfway
-            .min(self.deadline.before_ms(REFUSAL_RETURN_MS))
-            .min(self.start_by)
-    }
-}
-
 impl WaitingCall {
     /// Returns the sort key of the queue, lowest for the most urgent call: by rank, then by `useful_until`, then by
     /// arrival.
@@ -210,9 +127,10 @@
         self.queue.len()
     }
 
-    /// Returns the load that is reported to the proxy of a call, with the run time of the call's route. The mean run
-    /// time is that of the calls that are here; the one of all calls while there are none.
-    pub fn load(&self, route: &str) -> LoadReport {
+    /// Returns the load that is reported to the proxy of a call, with the run time of the call's route and the expected
+    /// wait of a further call of its rank. The mean run time is that of the calls that are here; the one of all calls while
+    /// there are none.
+    pub fn load(&self, route: &str, priority: u8, now: TimePoint) -> LoadReport {
         let mut waiting = RankCounts::default();
         self.queue
             .iter()
@@ -230,6 +148,13 @@
             },
             route_run_ms: self.run_times.of_route(route).unwrap_or_default(),
             slowdown: self.slowdown,
+            wait_ms: Some(
+                self.wait_at(
+                    self.queue
+                        .partition_point(|other| other.arrival.priority > priority),
+                    now,
+                ),
+            ),
         }
     }
 
@@ -334,13 +259,18 @@
 
     /// Returns whether a call that takes the place `at` in the queue would be answered after its `useful_until`.
     fn is_too_late(&self, call: &WaitingCall, at: usize, now: TimePoint) -> bool {
+        let wait_ms = self.wait_at(at, now);
+        now.after_ms((wait_ms + call.expected_ms) as u64) > call.arrival.useful_until
+    }
+
+    /// Returns the expected wait of a call that takes the place `at` in the queue, in milliseconds.
+    fn wait_at(&self, at: usize, now: TimePoint) -> f64 {
         let running = self.running.values().map(|running| {
             let ran_ms = now.ms_since(running.started_at) as f64;
             time_left_ms(running.expected_ms, ran_ms)
         });
         let ahead = self.queue[at..].iter().rev().map(|ahead| ahead.expected_ms);
-        let wait_ms = wait_ms(self.open_slots(now) as usize, running, ahead);
-        now.after_ms((wait_ms + call.expected_ms) as u64) > call.arrival.useful_until
+        wait_ms(self.open_slots(now) as usize, running, ahead)
     }
 
     fn expected_ms(&self, arrival: &GateArrival, now: TimePoint) -> f64 {
--- a/tests/gate_kinds.rs
+++ b/tests/gate_kinds.rs
@@ -1,6 +1,7 @@
 //! Admission at the gate where a target runs short calls beside long ones.
 
 use fuchsiashore::{
+    call::LoadReport,
     clock::TimePoint,
     gate::{DequeueOutcome, GateAdmission, GateArrival, GateRefusal, GateState, RunTimes, TicketId},
 };
@@ -121,9 +122,9 @@
 #[test]
 fn reported_load_tells_the_run_time_of_the_calls_route() {
     let (mut gate, now) = trained_gate();
-    fill_with_long_calls(&mut gate, now);
+    let (_, now) = fill_with_long_calls(&mut gate, now);
     let reports = ["short", "long", "unknown"].map(|route| {
-        let report = gate.load(route);
+        let report = gate.load(route, 1, now);
         (report.running, report.run_ms.round(), report.route_run_ms.round())
     });
     assert_eq!(reports, [(6, 150.0, 15.0), (6, 150.0, 150.0), (6, 150.0, 0.0)]);
@@ -165,3 +166,21 @@
     assert_eq!(known.count(), 63);
     assert_eq!(run_times.of_route("kept"), Some(10.0));
 }
+
+/// The wait that a gate reports is the one by which it admits a call of that rank.
+#[test]
+fn reported_wait_is_that_of_the_rank() {
+    let (mut gate, now) = trained_gate();
+    assert_eq!(gate.load("long", 1, now).wait_ms, Some(0.0));
+    let (_, now) = fill_with_long_calls(&mut gate, now);
+    // The first two of the six count with a quarter of a run, 37.5 ms, and the third one ends in 60 ms.
+    for _ in 0..2 {
+        gate.arrive(arrival("long", 1_000, 1, now), now);
+    }
+    let waits = [0, 1].map(|priority| gate.load("short", priority, now).wait_ms.map(f64::round));
+    assert_eq!(waits, [Some(38.0), Some(60.0)]);
+    let reported: LoadReport = gate.load("short", 1, now).to_string().parse().unwrap();
+    assert_eq!(reported.wait_ms, Some(60.0));
+    let earlier: LoadReport = "6,150,0,2,0,0,15,100".parse().unwrap();
+    assert_eq!(earlier.wait_ms, None);
+}
