gates take nested calls first

Nothing on the wire marks such calls, and gates judged them by the time for which their answers are useful to themselves. A daemon now tells the routes that its target calls from those of callers by when their calls come after the starts of runs, and marks them in the hop header. Gates queue marked calls before new work of any rank and judge them by their deadline.

--- a/src/daemon/traffic/hop.rs
+++ b/src/daemon/traffic/hop.rs
@@ -60,6 +60,8 @@
     pub fingerprints: Option<CallFingerprints>,
     /// Organisation whose key the caller has shown.
     pub organisation: Option<Arc<str>>,
+    /// Whether a target makes the call in a run of its own.
+    pub is_nested: bool,
 }
 
 impl HopCall {
@@ -85,6 +87,9 @@
         if let Some(organisation) = &self.organisation {
             let _ = write!(text, " organisation={}", encode_word(organisation));
         }
+        if self.is_nested {
+            text.push_str(" nested=1");
+        }
         headers.insert(header::HOP, header_value(&text));
     }
 
@@ -106,6 +111,7 @@
             start_by: TimePoint::FAR_FUTURE,
             fingerprints: None,
             organisation: None,
+            is_nested: false,
         };
         // Earlier versions send fewer words.
         if let Some(word) = next() {
@@ -114,6 +120,7 @@
         for word in words {
             match word.split_once('=') {
                 Some(("organisation", name)) => call.organisation = Some(decode_word(name)?),
+                Some(("nested", flag)) => call.is_nested = flag == "1",
                 // A word of a later version.
                 Some(_) => {}
                 None => call.fingerprints = word.parse().ok(),
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -466,6 +466,7 @@
         useful_until: hop.useful_until,
         deadline: hop.deadline,
         start_by: hop.start_by,
+        is_nested: hop.is_nested,
     }
 }
 
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -28,11 +28,11 @@
         config::{CompiledPool, CompiledRoute, RouteMatch},
         daemon::{
             leave_schedule::LeaveSchedule,
-            refusals::request_subject,
+            refusals::{log_word, request_subject},
             shared::{ActiveCall, SharedState},
             snapshot::{ServingTarget, TrafficSnapshot},
         },
-        gate::GateRefusal,
+        gate::{GateRefusal, NestedVerdict},
         http::ConnectionCloser,
         quarantine::{CallFingerprints, RequestHead, RequestStanding},
     },
@@ -114,6 +114,8 @@
     is_suspect: bool,
     /// Whether a gate holds it back, of which this daemon may not have heard.
     is_held_back: bool,
+    /// Whether the target beside this daemon makes it in a run of its own.
+    is_nested: bool,
 }
 
 /// Answer that may be returned to the caller.
@@ -252,6 +254,7 @@
             0.0
         };
         let pool = Arc::clone(route.pool(draw));
+        let is_nested = self.is_nested(&route);
         Ok(RoutedCall {
             repeatable: route.is_repeatable(req.method().as_str()),
             arrived_at: now,
@@ -264,6 +267,7 @@
             ends: 0,
             is_suspect: false,
             is_held_back: false,
+            is_nested,
         })
     }
 
@@ -431,6 +435,7 @@
                 start_by: self.start_by(call, &target),
                 fingerprints: call.fingerprints,
                 organisation: None,
+                is_nested: call.is_nested,
             },
             in_flight_guard: InFlightGuard::new(shared, &target, call.route.priority),
             target,
@@ -525,6 +530,20 @@
         );
     }
 
+    /// Returns whether a call of a route that arrives now is made by the target beside this daemon in a run of its own.
+    fn is_nested(&self, route: &CompiledRoute) -> bool {
+        let shared = &self.shared;
+        let verdict = shared.gate.lock().state.record_call(&route.name, shared.now());
+        if verdict == NestedVerdict::Recognised {
+            log::info!("event=nested-route route={}", log_word(&route.name));
+        }
+        if verdict == NestedVerdict::Callers {
+            return false;
+        }
+        shared.metrics.nested_calls.inc();
+        true
+    }
+
     fn is_suspect(&self, call: &RoutedCall, target: &ServingTarget) -> bool {
         call.fingerprints.is_some_and(|fingerprints| {
             let now = self.shared.now();
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -2,12 +2,14 @@
 
 mod arrival;
 mod forecast;
+mod nested;
 mod refusal;
 mod run_times;
 mod state;
 
 pub use {
     arrival::GateArrival,
+    nested::{NestedRoutes, NestedVerdict},
     refusal::GateRefusal,
     run_times::RunTimes,
     state::{DequeueOutcome, GateAdmission, GateState, TicketId},
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -4,6 +4,7 @@
     super::{
         arrival::GateArrival,
         forecast::{time_left_ms, wait_ms},
+        nested::{NestedRoutes, NestedVerdict},
         refusal::GateRefusal,
         run_times::RunTimes,
     },
@@ -73,10 +74,16 @@
 }
 
 impl WaitingCall {
-    /// Returns the sort key of the queue, lowest for the most urgent call: by rank, then by `useful_until`, then by
-    /// arrival.
-    fn urgency(&self) -> (u8, TimePoint, TicketId) {
-        (self.arrival.priority, self.arrival.useful_until, self.ticket)
+    /// Returns the sort key of the queue, lowest for the most urgent call: nested ones, as their runs are in hand, then by
+    /// rank, by the time until which an answer is worth its run, and by arrival.
+    fn urgency(&self) -> (bool, u8, TimePoint, TicketId) {
+        let arrival = &self.arrival;
+        (
+            !arrival.is_nested,
+            arrival.priority,
+            arrival.answer_by(),
+            self.ticket,
+        )
     }
 }
 
@@ -93,6 +100,7 @@
     /// Number of the last ticket issued.
     last_ticket: u64,
     run_times: RunTimes,
+    nested_routes: NestedRoutes,
     /// How long work takes on the VM, relative to its usual time, as the target stated last; 1 if it has not.
     slowdown: f64,
 }
@@ -108,6 +116,7 @@
             queue: Vec::new(),
             last_ticket: 0,
             run_times: RunTimes::default(),
+            nested_routes: NestedRoutes::default(),
             slowdown: 1.0,
         }
     }
@@ -150,8 +159,9 @@
             slowdown: self.slowdown,
             wait_ms: Some(
                 self.wait_at(
-                    self.queue
-                        .partition_point(|other| other.arrival.priority > priority),
+                    self.queue.partition_point(|other| {
+                        !other.arrival.is_nested && other.arrival.priority > priority
+                    }),
                     now,
                 ),
             ),
@@ -260,7 +270,7 @@
     /// Returns whether a call that takes the place `at` in the queue would be answered after its `useful_until`.
     fn is_too_late(&self, call: &WaitingCall, at: usize, now: TimePoint) -> bool {
         let wait_ms = self.wait_at(at, now);
-        now.after_ms((wait_ms + call.expected_ms) as u64) > call.arrival.useful_until
+        now.after_ms((wait_ms + call.expected_ms) as u64) > call.arrival.answer_by()
     }
 
     /// Returns the expected wait of a call that takes the place `at` in the queue, in milliseconds.
@@ -285,6 +295,13 @@
             expected_ms: call.expected_ms,
         };
         self.running.insert(call.ticket, running);
+        self.nested_routes.record_start(now);
+    }
+
+    /// Records a call that arrived from beside this daemon, and returns whether a run of the target makes it.
+    pub fn record_call(&mut self, route: &Arc<str>, now: TimePoint) -> NestedVerdict {
+        let running = self.in_flight();
+        self.nested_routes.record_call(route, running, now)
     }
 
     /// Removes a queued call whose caller went away. Returns whether it was still queued.
@@ -319,7 +336,7 @@
     fn dequeue_next(&mut self, now: TimePoint) -> Option<WaitingCall> {
         let in_time = |call: &WaitingCall| {
             let median_ms = call.expected_ms * MEDIAN_RUN_FRACTION;
-            now.after_ms(median_ms as u64) <= call.arrival.useful_until
+            now.after_ms(median_ms as u64) <= call.arrival.answer_by()
         };
         let at = self.queue.iter().rposition(in_time);
         let at = at.or_else(|| self.queue.len().checked_sub(1))?;
--- a/src/lab/admission/rule.rs
+++ b/src/lab/admission/rule.rs
@@ -57,6 +57,7 @@
                 useful_until,
                 deadline,
                 start_by: deadline,
+                is_nested: false,
             },
             Self::OneMean => GateArrival {
                 route: "all".into(),
@@ -64,6 +65,7 @@
                 useful_until,
                 deadline,
                 start_by: deadline,
+                is_nested: false,
             },
             Self::FirstCome | Self::FixedQueue => GateArrival {
                 route: "all".into(),
@@ -71,6 +73,7 @@
                 useful_until: useful_until.after_ms(60_000 - kind.useful_ms),
                 deadline,
                 start_by: deadline,
+                is_nested: false,
             },
         }
     }
--- a/tests/gate_kinds.rs
+++ b/tests/gate_kinds.rs
@@ -21,6 +21,7 @@
         useful_until: now.after_ms(useful_ms),
         deadline: now.after_ms(useful_ms * 3),
         start_by: TimePoint::FAR_FUTURE,
+        is_nested: false,
     }
 }
 
--- a/tests/leave_schedule.rs
+++ b/tests/leave_schedule.rs
@@ -54,6 +54,7 @@
         useful_until: NOW.after_ms(60_000),
         deadline: NOW.after_ms(60_000),
         start_by: schedule().start_by(0),
+        is_nested: false,
     };
     let (first, _) = gate.arrive(arrival.clone(), NOW);
     assert!(matches!(first, GateAdmission::Run(_)), "{first:?}");
--- a/tests/request_fuzz.rs
+++ b/tests/request_fuzz.rs
@@ -369,6 +369,7 @@
             useful_until: deadline,
             deadline,
             start_by: deadline,
+            is_nested: false,
         };
         let (admission, evicted) = self.gates[target].arrive(arrival, self.now);
         match admission {
