gates tell nested calls by where they come from, and brake lost runs

Gates now compare the services beside which a route's calls come with those of other routes; a call that came while nothing ran beside it is a caller's. A gate whose runs are lost for refused nested calls lets a smaller share of the route's calls run, and the forecast follows the slowness that the target states for the moment.

Not yet measured on a deployment.

--- a/src/call/load.rs
+++ b/src/call/load.rs
@@ -57,6 +57,8 @@
     /// Expected wait of a new call of the rank of the call that the report was sent with, in milliseconds, until it has
     /// a slot; `None` from gates of earlier builds.
     pub wait_ms: Option<f64>,
+    /// Whether the gate knows the route of that call as one that targets call in runs of theirs.
+    pub is_nested: bool,
 }
 
 impl Default for LoadReport {
@@ -68,6 +70,7 @@
             route_run_ms: 0.0,
             slowdown: 1.0,
             wait_ms: None,
+            is_nested: false,
         }
     }
 }
@@ -93,7 +96,10 @@
             .iter()
             .try_for_each(|count| write!(f, ",{count}"))?;
         write!(f, ",{:.0},{:.0}", self.route_run_ms, self.slowdown * PERCENT)?;
-        self.wait_ms.map_or(Ok(()), |wait_ms| write!(f, ",{wait_ms:.0}"))
+        let Some(wait_ms) = self.wait_ms else {
+            return Ok(());
+        };
+        write!(f, ",{wait_ms:.0},{}", u8::from(self.is_nested))
     }
 }
 
@@ -118,6 +124,7 @@
         let slowdown = next().ok().and_then(|word| word.parse::<f64>().ok());
         let slowdown = slowdown.map_or(1.0, |percent| percent / PERCENT);
         let wait_ms = next().ok().and_then(|word| word.parse().ok());
+        let is_nested = next().is_ok_and(|word| word == "1");
         Ok(Self {
             running,
             waiting,
@@ -125,6 +132,7 @@
             route_run_ms,
             slowdown,
             wait_ms,
+            is_nested,
         })
     }
 }
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -162,7 +162,7 @@
     pub cleared_requests: Counter,
     /// Retries sent.
     pub retries: Counter,
-    /// Calls that the target beside this daemon made in runs of its own.
+    /// Calls at this gate that targets made in runs of theirs.
     pub nested_calls: Counter,
     /// Latency of answered calls by pool, in seconds.
     latency: Family<PoolLabels, Histogram, fn() -> Histogram>,
@@ -258,7 +258,7 @@
         registry.register("retries", "Retries sent", metrics.retries.clone());
         registry.register(
             "nested_calls",
-            "Calls that the target made in runs of its own",
+            "Calls at this gate that targets made in their runs",
             metrics.nested_calls.clone(),
         );
         registry.register(
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -204,6 +204,7 @@
             waiting: HashMap::new(),
         }),
         selector: Mutex::default(),
+        nested_routes: Mutex::default(),
         budget: Mutex::new(budget),
         evidence: Mutex::default(),
         moves: Mutex::new(MoveRegistry::default()),
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -15,6 +15,7 @@
         socket_budget::SocketBudget,
     },
     arc_swap::ArcSwap,
+    indexmap::IndexSet,
     parking_lot::Mutex,
     salvo::http::StatusCode,
     std::{
@@ -189,6 +190,8 @@
     pub gate: Mutex<GateQueue>,
     /// Load and failures of targets, by which this proxy selects the target of a call.
     pub selector: Mutex<TargetSelector>,
+    /// Routes that targets call in their runs, as gates reported them.
+    pub nested_routes: Mutex<IndexSet<Arc<str>>>,
     /// Retry budgets by pool.
     pub budget: Mutex<PoolBudgets>,
     /// Outcomes of calls at this daemon's gate.
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -12,6 +12,7 @@
         clock::TimePoint,
         config::CompiledPool,
         daemon::{
+            refusals::log_word,
             shared::{SharedState, TrafficEvent},
             snapshot::ServingTarget,
         },
@@ -29,6 +30,9 @@
     tokio::time::timeout,
 };
 
+/// Number of routes that are known as called by targets.
+const MAX_NESTED_ROUTES: usize = 64;
+
 /// Request of a call, from which the request of each attempt is built.
 pub struct ForwardedRequest {
     /// HTTP method.
@@ -330,6 +334,17 @@
         if load.route_run_ms > 0.0 {
             selector.record_route_run(&self.target.name, &self.hop.route, load.route_run_ms);
         }
+        self.record_nested(load.is_nested);
+    }
+
+    /// Records whether the gate knows the route as one that targets call.
+    fn record_nested(&self, is_nested: bool) {
+        let mut routes = self.shared.nested_routes.lock();
+        if !is_nested {
+            routes.swap_remove(&self.hop.route);
+        } else if routes.len() < MAX_NESTED_ROUTES && routes.insert(Arc::clone(&self.hop.route)) {
+            log::info!("event=nested-route route={}", log_word(&self.hop.route));
+        }
     }
 
     /// Returns whether the attempt failed because the caller's body broke off, was too large, or did not come in time.
--- a/src/daemon/traffic/hop.rs
+++ b/src/daemon/traffic/hop.rs
@@ -60,8 +60,8 @@
     pub fingerprints: Option<CallFingerprints>,
     /// Organisation whose key the caller has shown.
     pub organisation: Option<Arc<str>>,
-    /// Whether a target makes the call in a run of its own.
-    pub is_nested: bool,
+    /// Whether the target beside the proxy was running nothing when the call came, so that it can't have made it.
+    pub came_idle: bool,
 }
 
 impl HopCall {
@@ -87,8 +87,8 @@
         if let Some(organisation) = &self.organisation {
             let _ = write!(text, " organisation={}", encode_word(organisation));
         }
-        if self.is_nested {
-            text.push_str(" nested=1");
+        if self.came_idle {
+            text.push_str(" idle=1");
         }
         headers.insert(header::HOP, header_value(&text));
     }
@@ -111,7 +111,7 @@
             start_by: TimePoint::FAR_FUTURE,
             fingerprints: None,
             organisation: None,
-            is_nested: false,
+            came_idle: false,
         };
         // Earlier versions send fewer words.
         if let Some(word) = next() {
@@ -120,7 +120,7 @@
         for word in words {
             match word.split_once('=') {
                 Some(("organisation", name)) => call.organisation = Some(decode_word(name)?),
-                Some(("nested", flag)) => call.is_nested = flag == "1",
+                Some(("idle", flag)) => call.came_idle = flag == "1",
                 // A word of a later version.
                 Some(_) => {}
                 None => call.fingerprints = word.parse().ok(),
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -21,7 +21,7 @@
         transfer_report::TransferReport,
     },
     crate::{
-        call::CallOutcome,
+        call::{CallOutcome, LoadReport},
         clock::TimePoint,
         daemon::{
             listeners::report_refusal,
@@ -132,7 +132,14 @@
             add_outcome_headers(res, CallOutcome::NotRun, "bad-request");
             return;
         };
-        let result = match self.admit(req, &hop).await {
+        let is_nested = {
+            let mut gate = self.shared.gate.lock();
+            gate.state.record_call(&hop.route, &hop.caller, hop.came_idle)
+        };
+        if is_nested {
+            self.shared.metrics.nested_calls.inc();
+        }
+        let result = match self.admit(req, &hop, is_nested).await {
             Ok(AdmittedRun { slot, identity, run }) => self.run(req, res, &hop, &identity, (slot, run)).await,
             Err(refusal) => {
                 let body = req.take_body();
@@ -144,15 +151,16 @@
             refuse(&self.shared, req, res, &hop, &failure);
         }
         res.headers_mut().insert(header::CALL, header_value(&hop.id));
-        self.add_load_and_clearance(res, &hop);
+        self.add_load_and_clearance(res, &hop, is_nested);
     }
 
     /// Waits for the turn of a suspect, then for a slot, and lists the run.
-    async fn admit(&self, req: &Request, hop: &HopCall) -> Result<AdmittedRun, GateRefusal> {
-        let wait_until = arrival(hop).wait_until();
+    async fn admit(&self, req: &Request, hop: &HopCall, is_nested: bool) -> Result<AdmittedRun, GateRefusal> {
+        let arrival = arrival(hop, is_nested);
+        let wait_until = arrival.wait_until();
         loop {
             let turn = wait_for_turn(&self.shared, hop, wait_until).await?;
-            let (slot, identity) = self.wait_for_slot(hop).await?;
+            let (slot, identity) = self.wait_for_slot(hop, &arrival).await?;
             if let Some(run) = RunGuard::start(&self.shared, req, hop, &identity.version, turn)? {
                 return Ok(AdmittedRun { slot, identity, run });
             }
@@ -161,11 +169,14 @@
 
     /// Returns a slot and the target, after queueing the call if necessary. After a wait in the queue, the target is
     /// checked again, as it or the move may have changed.
-    async fn wait_for_slot(&self, hop: &HopCall) -> Result<(SlotGuard, Arc<TargetIdentity>), GateRefusal> {
+    async fn wait_for_slot(
+        &self,
+        hop: &HopCall,
+        arrival: &GateArrival,
+    ) -> Result<(SlotGuard, Arc<TargetIdentity>), GateRefusal> {
         let shared = &self.shared;
         let now = shared.now();
         self.check_target(hop, now)?;
-        let arrival = arrival(hop);
         let (ticket, receiver) = {
             let mut gate = shared.gate.lock();
             let (admission, evicted) = gate.state.arrive(arrival.clone(), now);
@@ -335,7 +346,7 @@
         if let Some(slowdown) = stated_load.and_then(|load| load.slowdown)
             && verdict != AnswerVerdict::Foreign
         {
-            shared.gate.lock().state.record_slowdown(slowdown);
+            shared.gate.lock().state.record_slowdown(slowdown, shared.now());
         }
         match verdict {
             AnswerVerdict::Ran => {}
@@ -364,6 +375,7 @@
                     RecordedOutcome::Answered
                 };
                 slot.is_successful = !failed;
+                slot.is_failed = failed;
                 let is_streaming = matches!(body, AnswerBody::Streaming { .. });
                 if is_streaming {
                     run.finish();
@@ -420,9 +432,10 @@
     }
 
     /// Adds the gate's load and, during a move, the pool's clearance to an answer, for the proxy that receives it.
-    fn add_load_and_clearance(&self, res: &mut Response, hop: &HopCall) {
+    fn add_load_and_clearance(&self, res: &mut Response, hop: &HopCall, is_nested: bool) {
         let now = self.shared.now();
         let load = self.shared.gate.lock().state.load(&hop.route, hop.priority, now);
+        let load = LoadReport { is_nested, ..load };
         let headers = res.headers_mut();
         headers.insert(header::LOAD, header_value(&load.to_string()));
         let snapshot = self.shared.snapshot.load();
@@ -459,14 +472,14 @@
     run: RunGuard,
 }
 
-fn arrival(hop: &HopCall) -> GateArrival {
+fn arrival(hop: &HopCall, is_nested: bool) -> GateArrival {
     GateArrival {
         route: Arc::clone(&hop.route),
         priority: hop.priority,
         useful_until: hop.useful_until,
         deadline: hop.deadline,
         start_by: hop.start_by,
-        is_nested: hop.is_nested,
+        is_nested,
     }
 }
 
--- a/src/daemon/traffic/inbound/slots.rs
+++ b/src/daemon/traffic/inbound/slots.rs
@@ -17,6 +17,8 @@
     /// Whether the target answered with a status other than 5xx. Only then does the run time count for the mean, as a
     /// failed run may have ended early.
     pub(super) is_successful: bool,
+    /// Whether the target answered with a 5xx status.
+    pub(super) is_failed: bool,
 }
 
 impl SlotGuard {
@@ -26,6 +28,7 @@
             ticket,
             started: Instant::now(),
             is_successful: false,
+            is_failed: false,
         }
     }
 }
@@ -37,6 +40,9 @@
             .is_successful
             .then(|| self.started.elapsed().as_secs_f64() * 1e3);
         let mut gate = self.shared.gate.lock();
+        if self.is_failed {
+            gate.state.fail(self.ticket);
+        }
         let outcomes = gate.state.finish(self.ticket, ran_ms, now);
         gate.wake(outcomes, now);
     }
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -28,11 +28,11 @@
         config::{CompiledPool, CompiledRoute, RouteMatch},
         daemon::{
             leave_schedule::LeaveSchedule,
-            refusals::{log_word, request_subject},
+            refusals::request_subject,
             shared::{ActiveCall, SharedState},
             snapshot::{ServingTarget, TrafficSnapshot},
         },
-        gate::{GateRefusal, NestedVerdict},
+        gate::GateRefusal,
         http::ConnectionCloser,
         quarantine::{CallFingerprints, RequestHead, RequestStanding},
     },
@@ -116,6 +116,8 @@
     is_held_back: bool,
     /// Whether the target beside this daemon makes it in a run of its own.
     is_nested: bool,
+    /// Whether that target was running nothing when the call came.
+    came_idle: bool,
 }
 
 /// Answer that may be returned to the caller.
@@ -254,7 +256,8 @@
             0.0
         };
         let pool = Arc::clone(route.pool(draw));
-        let is_nested = self.is_nested(&route);
+        let came_idle = shared.gate.lock().state.in_flight() == 0;
+        let is_nested = !came_idle && shared.nested_routes.lock().contains(&route.name);
         Ok(RoutedCall {
             repeatable: route.is_repeatable(req.method().as_str()),
             arrived_at: now,
@@ -268,6 +271,7 @@
             is_suspect: false,
             is_held_back: false,
             is_nested,
+            came_idle,
         })
     }
 
@@ -435,7 +439,7 @@
                 start_by: self.start_by(call, &target),
                 fingerprints: call.fingerprints,
                 organisation: None,
-                is_nested: call.is_nested,
+                came_idle: call.came_idle,
             },
             in_flight_guard: InFlightGuard::new(shared, &target, call.route.priority),
             target,
@@ -488,6 +492,10 @@
             detail,
         } = refusal;
         let (route, pool) = call.map_or(("", ""), |call| (&*call.route.name, &*call.pool.name));
+        if call.is_some_and(|call| call.is_nested) {
+            let now = self.shared.now();
+            self.shared.gate.lock().state.record_refused_call(now);
+        }
         self.shared.metrics.count_refusal(route, pool, *outcome);
         let status = refusal_status(*outcome, *reason);
         let subject = (route, request_subject(req));
@@ -530,20 +538,6 @@
         );
     }
 
-    /// Returns whether a call of a route that arrives now is made by the target beside this daemon in a run of its own.
-    fn is_nested(&self, route: &CompiledRoute) -> bool {
-        let shared = &self.shared;
-        let verdict = shared.gate.lock().state.record_call(&route.name, shared.now());
-        if verdict == NestedVerdict::Recognised {
-            log::info!("event=nested-route route={}", log_word(&route.name));
-        }
-        if verdict == NestedVerdict::Callers {
-            return false;
-        }
-        shared.metrics.nested_calls.inc();
-        true
-    }
-
     fn is_suspect(&self, call: &RoutedCall, target: &ServingTarget) -> bool {
         call.fingerprints.is_some_and(|fingerprints| {
             let now = self.shared.now();
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -1,15 +1,19 @@
 //! The gate beside each target. All calls to the target pass through it, so it has the exact outcome of each.
 
 mod arrival;
+mod brake;
 mod forecast;
 mod nested;
+mod pace;
 mod refusal;
 mod run_times;
 mod state;
 
 pub use {
     arrival::GateArrival,
-    nested::{NestedRoutes, NestedVerdict},
+    brake::RunBrake,
+    nested::NestedRoutes,
+    pace::TargetPace,
     refusal::GateRefusal,
     run_times::RunTimes,
     state::{DequeueOutcome, GateAdmission, GateState, TicketId},
--- a/src/gate/nested.rs
+++ b/src/gate/nested.rs
@@ -1,89 +1,102 @@
-//! Recognition of nested calls: those that the target makes itself while it runs a call. Nothing on the wire marks them, but
-//! they come right after the start of a run, whereas callers know nothing of runs.
+//! Recognition of nested calls: those that targets make themselves while they run a call. Nothing on the wire marks them, but
+//! callers come to the daemons of all services, whereas a nested call comes only from beside the service whose runs make it,
+//! and never while the target there runs nothing.
 
-use {crate::clock::TimePoint, indexmap::IndexMap, std::sync::Arc};
+use {indexmap::IndexMap, std::sync::Arc};
 
-/// Time after the start of a run in which its nested calls come, in milliseconds.
-const START_WINDOW_MS: u64 = 12;
-/// Share of the calls of a nested route that come within this time.
-const NESTED_WINDOW_SHARE: f64 = 0.9;
-/// Log-likelihood ratio from which a route is nested: one caller's route in a thousand gets there by chance.
-const NESTED_SCORE: f64 = 7.0;
-/// Log-likelihood ratio from which it isn't any more.
-const CALLERS_SCORE: f64 = 0.0;
-/// Limits of the ratio, so that a route that changes its use is followed.
-const SCORE_LIMITS: (f64, f64) = (-5.0, 12.0);
-/// Weight of a new sample in the moving average of the share of time that lies within the window after a start.
-const COVERAGE_WEIGHT: f64 = 0.05;
-/// Limits of this share, as the ratio is not defined at 0 and says nothing at 1.
-const COVERAGE_LIMITS: (f64, f64) = (0.02, 0.95);
-/// Number of routes that are followed.
-const MAX_ROUTES: usize = 64;
+/// Log-likelihood ratio from which a route is nested.
+const NESTED_SCORE: f64 = 8.0;
+/// Share of a route's calls below which a service does not count as a caller of it.
+const MIN_CALLER_SHARE: f64 = 0.005;
+/// Largest share of other routes' calls that is taken to be missing, as the ratio is not defined at 1.
+const MAX_MISSING_SHARE: f64 = 0.99;
+/// Number of calls of other routes without which nothing is known.
+const MIN_OTHER_CALLS: f64 = 20.0;
+/// Number of calls of a route for which it is a callers' route after one that came while nothing ran beside it.
+const CALLS_AFTER_IDLE: u32 = 500;
+/// Number of calls of a route after which its counts are halved, so that a route that changes its use is followed.
+const MAX_COUNT: f64 = 1_000.0;
+/// Number of routes that are followed, and of services of each.
+const MAX_NAMES: usize = 64;
 
-/// Log-likelihood ratio of one route, nested over callers'.
-#[derive(Debug, Clone, Copy, Default)]
-struct RouteScore {
-    score: f64,
-    is_nested: bool,
+/// Calls by the service beside whose target they came.
+#[derive(Debug, Clone, Default)]
+struct CallerCounts {
+    by_service: IndexMap<Arc<str>, f64>,
+    total: f64,
+}
+
+impl CallerCounts {
+    fn add(&mut self, service: &Arc<str>, count: f64) {
+        if let Some(known) = self.by_service.get_mut(service) {
+            *known += count;
+        } else if self.by_service.len() < MAX_NAMES {
+            self.by_service.insert(Arc::clone(service), count);
+        }
+        self.total += count;
+    }
+
+    fn of(&self, service: &str) -> f64 {
+        self.by_service.get(service).copied().unwrap_or_default()
+    }
+
+    fn halve(&mut self) {
+        self.total /= 2.0;
+        self.by_service.values_mut().for_each(|count| *count /= 2.0);
+    }
 }
 
-/// Routes by whether their calls come from the runs of the target beside this daemon: a sequential probability ratio test.
 #[derive(Debug, Clone, Default)]
-pub struct NestedRoutes {
-    last_start: Option<TimePoint>,
-    /// Moving average of the share of time that lies within the window after a start.
-    coverage: f64,
-    routes: IndexMap<Arc<str>, RouteScore>,
+struct RouteCallers {
+    counts: CallerCounts,
+    /// Number of calls for which the route stays a callers' route.
+    callers_left: u32,
 }
 
-/// What a call shows of its route.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NestedVerdict {
-    /// It comes from a caller.
-    Callers,
-    /// It comes from a run of the target.
-    Nested,
-    /// The same, and this is the call that showed it.
-    Recognised,
+/// Routes of the calls at one gate, by whether targets make them.
+#[derive(Debug, Clone, Default)]
+pub struct NestedRoutes {
+    routes: IndexMap<Arc<str>, RouteCallers>,
+    all: CallerCounts,
 }
 
 impl NestedRoutes {
-    /// Records the start of a run at the target.
-    pub fn record_start(&mut self, now: TimePoint) {
-        if let Some(last_start) = self.last_start {
-            let gap_ms = now.ms_since(last_start).max(1);
-            let covered = gap_ms.min(START_WINDOW_MS) as f64 / gap_ms as f64;
-            // By time, so that one long gap counts as much as many short ones.
-            let weight = 1.0 - (1.0 - COVERAGE_WEIGHT).powf(gap_ms as f64 / START_WINDOW_MS as f64);
-            self.coverage += (covered - self.coverage) * weight;
-        }
-        self.last_start = Some(now);
-    }
-
-    /// Records a call that arrived from beside this daemon, and returns where it comes from. `running` is the number of
-    /// calls at the target.
-    pub fn record_call(&mut self, route: &Arc<str>, running: u32, now: TimePoint) -> NestedVerdict {
-        let in_window = running > 0
-            && self
-                .last_start
-                .is_some_and(|start| now.ms_since(start) <= START_WINDOW_MS);
-        let coverage = self.coverage.clamp(COVERAGE_LIMITS.0, COVERAGE_LIMITS.1);
-        let ratio = if in_window {
-            NESTED_WINDOW_SHARE / coverage
-        } else {
-            (1.0 - NESTED_WINDOW_SHARE) / (1.0 - coverage)
-        };
-        if !self.routes.contains_key(route) && self.routes.len() >= MAX_ROUTES {
-            return NestedVerdict::Callers;
+    /// Records a call that came from beside a service, and returns whether targets of it make the calls of this route.
+    /// `came_idle` is set if its target was running nothing.
+    pub fn record_call(&mut self, route: &Arc<str>, service: &Arc<str>, came_idle: bool) -> bool {
+        if !self.routes.contains_key(route) && self.routes.len() >= MAX_NAMES {
+            return false;
         }
         let known = self.routes.entry(Arc::clone(route)).or_default();
-        known.score = (known.score + ratio.ln()).clamp(SCORE_LIMITS.0, SCORE_LIMITS.1);
-        let was_nested = known.is_nested;
-        known.is_nested = known.score >= NESTED_SCORE || (was_nested && known.score > CALLERS_SCORE);
-        match (known.is_nested && running > 0, was_nested) {
-            (false, _) => NestedVerdict::Callers,
-            (true, false) => NestedVerdict::Recognised,
-            (true, true) => NestedVerdict::Nested,
+        known.counts.add(service, 1.0);
+        self.all.add(service, 1.0);
+        if known.counts.total > MAX_COUNT {
+            for (service, count) in &known.counts.by_service {
+                self.all.add(service, -count / 2.0);
+            }
+            known.counts.halve();
         }
+        known.callers_left = if came_idle {
+            CALLS_AFTER_IDLE
+        } else {
+            known.callers_left.saturating_sub(1)
+        };
+        known.callers_left == 0 && missing_score(&known.counts, &self.all) >= NESTED_SCORE
+    }
+}
+
+/// Returns the log-likelihood ratio of a route's calls coming only from the services that they came from, over them coming
+/// from the services that calls of other routes come from.
+fn missing_score(route: &CallerCounts, all: &CallerCounts) -> f64 {
+    let other_calls = all.total - route.total;
+    if other_calls < MIN_OTHER_CALLS {
+        return 0.0;
     }
+    let is_missing = |service: &str| route.of(service) < route.total * MIN_CALLER_SHARE;
+    let missing = all.by_service.iter().filter(|(service, _)| is_missing(service));
+    let missing = missing
+        .map(|(service, count)| count - route.of(service))
+        .sum::<f64>();
+    let missing_share = (missing / other_calls).min(MAX_MISSING_SHARE);
+    -route.total * (1.0 - missing_share).ln()
 }
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -3,8 +3,10 @@
 use {
     super::{
         arrival::GateArrival,
+        brake::RunBrake,
         forecast::{time_left_ms, wait_ms},
-        nested::{NestedRoutes, NestedVerdict},
+        nested::NestedRoutes,
+        pace::TargetPace,
         refusal::GateRefusal,
         run_times::RunTimes,
     },
@@ -101,8 +103,8 @@
     last_ticket: u64,
     run_times: RunTimes,
     nested_routes: NestedRoutes,
-    /// How long work takes on the VM, relative to its usual time, as the target stated last; 1 if it has not.
-    slowdown: f64,
+    brake: RunBrake,
+    pace: TargetPace,
 }
 
 impl GateState {
@@ -117,13 +119,14 @@
             last_ticket: 0,
             run_times: RunTimes::default(),
             nested_routes: NestedRoutes::default(),
-            slowdown: 1.0,
+            brake: RunBrake::default(),
+            pace: TargetPace::default(),
         }
     }
 
     /// Records how long work takes on the VM at this moment, relative to its usual time.
-    pub fn record_slowdown(&mut self, slowdown: f64) {
-        self.slowdown = slowdown;
+    pub fn record_slowdown(&mut self, slowdown: f64, now: TimePoint) {
+        self.pace.record(slowdown, now);
     }
 
     /// Returns the number of calls that the target is running.
@@ -156,7 +159,7 @@
                 self.run_times.mean_ms()
             },
             route_run_ms: self.run_times.of_route(route).unwrap_or_default(),
-            slowdown: self.slowdown,
+            slowdown: self.pace.stated(),
             wait_ms: Some(
                 self.wait_at(
                     self.queue.partition_point(|other| {
@@ -165,6 +168,7 @@
                     now,
                 ),
             ),
+            is_nested: false,
         }
     }
 
@@ -201,7 +205,7 @@
     pub fn reopen(&mut self, slots: u32, now: TimePoint) {
         self.slots = slots;
         self.run_times = RunTimes::default();
-        self.slowdown = 1.0;
+        self.pace = TargetPace::default();
         self.mode = GateMode::Serving {
             since: now.before_ms(SLOW_START_MS),
         };
@@ -241,16 +245,19 @@
             arrival,
             expected_ms,
         };
-        if self.in_flight() < self.open_slots(now) && self.queue.is_empty() {
-            self.start(call, now);
-            return (GateAdmission::Run(ticket), None);
-        }
+        let has_slot = self.in_flight() < self.open_slots(now) && self.queue.is_empty();
         let at = self
             .queue
             .partition_point(|other| other.urgency() > call.urgency());
-        if self.is_too_late(&call, at, now) || (self.queue.len() >= self.queue_limit && at == 0) {
+        let is_hopeless = !has_slot
+            && (self.is_too_late(&call, at, now) || (self.queue.len() >= self.queue_limit && at == 0));
+        if is_hopeless || (!call.arrival.is_nested && !self.brake.admit(&call.arrival.route)) {
             return (GateAdmission::Refuse(GateRefusal::Full), None);
         }
+        if has_slot {
+            self.start(call, now);
+            return (GateAdmission::Run(ticket), None);
+        }
         self.queue.insert(at, call);
         let evicted = (self.queue.len() > self.queue_limit).then(|| self.queue.remove(0));
         let outcome = evicted.map(|call| DequeueOutcome::Refuse(call.ticket, GateRefusal::Full));
@@ -263,23 +270,47 @@
         let ended = self.running.swap_remove(&ticket);
         if let (Some(call), Some(ran_ms)) = (ended, ran_ms) {
             self.run_times.record(&call.route, ran_ms);
+            self.brake.record_end(&call.route, false, call.started_at);
         }
         self.tick(now)
     }
 
+    /// Records that the target failed a call that it is running. [`Self::finish`] follows.
+    pub fn fail(&mut self, ticket: TicketId) {
+        if let Some(call) = self.running.get(&ticket) {
+            self.brake.record_end(&call.route, true, call.started_at);
+        }
+    }
+
+    /// Records that a call was refused which the target made in a run of its own.
+    pub fn record_refused_call(&mut self, now: TimePoint) {
+        self.brake.record_refused_call(now);
+    }
+
+    /// Returns the share of the calls of a route that the gate lets run; below 1 while runs are lost for refused nested
+    /// calls.
+    pub fn run_share(&self, route: &str) -> f64 {
+        self.brake.share(route)
+    }
+
     /// Returns whether a call that takes the place `at` in the queue would be answered after its `useful_until`.
     fn is_too_late(&self, call: &WaitingCall, at: usize, now: TimePoint) -> bool {
         let wait_ms = self.wait_at(at, now);
-        now.after_ms((wait_ms + call.expected_ms) as u64) > call.arrival.answer_by()
+        let run_ms = call.expected_ms * self.pace.factor(now);
+        now.after_ms((wait_ms + run_ms) as u64) > call.arrival.answer_by()
     }
 
     /// Returns the expected wait of a call that takes the place `at` in the queue, in milliseconds.
     fn wait_at(&self, at: usize, now: TimePoint) -> f64 {
+        let pace = self.pace.factor(now);
         let running = self.running.values().map(|running| {
             let ran_ms = now.ms_since(running.started_at) as f64;
-            time_left_ms(running.expected_ms, ran_ms)
+            time_left_ms(running.expected_ms * pace, ran_ms)
         });
-        let ahead = self.queue[at..].iter().rev().map(|ahead| ahead.expected_ms);
+        let ahead = self.queue[at..]
+            .iter()
+            .rev()
+            .map(|ahead| ahead.expected_ms * pace);
         wait_ms(self.open_slots(now) as usize, running, ahead)
     }
 
@@ -295,13 +326,12 @@
             expected_ms: call.expected_ms,
         };
         self.running.insert(call.ticket, running);
-        self.nested_routes.record_start(now);
     }
 
-    /// Records a call that arrived from beside this daemon, and returns whether a run of the target makes it.
-    pub fn record_call(&mut self, route: &Arc<str>, now: TimePoint) -> NestedVerdict {
-        let running = self.in_flight();
-        self.nested_routes.record_call(route, running, now)
+    /// Records a call that came from beside a service, and returns whether targets of it make the calls of this route.
+    /// `came_idle` is set if its target was running nothing.
+    pub fn record_call(&mut self, route: &Arc<str>, service: &Arc<str>, came_idle: bool) -> bool {
+        self.nested_routes.record_call(route, service, came_idle)
     }
 
     /// Removes a queued call whose caller went away. Returns whether it was still queued.
@@ -334,8 +364,9 @@
     /// the median run time of its route. If there is none, removes the most urgent call; late calls come last, as they would delay
     /// others.
     fn dequeue_next(&mut self, now: TimePoint) -> Option<WaitingCall> {
+        let pace = self.pace.factor(now);
         let in_time = |call: &WaitingCall| {
-            let median_ms = call.expected_ms * MEDIAN_RUN_FRACTION;
+            let median_ms = call.expected_ms * pace * MEDIAN_RUN_FRACTION;
             now.after_ms(median_ms as u64) <= call.arrival.answer_by()
         };
         let at = self.queue.iter().rposition(in_time);
--- a/src/lab/admission/pattern.rs
+++ b/src/lab/admission/pattern.rs
@@ -74,6 +74,23 @@
                 },
             ],
         },
+        LoadPattern {
+            name: "runs that call among equals",
+            kinds: vec![
+                CallKind {
+                    inner: Some(2),
+                    ..call("parent", 1, 80.0, 400, 0.7)
+                },
+                CallKind {
+                    service: 1,
+                    ..call("beside", 1, 100.0, 500, 0.3)
+                },
+                CallKind {
+                    service: 1,
+                    ..call("inner", 1, 25.0, 100, 0.0)
+                },
+            ],
+        },
         LoadPattern {
             name: "refused and come back",
             kinds: vec![
--- a/src/lab/admission/play.rs
+++ b/src/lab/admission/play.rs
@@ -208,8 +208,10 @@
             kind,
             first_at,
             deadline,
+            parent,
             ..
         } = self.calls[call].clone();
+        let is_nested = parent.is_some();
         if self.calls[call].is_over {
             return;
         }
@@ -224,7 +226,7 @@
         for gate in gates {
             let arrival = self
                 .rule
-                .arrival(kind, first_at.after_ms(kind.useful_ms), deadline);
+                .arrival(kind, (first_at.after_ms(kind.useful_ms), deadline), is_nested);
             let (admission, evicted) = self.gates[gate].arrive(arrival, self.now);
             self.apply_outcomes(gate, evicted.into_iter().collect());
             match admission {
@@ -282,6 +284,9 @@
         figures.in_time += u32::from(is_served && took_ms <= self.pattern.kinds[kind].useful_ms);
         figures.wasted += u32::from(!is_answered);
         if let Some((gate, ticket)) = place {
+            if !is_answered {
+                self.gates[gate].fail(ticket);
+            }
             let outcomes = self.gates[gate].finish(ticket, ran_ms.filter(|_| is_answered), self.now);
             self.apply_outcomes(gate, outcomes);
         }
@@ -295,6 +300,10 @@
         if is_served {
             self.end_if_done(parent);
         } else {
+            let gate = self.calls[parent].place.map(|(gate, _)| gate);
+            if let Some(gate) = gate.filter(|_| self.rule == AdmissionRule::Nested) {
+                self.gates[gate].record_refused_call(self.now);
+            }
             self.end(parent, false);
         }
     }
--- a/src/lab/admission/rule.rs
+++ b/src/lab/admission/rule.rs
@@ -13,7 +13,10 @@
 /// How gates decide who runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AdmissionRule {
-    /// The product: rank, then useful time; refused if the answer would be late by the run times of each route.
+    /// The product: nested calls, then by rank and useful time; refused if the answer would be late by the run times of
+    /// each route; no runs that would be lost.
+    Nested,
+    /// The same without regard to what is nested: rank, then useful time.
     ByRoute,
     /// The same with one mean run time for all kinds.
     OneMean,
@@ -25,11 +28,18 @@
 
 impl AdmissionRule {
     /// All rules, the product's first.
-    pub const ALL: [Self; 4] = [Self::ByRoute, Self::OneMean, Self::FirstCome, Self::FixedQueue];
+    pub const ALL: [Self; 5] = [
+        Self::Nested,
+        Self::ByRoute,
+        Self::OneMean,
+        Self::FirstCome,
+        Self::FixedQueue,
+    ];
 
     /// Returns the name in the table.
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::Nested => "nested first",
             Self::ByRoute => "by route",
             Self::OneMean => "one mean",
             Self::FirstCome => "first come",
@@ -47,17 +57,17 @@
     pub(super) fn arrival(
         self,
         kind: &CallKind,
-        useful_until: TimePoint,
-        deadline: TimePoint,
+        (useful_until, deadline): (TimePoint, TimePoint),
+        is_nested: bool,
     ) -> GateArrival {
         match self {
-            Self::ByRoute => GateArrival {
+            Self::Nested | Self::ByRoute => GateArrival {
                 route: kind.route.into(),
                 priority: kind.priority,
                 useful_until,
                 deadline,
                 start_by: deadline,
-                is_nested: false,
+                is_nested: is_nested && self == Self::Nested,
             },
             Self::OneMean => GateArrival {
                 route: "all".into(),
