Calls to a cold target are paced at its gate

A target that had turned cold got as many calls as its slots ran: up to 32 in a second where 26 were allowed, and some ended under them. The gate now counts the starts of the last second, takes the cold time from the announcements, and starts no more than the pool's cold_calls_per_s times cold_overshoot while it lasts; what can't start in its useful time is refused at once as not run. Without both settings nothing changes.

--- a/benches/scale.rs
+++ b/benches/scale.rs
@@ -240,6 +240,7 @@
             version: "2026.12.1".into(),
             finish_by: Some(TimePoint(1_800_000_000_000)),
             policy: MovePolicy::Cautious,
+            cold_calls_per_s: None,
         };
         tables.pools.insert(format!("pool-{number}").into(), pool);
         for route in 0..2 {
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -183,11 +183,18 @@
         "cautious" => Some(MovePolicy::Cautious),
         _ => None,
     });
+    let cold_calls_per_s = section.take_parsed(
+        "cold_calls_per_s",
+        "write a whole number from 1",
+        faults,
+        |text| text.parse().ok().filter(|number| *number > 0),
+    );
     PoolEntry {
         service: section.take_required("service", faults),
         version: section.take_required("version", faults),
         finish_by,
         policy: policy.unwrap_or_default(),
+        cold_calls_per_s,
     }
 }
 
@@ -254,7 +261,11 @@
         if let Some(finish_by) = pool.finish_by {
             let _ = writeln!(text, "finish_by = {finish_by}");
         }
-        let _ = writeln!(text, "policy = {policy}\n");
+        let _ = writeln!(text, "policy = {policy}");
+        if let Some(calls) = pool.cold_calls_per_s {
+            let _ = writeln!(text, "cold_calls_per_s = {calls}");
+        }
+        text.push('\n');
     }
     text
 }
--- a/src/config/tables.rs
+++ b/src/config/tables.rs
@@ -155,6 +155,10 @@
         pub finish_by: Option<TimePoint>,
         /// Which goal comes first in moves of this pool.
         pub policy: MovePolicy,
+        /// Number of calls that a cold target of the service bears in a second; `None` if it bears any number. Left out
+        /// then, so that an entry without it keeps its encoding.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub cold_calls_per_s: Option<u32>,
     }
 }
 
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -236,6 +236,7 @@
             format!("version={version} source={source} after_ms={delay_ms} edition={edition}"),
             now,
         );
+        self.limit_cold_calls(&table);
         let table = Arc::new(table);
         self.moves.set_table(&table, now);
         let is_open = |pool: &str, move_id: u64| {
@@ -250,6 +251,20 @@
         self.publish_snapshot();
     }
 
+    /// Sets the pace of calls while this daemon's target is cold, from the pools of its service.
+    fn limit_cold_calls(&self, table: &CompiledTable) {
+        let settings = &self.shared.settings;
+        let own_pools = table
+            .pools
+            .values()
+            .filter(|pool| pool.entry.service == settings.target.service);
+        let calls_per_s = own_pools.filter_map(|pool| pool.entry.cold_calls_per_s).min();
+        let limit = calls_per_s
+            .zip(settings.cold_overshoot_percent)
+            .map(|(calls_per_s, percent)| (u64::from(calls_per_s) * u64::from(percent) / 100) as u32);
+        self.shared.gate.lock().state.cold().set_limit(limit);
+    }
+
     /// Handles the result of writing the verdict of a move.
     pub(super) fn finish_verdict(
         &mut self,
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -286,7 +286,10 @@
                     .record(EventKind::Ejected, format!("target={target}"), now);
             }
             ControlEvent::Traffic(TrafficEvent::Quarantine(notice)) => self.publish_notice(&notice, now),
-            ControlEvent::Traffic(TrafficEvent::TargetRefuses) => self.finish_target_probe(false, now),
+            ControlEvent::Traffic(TrafficEvent::TargetRefuses) => {
+                self.shared.gate.lock().state.cold().record_uncertain(now);
+                self.finish_target_probe(false, now);
+            }
             ControlEvent::Query(query) => self.answer_query(query, now),
             ControlEvent::Drain => self.start_drain(now),
             ControlEvent::Reload => self.reload(now),
--- a/src/daemon/control/target.rs
+++ b/src/daemon/control/target.rs
@@ -133,6 +133,7 @@
             address,
             slots,
             is_leaving,
+            cold_until,
         } = announcement;
         let mut was_heard = false;
         if let Some(current) = &mut self.announced {
@@ -146,6 +147,7 @@
             if is_same {
                 current.seq = seq;
                 was_heard = true;
+                self.record_cold(cold_until, now);
                 if is_leaving {
                     self.record_target_departed(id, born, "the target drains", now);
                     return true;
@@ -155,6 +157,9 @@
                 }
             }
         }
+        if !was_heard {
+            self.record_cold(cold_until, now);
+        }
         self.announced = Some(AnnouncedTarget {
             id: Arc::clone(&id),
             born,
@@ -191,6 +196,20 @@
         true
     }
 
+    /// Records until when the target is cold, as it states itself.
+    fn record_cold(&mut self, cold_until: TimePoint, now: TimePoint) {
+        let mut gate = self.shared.gate.lock();
+        let was_pacing = gate.state.cold().is_pacing(now);
+        gate.state.cold().record_announced(cold_until);
+        let is_pacing = gate.state.cold().is_pacing(now);
+        drop(gate);
+        if is_pacing && !was_pacing {
+            let cold_ms = cold_until.ms_since(now);
+            log::info!("event=target-cold cold_ms={cold_ms}");
+            self.shared.metrics.cold_spells.inc();
+        }
+    }
+
     /// Opens the gate of a target that was held back until the departures were read.
     pub(super) fn open_held_target(&mut self, now: TimePoint) {
         let is_present = self
--- a/src/daemon/edges.rs
+++ b/src/daemon/edges.rs
@@ -123,6 +123,8 @@
     pub slots: u32,
     /// Whether the target is about to stop.
     pub is_leaving: bool,
+    /// Until when the target is cold, by this daemon's clock; a time that has passed if it isn't.
+    pub cold_until: TimePoint,
 }
 
 /// Message from a target about its own state.
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -156,6 +156,8 @@
     pub members: Gauge,
     /// Unannounced ends of the target beside this daemon.
     pub target_ends: Counter,
+    /// Times at which the target beside this daemon turned cold, so that its calls were paced.
+    pub cold_spells: Counter,
     /// Requests that were held back.
     pub held_requests: Counter,
     /// Requests that ran well here after several targets had ended under them.
@@ -192,6 +194,7 @@
             version: Gauge::default(),
             members: Gauge::default(),
             target_ends: Counter::default(),
+            cold_spells: Counter::default(),
             held_requests: Counter::default(),
             cleared_requests: Counter::default(),
             retries: Counter::default(),
@@ -263,8 +266,13 @@
     }
 }
 
-/// Registers the metrics of requests that end targets.
+/// Registers the metrics of the target beside this daemon and of requests that end targets.
 fn register_quarantine(registry: &mut Registry, metrics: &DaemonMetrics) {
+    registry.register(
+        "cold_spells",
+        "Times at which the target beside this daemon turned cold, so that its calls were paced",
+        metrics.cold_spells.clone(),
+    );
     registry.register(
         "target_ends",
         "Unannounced ends of the target beside this daemon",
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -1,10 +1,14 @@
 //! The gate beside each target. All calls to the target pass through it, so it has the exact outcome of each.
 
+mod cold;
 mod forecast;
+mod refusal;
 mod run_times;
 mod state;
 
 pub use {
+    cold::ColdPacer,
+    refusal::GateRefusal,
     run_times::RunTimes,
-    state::{DequeueOutcome, GateAdmission, GateArrival, GateRefusal, GateState, TicketId},
+    state::{DequeueOutcome, GateAdmission, GateArrival, GateState, TicketId},
 };
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{
+        cold::ColdPacer,
         forecast::{time_left_ms, wait_ms},
+        refusal::GateRefusal,
         run_times::RunTimes,
     },
     crate::{
@@ -26,60 +28,6 @@
     pub struct TicketId(pub u64);
 }
 
-key_type! {
-    /// Reason for which a gate refuses a call. None of these calls ran.
-    pub enum GateRefusal {
-        /// The queue is full, or the call would be answered too late.
-        Full,
-        /// The target is leaving.
-        Leaving,
-        /// The target is not ready.
-        Starting,
-        /// The call reached its [`GateArrival::wait_until`] before a slot was free.
-        Expired,
-        /// The target's version is stopped or not cleared for the pool.
-        Stopped,
-        /// The target beside this gate is not the one that the request names.
-        OtherTarget,
-        /// The target itself rejected the call without running it.
-        Shed,
-        /// Targets ended under this request, so it is held back.
-        Quarantined,
-    }
-}
-
-impl GateRefusal {
-    const ALL: [Self; 8] = [
-        Self::Full,
-        Self::Leaving,
-        Self::Starting,
-        Self::Expired,
-        Self::Stopped,
-        Self::OtherTarget,
-        Self::Shed,
-        Self::Quarantined,
-    ];
-
-    /// Returns the reason as written to the `fuchsiashore-reason` header.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Full => "target-full",
-            Self::Leaving => "target-leaving",
-            Self::Starting => "target-starting",
-            Self::Expired => "deadline-passed",
-            Self::Stopped => "version-stopped",
-            Self::OtherTarget => "other-target",
-            Self::Shed => "target-shed",
-            Self::Quarantined => "quarantined",
-        }
-    }
-
-    /// Returns the refusal for a reason from the `fuchsiashore-reason` header.
-    pub fn parse(text: &str) -> Option<Self> {
-        Self::ALL.into_iter().find(|refusal| refusal.as_str() == text)
-    }
-}
-
 /// Admission decision for an arriving call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GateAdmission {
@@ -178,6 +126,7 @@
     run_times: RunTimes,
     /// How long work takes on the VM, relative to its usual time, as the target stated last; 1 if it has not.
     slowdown: f64,
+    cold: ColdPacer,
 }
 
 impl GateState {
@@ -192,9 +141,15 @@
             last_ticket: 0,
             run_times: RunTimes::default(),
             slowdown: 1.0,
+            cold: ColdPacer::default(),
         }
     }
 
+    /// Returns the pace of calls while the target is cold.
+    pub fn cold(&mut self) -> &mut ColdPacer {
+        &mut self.cold
+    }
+
     /// Records how long work takes on the VM at this moment, relative to its usual time.
     pub fn record_slowdown(&mut self, slowdown: f64) {
         self.slowdown = slowdown;
@@ -306,7 +261,7 @@
             arrival,
             expected_ms,
         };
-        if self.in_flight() < self.open_slots(now) && self.queue.is_empty() {
+        if self.may_start(now) && self.queue.is_empty() {
             self.start(call, now);
             return (GateAdmission::Run(ticket), None);
         }
@@ -340,7 +295,8 @@
         });
         let ahead = self.queue[at..].iter().rev().map(|ahead| ahead.expected_ms);
         let wait_ms = wait_ms(self.open_slots(now) as usize, running, ahead);
-        now.after_ms((wait_ms + call.expected_ms) as u64) > call.arrival.useful_until
+        let pace_ms = self.cold.wait_ms(self.queue.len() - at, now);
+        now.after_ms((wait_ms.max(pace_ms as f64) + call.expected_ms) as u64) > call.arrival.useful_until
     }
 
     fn expected_ms(&self, arrival: &GateArrival, now: TimePoint) -> f64 {
@@ -355,6 +311,11 @@
             expected_ms: call.expected_ms,
         };
         self.running.insert(call.ticket, running);
+        self.cold.record_start(now);
+    }
+
+    fn may_start(&self, now: TimePoint) -> bool {
+        self.in_flight() < self.open_slots(now) && self.cold.may_start(now)
     }
 
     /// Removes a queued call whose caller went away. Returns whether it was still queued.
@@ -375,7 +336,7 @@
             }
             !is_expired
         });
-        while self.in_flight() < self.open_slots(now) {
+        while self.may_start(now) {
             let Some(call) = self.dequeue_next(now) else { break };
             outcomes.push(DequeueOutcome::Run(call.ticket));
             self.start(call, now);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -79,6 +79,8 @@
     pub extra_retries: u32,
     /// Time for which a request is held back first after targets ended under it, in milliseconds; 0 if none is.
     pub quarantine_ms: u64,
+    /// Calls that a cold target may get, in percent of those that it bears; `None` if they are not limited.
+    pub cold_overshoot_percent: Option<u32>,
     /// Time that callers have to move away from a daemon that stops, in milliseconds.
     pub leave_ms: u64,
     /// Maximum time of a drain, in milliseconds; the process exits then even if calls are still in flight.
@@ -182,6 +184,7 @@
         watchers: take_number(section, "watchers", (1, 1_000), 2, faults) as usize,
         extra_retries: take_extra_retries(section, faults),
         quarantine_ms: take_number(section, "quarantine_ms", (0, 3_600_000), 30_000, faults),
+        cold_overshoot_percent: take_cold_overshoot(section, faults),
         leave_ms: take_number(section, "leave_ms", (0, 3_600_000), 1_000, faults),
         drain_limit_ms: take_drain_limit(section, faults),
         target,
@@ -239,6 +242,21 @@
     number.unwrap_or(DEFAULT_EXTRA_RETRIES)
 }
 
+/// Reads the `cold_overshoot` key: a factor, or nothing if a deployment sets none.
+fn take_cold_overshoot(section: &mut IniSection, faults: &mut Vec<ParseFault>) -> Option<u32> {
+    let remedy = "write a factor from 0.1 to 100, or nothing";
+    let percent = section.take_parsed("cold_overshoot", remedy, faults, |text| match text {
+        "" => Some(None),
+        text => {
+            let factor: f64 = text.parse().ok()?;
+            (0.1..=100.0)
+                .contains(&factor)
+                .then_some(Some((factor * 100.0) as u32))
+        }
+    });
+    percent.flatten()
+}
+
 /// Reads the time limit of a drain, in milliseconds: from `drain_limit_s`, which may have a fraction, or `drain_limit_ms`.
 fn take_drain_limit(section: &mut IniSection, faults: &mut Vec<ParseFault>) -> u64 {
     if !section.has("drain_limit_s") {
--- a/tests/acceptance_fuzz.rs
+++ b/tests/acceptance_fuzz.rs
@@ -277,6 +277,7 @@
         version: "v1".into(),
         finish_by: None,
         policy: MovePolicy::Prompt,
+        cold_calls_per_s: None,
     };
     tables.pools.insert("pool".into(), pool);
     let route = RouteEntry {
--- a/tests/lost_parts.rs
+++ b/tests/lost_parts.rs
@@ -17,6 +17,7 @@
         version: version.into(),
         finish_by: None,
         policy: MovePolicy::Cautious,
+        cold_calls_per_s: None,
     };
     let stamp = stamp.stamp();
     head.pools.insert("stock".into(), Stamped { stamp, entry });
--- a/tests/move_fuzz.rs
+++ b/tests/move_fuzz.rs
@@ -322,6 +322,7 @@
         version: version.into(),
         finish_by: Some(TimePoint(1_000_000 + MOVE_MS)),
         policy: MovePolicy::Cautious,
+        cold_calls_per_s: None,
     };
     tables.pools.insert("booking".into(), pool);
     tables
--- a/tests/request_fuzz.rs
+++ b/tests/request_fuzz.rs
@@ -659,6 +659,7 @@
         version: "v2".into(),
         finish_by: Some(order.finish_by),
         policy: order.policy,
+        cold_calls_per_s: None,
     };
     let pool = CompiledPool {
         name: "booking".into(),
--- a/tests/return_fuzz.rs
+++ b/tests/return_fuzz.rs
@@ -256,6 +256,7 @@
         version: format!("v{}", content.moves).into(),
         finish_by: None,
         policy: MovePolicy::Prompt,
+        cold_calls_per_s: None,
     };
     let route = RouteEntry {
         path: format!("/{}", content.edition).into(),
--- a/tests/spread_deltas.rs
+++ b/tests/spread_deltas.rs
@@ -40,6 +40,7 @@
         version: ANY_VERSION.into(),
         finish_by: None,
         policy: MovePolicy::Cautious,
+        cold_calls_per_s: None,
     };
     head.pools.insert("desk".into(), unstamped(pool));
     head.with_digest().unwrap()
--- a/tests/spread_fuzz.rs
+++ b/tests/spread_fuzz.rs
@@ -338,6 +338,7 @@
                 version: "v1".into(),
                 finish_by: None,
                 policy: MovePolicy::Prompt,
+                cold_calls_per_s: None,
             };
             tables.pools.insert(format!("pool-{number}").into(), pool);
             let route = RouteEntry {
--- a/tests/table_freshness.rs
+++ b/tests/table_freshness.rs
@@ -59,6 +59,7 @@
         version: ANY_VERSION.into(),
         finish_by: None,
         policy: MovePolicy::Cautious,
+        cold_calls_per_s: None,
     };
     head.routes.insert(
         "any".into(),
