--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -1,5 +1,6 @@
 //! The gate beside each target. All calls to the target pass through it, so it has the exact outcome of each.
 
+mod arrival;
 mod cold;
 mod forecast;
 mod refusal;
@@ -7,8 +8,9 @@
 mod state;
 
 pub use {
+    arrival::GateArrival,
     cold::ColdPacer,
     refusal::GateRefusal,
     run_times::RunTimes,
-    state::{DequeueOutcome, GateAdmission, GateArrival, GateState, TicketId},
+    state::{DequeueOutcome, GateAdmission, GateState, TicketId},
 };
