A data centre can be evacuated

op/evacuate/NAME of the users' store, and `fuchsiashore evacuate NAME [--back]` on the product's own, keep all calls away from the targets of a data centre. The orders are part of the head, so they spread, are ordered and last as the configuration does. Proxies leave these targets out, their gates refuse new and queued calls as not run in their own right, and count their target as cold after the order is taken back until it announces itself.

A reply with a head that has orders is sent with field names: without them the second field that may be left out stood for the first, and no daemon could pull (found by the test of a data centre that was cut off).

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod diff;
 mod drain;
 mod error;
+mod evacuate;
 mod explain;
 mod history;
 mod moves;
@@ -48,6 +49,7 @@
         "history" => history::run(options).await,
         "undo" => undo::run(options, &clock).await,
         "moves" => moves::run(options, &clock).await,
+        "evacuate" => evacuate::run(options, &clock).await,
         "status" => status::run(options).await,
         "timeline" => timeline::run(options).await,
         "drain" => drain::run(options).await,
--- a/src/cmd/options.rs
+++ b/src/cmd/options.rs
@@ -58,7 +58,7 @@
     pub command: String,
     /// Whether to print help and exit.
     pub wants_help: bool,
-    /// Files given to the command: tables, or logs of daemons.
+    /// Files given to the command: tables, or logs of daemons; also other operands.
     pub files: Vec<PathBuf>,
     /// Settings, from options or else from the settings file.
     pub settings: OperatorSettings,
@@ -84,6 +84,8 @@
     pub since: TimePoint,
     /// Identity of the call to explain.
     pub call: Option<String>,
+    /// Whether an evacuation is taken back.
+    pub back: bool,
     /// Pool whose open move to cancel.
     pub cancel: Option<String>,
 }
@@ -113,6 +115,7 @@
                 Long("wait") => options.wait = true,
                 Long("wait-ms") => options.wait_ms = parsed_value(&mut parser)?,
                 Long("json") => options.json = true,
+                Long("back") => options.back = true,
                 Long("again") => options.again = true,
                 Long("version") => options.version = Some(parsed_value(&mut parser)?),
                 Long("pool") => options.pool = Some(string_value(&mut parser)?),
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -48,6 +48,9 @@
             if status.is_store_up { "up" } else { "down" },
         );
     }
+    for line in evacuation_lines(&statuses) {
+        println!("{line}");
+    }
     for daemon in silent {
         println!("{daemon} does not answer");
     }
@@ -57,6 +60,19 @@
     Ok(())
 }
 
+/// Describes the evacuated data centres, each once, with the number of daemons that know of it.
+fn evacuation_lines(statuses: &[DaemonStatus]) -> Vec<String> {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for name in statuses.iter().flat_map(|status| status.evacuations.names()) {
+        *counts.entry(name).or_default() += 1;
+    }
+    let total = statuses.len();
+    let lines = counts
+        .into_iter()
+        .map(|(name, count)| format!("data centre {name} evacuated, in force at {count} of {total} daemons"));
+    lines.collect()
+}
+
 /// Describes the requests that are held back, each once, with the number of daemons that do so.
 fn held_lines(statuses: &[DaemonStatus]) -> Vec<String> {
     let mut held: BTreeMap<(RequestFingerprint, &str), (usize, &SuspectRecord)> = BTreeMap::new();
--- a/src/cmd/usage.rs
+++ b/src/cmd/usage.rs
@@ -11,6 +11,7 @@
   history   list recent changes
   undo      restore an earlier version as a new one
   moves     list moves, or cancel one
+  evacuate  keep calls away from the targets of a data centre, or take that back
   status    show the daemons and the versions they have in force
   timeline  print the merged events of all daemons
   drain     make a daemon finish its calls and exit
@@ -77,6 +78,11 @@
             "fuchsiashore moves --cancel booking --message 'wait for the weekend'",
             "",
         ),
+        "evacuate" => (
+            "evacuate DATA-CENTRE [--back]\n\nKeeps all calls away from the targets of a data centre. Its daemons go on serving their callers, elsewhere.\n\n  --back              take the evacuation back",
+            "fuchsiashore evacuate fra-2 --message 'power works' --wait",
+            CHANGE_OPTIONS,
+        ),
         "status" => (
             "status\n\nShows every daemon with its target and the version in force.",
             "fuchsiashore status --json",
--- a/src/config/change.rs
+++ b/src/config/change.rs
@@ -8,7 +8,7 @@
         },
         tables::{ConfigTables, PoolEntry, TableFault, TableKind},
     },
-    crate::{clock::TimePoint, macros::value_type},
+    crate::{clock::TimePoint, evacuation::EvacuationEdit, macros::value_type},
     indexmap::IndexMap,
     std::sync::Arc,
     thiserror::Error,
@@ -44,6 +44,8 @@
             /// Reason for the verdict.
             reason: Arc<str>,
         },
+        /// Evacuates a data centre, or takes that back.
+        Evacuate(EvacuationEdit),
     }
 }
 
@@ -179,13 +181,17 @@
             verdict,
             reason,
         } => close_move(&mut next, pool, *move_id, *verdict, reason, request.at)?,
+        TableEdit::Evacuate(edit) => {
+            next.evacuations.apply(edit, next.version);
+            head.tables()
+        }
     };
     let faults = tables.check_edit();
     if !faults.is_empty() {
         return Err(EditError::Invalid(faults));
     }
     let diff = diff_tables(&head.tables(), &tables);
-    if diff.is_empty() && next.moves == head.moves {
+    if diff.is_empty() && next.moves == head.moves && next.evacuations == head.evacuations {
         return Err(EditError::NothingChanged);
     }
     set_tables(&mut next, tables);
--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -7,6 +7,7 @@
         host::{normalize_host, split_port},
         tables::{ANY_VERSION, PoolEntry, RepeatRule, TableFault},
     },
+    crate::evacuation::EvacuationOrders,
     std::{collections::HashMap, sync::Arc},
     thiserror::Error,
 };
@@ -124,6 +125,8 @@
     pub limits: TrafficLimits,
     /// Pools by name.
     pub pools: HashMap<Arc<str>, Arc<CompiledPool>>,
+    /// Data centres whose targets get no calls.
+    pub evacuations: EvacuationOrders,
 }
 
 impl CompiledTable {
@@ -139,6 +142,7 @@
         let mut table = Self {
             version: head.version,
             limits: head.limits,
+            evacuations: head.evacuations.clone(),
             ..Self::default()
         };
         for (name, row) in &head.pools {
--- a/src/config/delta.rs
+++ b/src/config/delta.rs
@@ -8,7 +8,7 @@
         },
         tables::{PoolEntry, RouteEntry, TableKind},
     },
-    crate::macros::value_type,
+    crate::{evacuation::EvacuationOrders, macros::value_type},
     indexmap::{IndexMap, IndexSet},
     std::sync::Arc,
     thiserror::Error,
@@ -47,6 +47,9 @@
         /// Whether the new head lacks what newer accepted tables have.
         #[serde(default, skip_serializing_if = "is_false")]
         pub is_behind: bool,
+        /// Evacuated data centres of the new head.
+        #[serde(default, skip_serializing_if = "EvacuationOrders::is_empty")]
+        pub evacuations: EvacuationOrders,
     }
 }
 
@@ -142,6 +145,7 @@
             kept_changes: head.changes.len(),
             digest: head.digest,
             is_behind: head.is_behind,
+            evacuations: head.evacuations.clone(),
         }
     }
 
@@ -175,6 +179,7 @@
         head.changes.drain(..surplus);
         head.digest = self.digest;
         head.is_behind = self.is_behind;
+        head.evacuations.clone_from(&self.evacuations);
         head.check_digest()?;
         Ok(head)
     }
--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -8,6 +8,7 @@
     crate::{
         clock::TimePoint,
         codec::{self, CodecError},
+        evacuation::EvacuationOrders,
         macros::{key_type, value_type},
     },
     indexmap::IndexMap,
@@ -225,6 +226,9 @@
         /// false: a head without it keeps its encoding and its digest.
         #[serde(default, skip_serializing_if = "is_false")]
         pub is_behind: bool,
+        /// Evacuated data centres. Left out if there are none; a head with some is sent with field names.
+        #[serde(default, skip_serializing_if = "EvacuationOrders::is_empty")]
+        pub evacuations: EvacuationOrders,
     }
 }
 
@@ -290,6 +294,7 @@
         content.routes.sort_keys();
         content.pools.sort_keys();
         content.moves.sort_keys();
+        content.evacuations.sort();
         Ok(xxh3_64(&codec::encode(&content)?))
     }
 
--- a/src/daemon/control/answers.rs
+++ b/src/daemon/control/answers.rs
@@ -87,6 +87,7 @@
             members: self.members.others().cloned().collect(),
             moves: moves.collect(),
             closed: head.map(|head| head.closed.clone()).unwrap_or_default(),
+            evacuations: head.map(|head| head.evacuations.clone()).unwrap_or_default(),
             suspects: self.shared.quarantine.lock().records(now),
         }
     }
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -237,6 +237,7 @@
             now,
         );
         self.limit_cold_calls(&table);
+        self.apply_evacuations(&table, now);
         let table = Arc::new(table);
         self.moves.set_table(&table, now);
         let is_open = |pool: &str, move_id: u64| {
@@ -249,6 +250,7 @@
         // First, as the table may be behind a version that the one before was not behind.
         self.publish_freshness();
         self.publish_snapshot();
+        self.clear_evacuated_queue(now);
     }
 
     /// Sets the pace of calls while this daemon's target is cold, from the pools of its service.
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod configuration;
 mod departures;
+mod evacuating;
 mod joining;
 mod leaving;
 mod members;
--- a/src/daemon/envelope.rs
+++ b/src/daemon/envelope.rs
@@ -56,6 +56,17 @@
     }
 }
 
+impl<T> Envelope<T> {
+    fn new(mesh: &Arc<str>, stamp: HybridStamp, body: T) -> Self {
+        Self {
+            protocol: PROTOCOL_VERSION,
+            mesh: Arc::clone(mesh),
+            stamp,
+            body,
+        }
+    }
+}
+
 impl ControlRequest {
     /// Returns the word for this purpose in metrics and logs.
     pub fn as_str(&self) -> &'static str {
@@ -79,6 +90,16 @@
             Self::Poll(_) => "poll-reply",
         }
     }
+
+    /// Returns whether the reply has to be encoded with field names. Without them, fields are told apart by their order,
+    /// so only the last one of a type may be left out.
+    fn needs_names(&self) -> bool {
+        match self {
+            Self::Config(ConfigReply::Delta(delta)) => !delta.evacuations.is_empty(),
+            Self::Config(ConfigReply::Whole(head)) => !head.evacuations.is_empty(),
+            Self::Config(ConfigReply::Nothing) | Self::Sync(_) | Self::Poll(_) => false,
+        }
+    }
 }
 
 /// Reason why a received control message was refused.
@@ -101,12 +122,16 @@
     stamp: HybridStamp,
     body: T,
 ) -> Result<Vec<u8>, CodecError> {
-    let bytes = codec::encode_compact(&Envelope {
-        protocol: PROTOCOL_VERSION,
-        mesh: Arc::clone(mesh),
-        stamp,
-        body,
-    })?;
+    let bytes = codec::encode_compact(&Envelope::new(mesh, stamp, body))?;
+    Ok(codec::compress(bytes))
+}
+
+/// Encodes a reply as [`encode_envelope`] does, or with field names if it needs them. All daemons read both.
+pub fn encode_reply(mesh: &Arc<str>, stamp: HybridStamp, reply: ControlReply) -> Result<Vec<u8>, CodecError> {
+    if !reply.needs_names() {
+        return encode_envelope(mesh, stamp, reply);
+    }
+    let bytes = codec::encode(&Envelope::new(mesh, stamp, reply))?;
     Ok(codec::compress(bytes))
 }
 
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -158,6 +158,8 @@
     pub target_ends: Counter,
     /// Times at which the target beside this daemon turned cold, so that its calls were paced.
     pub cold_spells: Counter,
+    /// Whether the daemon's data centre is evacuated: 1 if so.
+    pub is_evacuated: Gauge,
     /// Requests that were held back.
     pub held_requests: Counter,
     /// Requests that ran well here after several targets had ended under them.
@@ -195,6 +197,7 @@
             members: Gauge::default(),
             target_ends: Counter::default(),
             cold_spells: Counter::default(),
+            is_evacuated: Gauge::default(),
             held_requests: Counter::default(),
             cleared_requests: Counter::default(),
             retries: Counter::default(),
@@ -273,6 +276,11 @@
         "Times at which the target beside this daemon turned cold, so that its calls were paced",
         metrics.cold_spells.clone(),
     );
+    registry.register(
+        "is_evacuated",
+        "Whether the data centre of this daemon is evacuated",
+        metrics.is_evacuated.clone(),
+    );
     registry.register(
         "target_ends",
         "Unannounced ends of the target beside this daemon",
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -28,7 +28,7 @@
     },
     envelope::{
         ControlReply, ControlRequest, Envelope, EnvelopeError, PROTOCOL_VERSION, decode_envelope,
-        encode_envelope,
+        encode_envelope, encode_reply,
     },
     freshness::TableFreshness,
     leave_schedule::LeaveSchedule,
--- a/src/daemon/operators.rs
+++ b/src/daemon/operators.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        envelope::{ControlRequest, decode_envelope, encode_envelope},
+        envelope::{ControlRequest, decode_envelope, encode_reply},
         metrics::ControlLabels,
         shared::SharedState,
         tasks::{ControlEvent, OperatorQuery},
@@ -11,6 +11,7 @@
     crate::{
         codec::{self, MAX_MESSAGE_BYTES},
         config::{ClosedMove, MoveOrder},
+        evacuation::EvacuationOrders,
         macros::value_type,
         member::MemberRecord,
         quarantine::SuspectRecord,
@@ -63,6 +64,9 @@
         pub moves: Vec<MoveStatus>,
         /// Recently ended moves, oldest first.
         pub closed: Vec<ClosedMove>,
+        /// Evacuated data centres.
+        #[serde(default)]
+        pub evacuations: EvacuationOrders,
         /// Requests under which targets ended.
         #[serde(default)]
         pub suspects: Vec<SuspectRecord>,
@@ -209,7 +213,7 @@
             return;
         };
         let kind = reply.as_str();
-        match encode_envelope(&self.shared.settings.mesh, stamp, reply) {
+        match encode_reply(&self.shared.settings.mesh, stamp, reply) {
             Ok(bytes) => {
                 self.count("sent", kind, bytes.len());
                 answer(res, "application/msgpack", bytes);
--- a/src/daemon/snapshot.rs
+++ b/src/daemon/snapshot.rs
@@ -37,15 +37,23 @@
 }
 
 impl TrafficSnapshot {
-    /// Creates a snapshot from the configuration and the members that are present and whose target is serving.
+    /// Creates a snapshot from the configuration and the members that are present and whose target is serving, outside
+    /// evacuated data centres.
     pub fn new<'a>(
         table: Option<Arc<CompiledTable>>,
         members: impl Iterator<Item = &'a MemberRecord>,
         data_centre: &str,
     ) -> Self {
         let mut targets: HashMap<Arc<str>, Vec<ServingTarget>> = HashMap::new();
-        let serving = members
-            .filter(|record| record.status.is_present() && record.target.status == TargetStatus::Serving);
+        let is_evacuated = |data_centre: &str| {
+            let evacuations = table.as_ref().map(|table| &table.evacuations);
+            evacuations.is_some_and(|evacuations| evacuations.contains(data_centre))
+        };
+        let serving = members.filter(|record| {
+            record.status.is_present()
+                && record.target.status == TargetStatus::Serving
+                && !is_evacuated(&record.data_centre)
+        });
         for record in serving {
             targets
                 .entry(Arc::clone(&record.target.service))
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -198,7 +198,8 @@
         Ok((slot, shared.target.load_full()))
     }
 
-    /// Checks that the request names this daemon's target and that the target's version may serve the pool. The new
+    /// Checks that the request names this daemon's target, that its data centre is not evacuated and that its version may
+    /// serve the pool. The new
     /// version of a move is refused without a valid lease of a controller or after the move was stopped, and so is a
     /// version that the pool does not name. A pool that is missing from this daemon's configuration is not checked.
     fn check_target(&self, hop: &HopCall, now: TimePoint) -> Result<(), GateRefusal> {
@@ -207,11 +208,13 @@
             return Err(GateRefusal::OtherTarget);
         }
         let snapshot = self.shared.snapshot.load();
-        let Some(pool) = snapshot
-            .table
-            .as_ref()
-            .and_then(|table| table.pools.get(&hop.pool))
-        else {
+        let Some(table) = &snapshot.table else {
+            return Ok(());
+        };
+        if table.evacuations.contains(&self.shared.settings.data_centre) {
+            return Err(GateRefusal::Evacuated);
+        }
+        let Some(pool) = table.pools.get(&hop.pool) else {
             return Ok(());
         };
         let is_cleared = match &pool.order {
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -368,6 +368,11 @@
         }
     }
 
+    /// Refuses all queued calls, as the target's data centre is evacuated. Running calls continue.
+    pub fn evacuate(&mut self) -> Vec<DequeueOutcome> {
+        self.refuse_waiting(GateRefusal::Evacuated)
+    }
+
     fn refuse_waiting(&mut self, refusal: GateRefusal) -> Vec<DequeueOutcome> {
         self.queue
             .drain(..)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod codec;
 pub mod config;
 pub mod daemon;
+pub mod evacuation;
 pub mod file_watch;
 pub mod gate;
 pub mod http;
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -33,6 +33,10 @@
         MemberDead,
         /// A daemon left the mesh on purpose.
         MemberLeft,
+        /// A data centre was evacuated.
+        Evacuated,
+        /// An evacuation was taken back.
+        EvacuationEnded,
         /// Another process uses this daemon's name.
         NameTaken,
         /// The target became ready.
@@ -79,6 +83,8 @@
             Self::MemberSuspect => "member-suspect",
             Self::MemberDead => "member-dead",
             Self::MemberLeft => "member-left",
+            Self::Evacuated => "evacuated",
+            Self::EvacuationEnded => "evacuation-ended",
             Self::NameTaken => "name-taken",
             Self::TargetReady => "target-ready",
             Self::TargetLost => "target-lost",
