Targets are chosen by weight from aged figures, and none is asked without room

Cause: all daemons took the least cost of five samples, by figures that count as new for 2.5 s and by which unknown targets are idle; a call refused by a full gate went to three more that were expected to be full. Change: figures age towards the mean of their data centre, calls begun since count besides; the better of two targets drawn by weight is chosen. After a refusal as full, and where all targets are far over the useful time, no attempt is made without room; the time to retry after follows the expected wait.

--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -7,6 +7,7 @@
 mod plan;
 mod selector;
 mod split;
+mod target_stats;
 mod version;
 
 pub use {
@@ -14,7 +15,8 @@
     load::{LoadReport, RankCounts, TargetLoad},
     outcome::{AttemptOutcome, CallOutcome, RefusalReason},
     plan::{CallPlan, CallRules, CallStep},
-    selector::{CandidateTarget, TargetCriteria, TargetSelector, TargetStats},
+    selector::{CandidateTarget, MissingTarget, TargetCriteria, TargetNeed, TargetSelector},
     split::SplitSequence,
+    target_stats::TargetStats,
     version::{VersionChoice, choose_version},
 };
--- a/src/call/plan.rs
+++ b/src/call/plan.rs
@@ -173,6 +173,11 @@
         self.without_send(reason, has_answer)
     }
 
+    /// Returns the step after [`CallStep::Send`] if no target is expected to answer in time.
+    pub fn after_no_room(&self, has_answer: bool) -> CallStep {
+        self.without_send(RefusalReason::Refused, has_answer)
+    }
+
     /// Returns the step after [`CallStep::Send`] if the daemon exits before another attempt could end.
     pub fn after_no_time(&self, has_answer: bool) -> CallStep {
         self.without_send(RefusalReason::Leaving, has_answer)
--- a/src/call/selector.rs
+++ b/src/call/selector.rs
@@ -1,21 +1,15 @@
 //! Per-target statistics collected by this daemon, and target selection based on them.
 
 use {
-    super::load::{LoadReport, RankCounts},
+    super::{
+        load::LoadReport,
+        target_stats::{ExpectedLoad, TargetStats},
+    },
     crate::clock::TimePoint,
-    indexmap::IndexMap,
-    rand::{Rng, seq::IndexedRandom},
+    rand::{Rng, RngExt},
     std::{collections::HashMap, sync::Arc},
 };
 
-/// Consecutive failures after which a target is ejected.
-const FAILURES_TO_EJECT: u32 = 3;
-/// Duration of the first ejection, in milliseconds; doubles with each further one until a call succeeds.
-const BASE_EJECTION_MS: u64 = 2_000;
-/// Maximum duration of an ejection, in milliseconds.
-const MAX_EJECTION_MS: u64 = 30_000;
-/// Weight of a new sample in the moving average of latencies.
-const LATENCY_EWMA_WEIGHT: f64 = 0.2;
 /// Run time assumed while none is known of any candidate, lower bound of a run time, and latency added for a target in
 /// another data centre, in milliseconds.
 const BASE_LATENCY_MS: f64 = 1.0;
@@ -29,19 +23,20 @@
 const ANSWER_SIZE_EWMA_WEIGHT: f64 = 0.1;
 /// Maximum number of routes whose answer sizes are tracked; the answers of further routes count as empty.
 const MAX_TRACKED_ROUTES: usize = 4_000;
-/// Maximum number of routes of which a target's run times are kept; further ones count with its mean.
-const MAX_ROUTES_PER_TARGET: usize = 64;
-/// Number of targets sampled for one call from the same data centre, and again from the others; comparing a few gives
-/// as good a choice as comparing all, at less cost.
-const SAMPLE_SIZE: usize = 5;
 /// Fraction by which a run is expected to take longer at a target whose slots are all in use, before any call queues.
 const FULL_LOAD_SLOWDOWN: f64 = 0.5;
+/// Number of targets that are expected to answer in time of which the better one is chosen, in this data centre and again
+/// in the others.
+const LOOKS: u32 = 2;
+/// Multiple of the time left for a useful answer over which the expected answer makes an attempt hopeless: estimates by
+/// old figures are hardly better.
+const HOPELESS_FACTOR: f64 = 1.5;
+/// Share of the calls that are sent though all targets are hopeless, which keeps their figures new.
+const PROBE_SHARE: f64 = 0.1;
+/// Smallest weight of a report in the mean load of targets.
+const MIN_REPORT_WEIGHT: f64 = 0.01;
 /// Cost added for a target that fails every call, in runs.
 const FAILURE_COST_RUNS: f64 = 8.0;
-/// Weight of a new outcome in the moving average of the failure share.
-const FAILURE_EWMA_WEIGHT: f64 = 0.1;
-/// Time for which a target counts as full after it refused a call as full, in milliseconds.
-const FULL_TTL_MS: u64 = 300;
 /// Load below which a target is eligible for a hedged attempt, as a fraction of its slots.
 const MAX_IDLE_LOAD: f64 = 0.6;
 /// Minimum load assumed for a target that refused a call as full, as a fraction of its slots.
@@ -50,8 +45,6 @@
 /// candidates by more than this, as calls that fail through their own fault fail at all targets of a service alike. The
 /// value is three standard deviations of the moving average.
 const EJECTION_EXCESS_SHARE: f64 = 0.3;
-/// Time for which the call counts of a gate's load report are used, in milliseconds.
-const LOAD_REPORT_TTL_MS: u64 = 2_500;
 
 /// Target that could serve a call.
 #[derive(Debug, Clone, PartialEq)]
@@ -66,6 +59,27 @@
     pub is_suspect: bool,
 }
 
+/// Which targets are eligible for an attempt.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum TargetNeed {
+    /// Also late ones, if none is expected to answer in time.
+    #[default]
+    Any,
+    /// Those expected to answer in time, as after the refusal of a full gate.
+    Room,
+    /// The same, and with a load below `MAX_IDLE_LOAD`, as for a hedged attempt.
+    Idle,
+}
+
+/// Reason for which no target is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MissingTarget {
+    /// There is none that has not been tried.
+    None,
+    /// None is expected to answer in time.
+    NoRoom,
+}
+
 /// Selection criteria of a call.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct TargetCriteria<'a> {
@@ -75,49 +89,12 @@
     pub cross_dc_cost_ms: f64,
     /// Time within which the answer is needed, in milliseconds; `None` if there is no limit.
     pub limit_ms: Option<f64>,
-    /// Whether only targets below `MAX_IDLE_LOAD` are eligible, as for a hedged attempt.
-    pub only_idle: bool,
+    /// Which targets are eligible.
+    pub need: TargetNeed,
     /// Rank of the route; 0 is the most urgent.
     pub priority: u8,
 }
 
-/// Statistics of one target.
-#[derive(Debug, Clone, Default)]
-pub struct TargetStats {
-    in_flight: RankCounts,
-    /// Moving average of latencies, in milliseconds; 0 before the first answer.
-    latency_ms: f64,
-    consecutive_failures: u32,
-    /// Moving average of the share of failed calls.
-    failure_share: f64,
-    /// Ejections since the last successful answer.
-    ejections: u32,
-    ejected_until: TimePoint,
-    /// Whether a failed answer caused the last ejection, rather than an attempt without an answer.
-    is_ejected_for_answers: bool,
-    report: LoadReport,
-    reported_until: TimePoint,
-    /// Mean run time of each route at this target, in milliseconds, as its gate reported it.
-    route_run_ms: IndexMap<Arc<str>, f64>,
-    full_until: TimePoint,
-    /// Most urgent rank that was refused as full until `full_until`.
-    full_rank: u8,
-}
-
-impl TargetStats {
-    fn record_load(&mut self, load: LoadReport, now: TimePoint) {
-        self.report = load;
-        self.reported_until = now.after_ms(LOAD_REPORT_TTL_MS);
-    }
-
-    /// Returns the mean time of a run, in milliseconds: the gate's last report, otherwise the latency measured here.
-    fn run_ms(&self) -> Option<f64> {
-        [self.report.run_ms, self.latency_ms]
-            .into_iter()
-            .find(|run_ms| *run_ms > 0.0)
-    }
-}
-
 /// Records per-target statistics, by daemon name, and selects targets by them.
 #[derive(Debug, Default)]
 pub struct TargetSelector {
@@ -127,13 +104,13 @@
 }
 
 impl TargetSelector {
-    /// Chooses the target with the lowest expected cost from a sample of targets in this data centre and a sample of
-    /// those in others. Never chooses a tried target, and an ejected or suspect one only if no other is left.
+    /// Chooses a target. Looks at targets in an order drawn by weight, and takes the better of the first two that are
+    /// expected to answer in time; those in other data centres only where the lower cost makes up for the traffic. Never
+    /// chooses a tried target, and an ejected or suspect one only if no other is left.
     ///
     /// Targets that are full for the call's rank, or not expected to answer within the limit, count as late and come
     /// last. If the call has a limit, late targets in other data centres are left out, except for the first attempt if
     /// this data centre has no target: their gates have the current state and refuse the call if it can't be served.
-    /// With `only_idle`, all late targets are left out. Returns `None` if no target is eligible.
     pub fn choose<'a>(
         &self,
         candidates: &'a [CandidateTarget],
@@ -141,37 +118,103 @@
         criteria: TargetCriteria<'_>,
         rng: &mut impl Rng,
         now: TimePoint,
-    ) -> Option<&'a CandidateTarget> {
+    ) -> Result<&'a CandidateTarget, MissingTarget> {
         let untried: Vec<&CandidateTarget> = candidates
             .iter()
             .filter(|target| !tried.contains(&target.name))
             .collect();
-        let baseline = self.compute_baseline(candidates, criteria.route);
+        let baseline = self.compute_baseline(candidates, criteria, now);
         let not_ejected = prefer(untried, |target| !self.is_excluded(&target.name, baseline, now));
         let not_suspect = prefer(not_ejected, |target| !target.is_suspect);
-        let (near, far): (Vec<&CandidateTarget>, Vec<&CandidateTarget>) =
-            not_suspect.into_iter().partition(|target| target.is_near);
-        let accepts_late = !criteria.only_idle;
-        let sampled = near
-            .sample(rng, SAMPLE_SIZE)
-            .map(|target| (target, 0.0, accepts_late));
-        let accepts_late =
-            !criteria.only_idle && (criteria.limit_ms.is_none() || (near.is_empty() && tried.is_empty()));
-        let sampled = sampled.chain(
-            far.sample(rng, SAMPLE_SIZE)
-                .map(|target| (target, criteria.cross_dc_cost_ms, accepts_late)),
-        );
-        let costs = sampled.filter_map(|(target, cross_dc_cost_ms, accepts_late)| {
-            let load = self.load_estimate(target, criteria.priority, now);
-            let (time_ms, cost_ms) = self.answer_cost(target, load, criteria.route, baseline);
-            let is_idle = !criteria.only_idle || load < MAX_IDLE_LOAD;
-            let is_late = self.is_full(target, criteria.priority, now)
-                || criteria.limit_ms.is_some_and(|limit_ms| time_ms > limit_ms);
-            (accepts_late || (is_idle && !is_late)).then_some((*target, is_late, cost_ms + cross_dc_cost_ms))
+        let has_near = not_suspect.iter().any(|target| target.is_near);
+        let mut looks: Vec<TargetLook<'_>> = not_suspect
+            .into_iter()
+            .map(|target| self.look(target, criteria, baseline, rng, now))
+            .collect();
+        if looks.is_empty() {
+            return Err(MissingTarget::None);
+        }
+        if tried.is_empty() && looks.iter().all(|look| look.is_hopeless) && rng.random::<f64>() >= PROBE_SHARE
+        {
+            return Err(MissingTarget::NoRoom);
+        }
+        looks.sort_unstable_by(|a, b| a.turn.total_cmp(&b.turn));
+        let (mut near_looks, mut far_looks) = (0, 0);
+        let in_time = looks.iter().filter(|look| {
+            let count = if look.target.is_near {
+                &mut near_looks
+            } else {
+                &mut far_looks
+            };
+            let is_eligible =
+                !look.is_late && (criteria.need != TargetNeed::Idle || look.load < MAX_IDLE_LOAD);
+            *count += u32::from(is_eligible);
+            is_eligible && *count <= LOOKS
         });
         // The cost of traffic between data centres may delay a call, but must not make it late.
-        let best = costs.min_by(|a, b| a.1.cmp(&b.1).then(a.2.total_cmp(&b.2)));
-        best.map(|(target, ..)| target)
+        if let Some(best) = in_time.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms)) {
+            return Ok(best.target);
+        }
+        let accepts_far = criteria.limit_ms.is_none() || (!has_near && tried.is_empty());
+        let late = looks.iter().filter(|look| look.target.is_near || accepts_far);
+        let late = late
+            .take(LOOKS as usize)
+            .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
+        match (criteria.need, late) {
+            (TargetNeed::Any, Some(late)) => Ok(late.target),
+            _ => Err(MissingTarget::NoRoom),
+        }
+    }
+
+    /// Returns the time until one of the targets is expected to answer a new call within the limit, in milliseconds.
+    pub fn room_in_ms(
+        &self,
+        candidates: &[CandidateTarget],
+        criteria: TargetCriteria<'_>,
+        now: TimePoint,
+    ) -> f64 {
+        let baseline = self.compute_baseline(candidates, criteria, now);
+        let limit_ms = criteria.limit_ms.unwrap_or(f64::INFINITY);
+        let times = candidates.iter().map(|target| {
+            let load = self.expected_load(target, criteria, baseline, now);
+            self.answer_cost(target, load, criteria.route, baseline, now).0
+        });
+        (times.fold(f64::INFINITY, f64::min) - limit_ms).max(0.0)
+    }
+
+    /// Estimates the answer of a target, and draws its turn.
+    fn look<'a>(
+        &self,
+        target: &'a CandidateTarget,
+        criteria: TargetCriteria<'_>,
+        baseline: TargetBaseline,
+        rng: &mut impl Rng,
+        now: TimePoint,
+    ) -> TargetLook<'a> {
+        let load = self.expected_load(target, criteria, baseline, now);
+        let (time_ms, cost_ms) = self.answer_cost(target, load, criteria.route, baseline, now);
+        let stats = self.stats.get(&target.name);
+        let is_full = stats.is_some_and(|stats| stats.is_full(criteria.priority, now));
+        let is_over = |factor: f64| {
+            criteria
+                .limit_ms
+                .is_some_and(|limit_ms| time_ms > limit_ms * factor)
+        };
+        let distance_cost_ms = if target.is_near {
+            0.0
+        } else {
+            criteria.cross_dc_cost_ms
+        };
+        let weight = f64::from(target.slots.max(1)) / cost_ms;
+        TargetLook {
+            target,
+            load: load.calls,
+            is_late: is_full || is_over(1.0),
+            is_hopeless: is_full || is_over(HOPELESS_FACTOR),
+            cost_ms: cost_ms + distance_cost_ms,
+            // The least of exponential draws is distributed by their rates.
+            turn: -(1.0 - rng.random::<f64>()).ln() / weight,
+        }
     }
 
     /// Returns the cost of sending a call to another data centre, in milliseconds: the size of its body, its heads and
@@ -192,45 +235,22 @@
 
     /// Counts a call of a rank as in flight at a target.
     pub fn record_start(&mut self, name: &Arc<str>, priority: u8) {
-        let stats = self.stats.entry(Arc::clone(name)).or_default();
-        stats.in_flight.add(priority);
+        self.stats_of(name).in_flight.add(priority);
     }
 
-    /// Records a successful answer: resets the consecutive failures, updates the moving averages and stores the load
-    /// that the gate reported.
-    pub fn record_success(
-        &mut self,
-        name: &Arc<str>,
-        latency_ms: f64,
-        load: Option<LoadReport>,
-        now: TimePoint,
-    ) {
-        let stats = self.stats.entry(Arc::clone(name)).or_default();
-        stats.consecutive_failures = 0;
-        stats.ejections = 0;
-        stats.failure_share *= 1.0 - FAILURE_EWMA_WEIGHT;
-        stats.latency_ms = if stats.latency_ms == 0.0 {
-            latency_ms
-        } else {
-            stats.latency_ms * (1.0 - LATENCY_EWMA_WEIGHT) + latency_ms * LATENCY_EWMA_WEIGHT
-        };
-        if let Some(load) = load {
-            stats.record_load(load, now);
-        }
+    /// Records a successful answer: resets the consecutive failures and updates the moving averages.
+    pub fn record_success(&mut self, name: &Arc<str>, latency_ms: f64) {
+        self.stats_of(name).record_success(latency_ms);
     }
 
-    /// Records the load that a gate reported with a refusal.
-    pub fn record_load(&mut self, name: &Arc<str>, load: LoadReport, now: TimePoint) {
-        let stats = self.stats.entry(Arc::clone(name)).or_default();
-        stats.record_load(load, now);
+    /// Records the load that a gate reported with an answer or refusal to a call of a rank that is still in flight.
+    pub fn record_load(&mut self, name: &Arc<str>, load: LoadReport, priority: u8, now: TimePoint) {
+        self.stats_of(name).record_load(load, priority, now);
     }
 
     /// Records the mean run time of a route at a target, in milliseconds, which its gate reported.
     pub fn record_route_run(&mut self, name: &Arc<str>, route: &Arc<str>, run_ms: f64) {
-        let stats = self.stats.entry(Arc::clone(name)).or_default();
-        if stats.route_run_ms.contains_key(route) || stats.route_run_ms.len() < MAX_ROUTES_PER_TARGET {
-            stats.route_run_ms.insert(Arc::clone(route), run_ms);
-        }
+        self.stats_of(name).record_route_run(route, run_ms);
     }
 
     /// Returns the mean run time of a route at a target, in milliseconds; `None` if its gate has not reported it.
@@ -240,46 +260,25 @@
 
     /// Records that a gate refused a call of a rank as full, or that the call expired in its queue.
     pub fn record_full(&mut self, name: &Arc<str>, priority: u8, now: TimePoint) {
-        let stats = self.stats.entry(Arc::clone(name)).or_default();
-        stats.full_rank = if stats.full_until > now {
-            stats.full_rank.min(priority)
-        } else {
-            priority
-        };
-        stats.full_until = now.after_ms(FULL_TTL_MS);
+        self.stats_of(name).record_full(priority, now);
     }
 
     /// Records that a target rejected a request. This raises its failure share, but doesn't count towards an ejection,
     /// as the target responds.
     pub fn record_shed(&mut self, name: &Arc<str>) {
-        let stats = self.stats.entry(Arc::clone(name)).or_default();
-        stats.failure_share += (1.0 - stats.failure_share) * FAILURE_EWMA_WEIGHT;
+        self.stats_of(name).record_shed();
     }
 
     /// Records a broken or stalled attempt, a failed connection, or a refusal by a gate that is closed or has another
     /// target. Returns whether this ejected the target.
     pub fn record_failure(&mut self, name: &Arc<str>, now: TimePoint) -> bool {
-        self.add_failure(name, false, now)
+        self.stats_of(name).add_failure(false, now)
     }
 
     /// Records a failed answer. Returns whether this ejected the target; `EJECTION_EXCESS_SHARE` limits the effect of
     /// such an ejection.
     pub fn record_failed_answer(&mut self, name: &Arc<str>, now: TimePoint) -> bool {
-        self.add_failure(name, true, now)
-    }
-
-    fn add_failure(&mut self, name: &Arc<str>, is_answer: bool, now: TimePoint) -> bool {
-        let stats = self.stats.entry(Arc::clone(name)).or_default();
-        stats.consecutive_failures += 1;
-        stats.failure_share += (1.0 - stats.failure_share) * FAILURE_EWMA_WEIGHT;
-        if stats.consecutive_failures < FAILURES_TO_EJECT || stats.ejected_until > now {
-            return false;
-        }
-        let eject_ms = (BASE_EJECTION_MS << stats.ejections.min(8)).min(MAX_EJECTION_MS);
-        stats.ejected_until = now.after_ms(eject_ms);
-        stats.is_ejected_for_answers = is_answer;
-        stats.ejections += 1;
-        true
+        self.stats_of(name).add_failure(true, now)
     }
 
     /// Ends a call that [`Self::record_start`] counted as in flight.
@@ -312,44 +311,61 @@
         })
     }
 
-    /// Returns whether a target refused a call of this or a more urgent rank as full within the last [`FULL_TTL_MS`].
-    fn is_full(&self, target: &CandidateTarget, priority: u8, now: TimePoint) -> bool {
-        let stats = self.stats.get(&target.name);
-        stats.is_some_and(|stats| stats.full_until > now && stats.full_rank <= priority)
+    fn stats_of(&mut self, name: &Arc<str>) -> &mut TargetStats {
+        self.stats.entry(Arc::clone(name)).or_default()
     }
 
-    /// Returns the number of calls at a target that precede a new one of a rank, as a fraction of its slots: the larger
-    /// of the calls in flight from here and those that the gate reported.
-    fn load_estimate(&self, target: &CandidateTarget, priority: u8, now: TimePoint) -> f64 {
-        let Some(stats) = self.stats.get(&target.name) else {
-            return 0.0;
-        };
-        let reported = if stats.reported_until > now {
-            stats.report.running + stats.report.waiting.up_to(priority)
+    /// Returns the load that is expected at a target; one that refused the rank as full has at least
+    /// [`ASSUMED_FULL_LOAD`].
+    fn expected_load(
+        &self,
+        target: &CandidateTarget,
+        criteria: TargetCriteria<'_>,
+        baseline: TargetBaseline,
+        now: TimePoint,
+    ) -> ExpectedLoad {
+        let mean = if target.is_near {
+            baseline.near_load
         } else {
-            0
+            baseline.far_load
         };
-        let load = f64::from(stats.in_flight.up_to(priority).max(reported)) / f64::from(target.slots.max(1));
-        if self.is_full(target, priority, now) {
-            load.max(ASSUMED_FULL_LOAD)
+        let Some(stats) = self.stats.get(&target.name) else {
+            return ExpectedLoad::of_mean(mean);
+        };
+        let load = stats.expected_load(target.slots, criteria.priority, mean, now);
+        if stats.is_full(criteria.priority, now) {
+            load.at_least(ASSUMED_FULL_LOAD)
         } else {
             load
         }
     }
 
-    /// Computes the mean run times and the lowest failure share of the candidates with statistics.
-    fn compute_baseline(&self, candidates: &[CandidateTarget], route: &str) -> TargetBaseline {
-        let observed: Vec<&TargetStats> = candidates
-            .iter()
-            .filter_map(|target| self.stats.get(&target.name))
-            .collect();
-        let run_ms = mean(observed.iter().filter_map(|stats| stats.run_ms())).unwrap_or(BASE_LATENCY_MS);
-        let of_route = observed.iter().filter_map(|stats| stats.route_run_ms.get(route));
-        let shares = observed.iter().map(|stats| stats.failure_share);
+    /// Computes the means of run times and loads, and the lowest failure share, of the candidates with statistics.
+    fn compute_baseline(
+        &self,
+        candidates: &[CandidateTarget],
+        criteria: TargetCriteria<'_>,
+        now: TimePoint,
+    ) -> TargetBaseline {
+        let known = || {
+            let known = candidates.iter();
+            known.filter_map(|target| Some((target, self.stats.get(&target.name)?)))
+        };
+        let mean_load = |is_near: bool| {
+            let loads = known().filter(|(target, _)| target.is_near == is_near);
+            weighted_mean(
+                loads.filter_map(|(target, stats)| stats.reported_load(target.slots, criteria.priority, now)),
+            )
+        };
+        let run_ms = mean(known().filter_map(|(_, stats)| stats.run_ms())).unwrap_or(BASE_LATENCY_MS);
+        let of_route = known().filter_map(|(_, stats)| stats.route_run_ms.get(criteria.route));
+        let shares = known().map(|(_, stats)| stats.failure_share);
         TargetBaseline {
             run_ms,
             route_run_ms: mean(of_route.copied()),
             failure_share: shares.reduce(f64::min).unwrap_or_default(),
+            near_load: mean_load(true),
+            far_load: mean_load(false),
         }
     }
 
@@ -358,9 +374,10 @@
     fn answer_cost(
         &self,
         target: &CandidateTarget,
-        load: f64,
+        load: ExpectedLoad,
         route: &str,
         baseline: TargetBaseline,
+        now: TimePoint,
     ) -> (f64, f64) {
         let empty_stats = TargetStats::default();
         let stats = self.stats.get(&target.name).unwrap_or(&empty_stats);
@@ -369,15 +386,30 @@
         let known_ms = stats.route_run_ms.get(route).copied();
         let run_ms = known_ms.or(baseline.route_run_ms).unwrap_or(ahead_ms);
         let distance_ms = if target.is_near { 0.0 } else { BASE_LATENCY_MS };
-        let time_ms = run_ms.max(BASE_LATENCY_MS) * (1.0 + load.min(1.0) * FULL_LOAD_SLOWDOWN)
-            + ahead_ms.max(BASE_LATENCY_MS) * (load - 1.0).max(0.0)
-            + distance_ms;
+        let run_ms = run_ms.max(BASE_LATENCY_MS) * (1.0 + load.calls.min(1.0) * FULL_LOAD_SLOWDOWN);
+        let wait_ms = ahead_ms.max(BASE_LATENCY_MS) * load.queued(target.slots);
+        let time_ms = (run_ms + wait_ms) * stats.slowdown(now) + distance_ms;
         let failure_factor = (1.0 + FAILURE_COST_RUNS * stats.failure_share)
             / (1.0 + FAILURE_COST_RUNS * baseline.failure_share);
         (time_ms, time_ms * failure_factor)
     }
 }
 
+/// What is expected of a target for one call.
+#[derive(Debug, Clone, Copy)]
+struct TargetLook<'a> {
+    target: &'a CandidateTarget,
+    /// Calls a slot that precede the call.
+    load: f64,
+    /// Whether the target is full for the call's rank, or not expected to answer within the limit.
+    is_late: bool,
+    /// Whether it is late by so much that its gate would hardly admit the call.
+    is_hopeless: bool,
+    cost_ms: f64,
+    /// Place in the order of looking; drawn, lower for targets with more weight.
+    turn: f64,
+}
+
 /// Reference values over the candidates that have statistics.
 #[derive(Debug, Clone, Copy)]
 struct TargetBaseline {
@@ -388,6 +420,10 @@
     route_run_ms: Option<f64>,
     /// Lowest failure share.
     failure_share: f64,
+    /// Mean load of the targets in this data centre, in calls a slot that precede the call.
+    near_load: f64,
+    /// The same for those in other data centres.
+    far_load: f64,
 }
 
 fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
@@ -395,6 +431,15 @@
     (count > 0).then(|| sum / f64::from(count))
 }
 
+/// Returns the mean of values with weights, 0 without any.
+fn weighted_mean(values: impl Iterator<Item = (f64, f64)>) -> f64 {
+    let (sum, total) = values.fold((0.0, 0.0), |(sum, total), (value, weight)| {
+        let weight = weight.max(MIN_REPORT_WEIGHT);
+        (sum + value * weight, total + weight)
+    });
+    if total > 0.0 { sum / total } else { 0.0 }
+}
+
 /// Returns the targets that satisfy a condition, or all if none does.
 fn prefer(
     targets: Vec<&CandidateTarget>,
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -162,6 +162,8 @@
     pub cleared_requests: Counter,
     /// Retries sent.
     pub retries: Counter,
+    /// Calls for which no target was expected to answer in time.
+    pub calls_without_room: Counter,
     /// Latency of answered calls by pool, in seconds.
     latency: Family<PoolLabels, Histogram, fn() -> Histogram>,
 }
@@ -195,6 +197,7 @@
             held_requests: Counter::default(),
             cleared_requests: Counter::default(),
             retries: Counter::default(),
+            calls_without_room: Counter::default(),
             latency: Family::new_with_constructor(latency_histogram),
         };
         registry.register(
@@ -253,6 +256,11 @@
         register_quarantine(&mut registry, &metrics);
         registry.register("members", "Daemons present", metrics.members.clone());
         registry.register("retries", "Retries sent", metrics.retries.clone());
+        registry.register(
+            "calls_without_room",
+            "Calls for which no target was expected to answer in time",
+            metrics.calls_without_room.clone(),
+        );
         registry.register(
             "call_seconds",
             "Time of answered calls by pool",
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -258,7 +258,7 @@
             Some(GateRefusal::Full | GateRefusal::Expired) => {
                 selector.record_full(&self.target.name, self.hop.priority, now);
                 if let Some(load) = parse_load(headers) {
-                    selector.record_load(&self.target.name, load, now);
+                    selector.record_load(&self.target.name, load, self.hop.priority, now);
                     self.record_route_run(&mut selector, load);
                 }
             }
@@ -293,8 +293,9 @@
                 let latency_ms = started.elapsed().as_secs_f64() * 1e3;
                 let (load, now) = (parse_load(headers), shared.now());
                 let mut selector = shared.selector.lock();
-                selector.record_success(&self.target.name, latency_ms, load, now);
+                selector.record_success(&self.target.name, latency_ms);
                 if let Some(load) = load {
+                    selector.record_load(&self.target.name, load, self.hop.priority, now);
                     self.record_route_run(&mut selector, load);
                 }
                 drop(selector);
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -7,7 +7,7 @@
 use {
     self::{
         checks::{check_expected_body, check_form, check_head},
-        choosing::TargetChoice,
+        choosing::{AttemptNeed, RETRY_AFTER_MS, TargetChoice},
         logging::{LoggedRefusal, admit_answer, log_answer, log_failed_attempt, log_refusal},
     },
     super::{
@@ -51,8 +51,6 @@
     tokio::time::{Instant, sleep_until},
 };
 
-/// Time after which a refused caller may try again, in milliseconds: a few runs have ended by then.
-const RETRY_AFTER_MS: u64 = 250;
 /// Time after which a caller may try again if the daemon has no configuration or target yet, or is leaving, in
 /// milliseconds.
 const RETRY_AFTER_UNREADY_MS: u64 = 500;
@@ -303,7 +301,7 @@
         let mut step = plan.begin(shared.budget.lock().for_pool(&call.pool.name), shared.now());
         let mut in_flight = FuturesUnordered::new();
         let mut received = None;
-        let mut is_hedge = false;
+        let mut need = AttemptNeed::default();
         let mut detail: Arc<str> = "".into();
         loop {
             step = match step {
@@ -318,29 +316,27 @@
                         detail,
                     });
                 }
-                CallStep::Send => match self.choose(
-                    call,
-                    request.body.buffered_bytes(),
-                    plan.tried(),
-                    std::mem::take(&mut is_hedge),
-                ) {
-                    TargetChoice::Target(target) if self.start_by(call, &target) <= shared.now() => {
-                        plan.after_no_time(received.is_some())
-                    }
-                    TargetChoice::Target(target) => {
-                        if !plan.tried().is_empty() {
-                            shared.metrics.retries.inc();
+                CallStep::Send => {
+                    match self.choose(call, request.body.buffered_bytes(), plan.tried(), need.take()) {
+                        TargetChoice::Target(target) if self.start_by(call, &target) <= shared.now() => {
+                            plan.after_no_time(received.is_some())
+                        }
+                        TargetChoice::Target(target) => {
+                            if !plan.tried().is_empty() {
+                                shared.metrics.retries.inc();
+                            }
+                            call.is_suspect |= call.ends == 0 && self.is_suspect(call, &target);
+                            plan.record_attempt(Arc::clone(&target.name), shared.now());
+                            let forwarded = request.request_to(target.gate);
+                            let progress = Arc::clone(&request.progress);
+                            in_flight.push(self.attempt(call, target, progress).run(forwarded));
+                            CallStep::Wait
                         }
-                        call.is_suspect |= call.ends == 0 && self.is_suspect(call, &target);
-                        plan.record_attempt(Arc::clone(&target.name), shared.now());
-                        let forwarded = request.request_to(target.gate);
-                        let progress = Arc::clone(&request.progress);
-                        in_flight.push(self.attempt(call, target, progress).run(forwarded));
-                        CallStep::Wait
+                        TargetChoice::HeldBack => plan.after_held_back(received.is_some()),
+                        TargetChoice::NoRoom => plan.after_no_room(received.is_some()),
+                        TargetChoice::None => plan.after_no_target(received.is_some()),
                     }
-                    TargetChoice::HeldBack => plan.after_held_back(received.is_some()),
-                    TargetChoice::None => plan.after_no_target(received.is_some()),
-                },
+                }
                 CallStep::Wait => {
                     let hedge_at = Instant::now() + plan.hedge_at().remaining_from(shared.now());
                     let can_hedge = plan.hedge_at() != TimePoint::FAR_FUTURE;
@@ -361,6 +357,7 @@
                                 }
                                 AttemptResult::Failure { reason, .. } => {
                                     log_failed_attempt(call, &attempt.target, &attempt.hop, outcome, &reason);
+                                    need.record_failure(&reason);
                                     call.ends += u32::from(&*reason == TARGET_ENDED);
                                     call.is_held_back |= &*reason == GateRefusal::Quarantined.as_str();
                                     detail = reason;
@@ -378,7 +375,7 @@
                             }
                         }
                         () = sleep_until(hedge_at), if can_hedge => {
-                            is_hedge = true;
+                            need.is_hedge = true;
                             plan.hedge(shared.budget.lock().for_pool(&call.pool.name), shared.now())
                         }
                         else => plan.refuse(RefusalReason::Refused),
@@ -507,6 +504,7 @@
             | RefusalReason::NoTarget
             | RefusalReason::Leaving => RETRY_AFTER_UNREADY_MS,
             RefusalReason::Quarantined => self.held_ms(call).max(RETRY_AFTER_HELD_MS),
+            RefusalReason::Refused => call.map_or(RETRY_AFTER_MS, |call| self.retry_after_ms(call)),
             _ => RETRY_AFTER_MS,
         };
         write_refusal(
--- a/src/daemon/traffic/outbound/choosing.rs
+++ b/src/daemon/traffic/outbound/choosing.rs
@@ -3,9 +3,11 @@
 use {
     super::{OutboundHandler, RoutedCall},
     crate::{
-        call::{CandidateTarget, TargetCriteria, choose_version},
+        call::{CandidateTarget, MissingTarget, TargetCriteria, TargetNeed, choose_version},
+        clock::TimePoint,
         config::CompiledPool,
         daemon::snapshot::ServingTarget,
+        gate::GateRefusal,
         member::best_ranked,
         quarantine::RequestStanding,
     },
@@ -13,26 +15,61 @@
     std::sync::Arc,
 };
 
+/// Shortest time after which a refused caller may try again, in milliseconds: a few runs have ended by then.
+pub(super) const RETRY_AFTER_MS: u64 = 250;
+/// Callers honour the time to retry after up to the time they have left, divided by this.
+const MAX_RETRY_AFTER_DIVISOR: u64 = 3;
+
 /// Target of an attempt.
 pub(super) enum TargetChoice {
     /// This one.
     Target(ServingTarget),
     /// The request is held back at every eligible target.
     HeldBack,
+    /// No target is expected to answer in time.
+    NoRoom,
     /// No target is eligible.
     None,
 }
 
+/// What the next attempt of a call needs of its target.
+#[derive(Debug, Default)]
+pub(super) struct AttemptNeed {
+    /// Whether it is a hedged one.
+    pub is_hedge: bool,
+    /// Whether a full gate has refused the call.
+    is_for_room: bool,
+}
+
+impl AttemptNeed {
+    /// Returns the need of the next attempt; those after it are not hedged ones.
+    pub(super) fn take(&mut self) -> TargetNeed {
+        if std::mem::take(&mut self.is_hedge) {
+            TargetNeed::Idle
+        } else if self.is_for_room {
+            TargetNeed::Room
+        } else {
+            TargetNeed::Any
+        }
+    }
+
+    /// Records the reason for which an attempt failed.
+    pub(super) fn record_failure(&mut self, reason: &str) {
+        let refusal = GateRefusal::parse(reason);
+        self.is_for_room |= matches!(refusal, Some(GateRefusal::Full | GateRefusal::Expired));
+    }
+}
+
 impl OutboundHandler {
     /// Chooses a version by the cleared share and a target of it that has not been tried. If the version has no
-    /// eligible target or a gate has recently refused it as stopped, its fallback is used. `only_idle` is set for a
-    /// hedged attempt. A suspect goes to the target that all daemons select for it, and is not hedged.
+    /// eligible target or a gate has recently refused it as stopped, its fallback is used. A suspect goes to the target
+    /// that all daemons select for it, and is not hedged.
     pub(super) fn choose(
         &self,
         call: &RoutedCall,
         body_bytes: usize,
         tried: &[Arc<str>],
-        only_idle: bool,
+        need: TargetNeed,
     ) -> TargetChoice {
         let shared = &self.shared;
         let pool: &CompiledPool = &call.pool;
@@ -59,6 +96,7 @@
             (choice, stopped)
         };
         let mut is_held_back = false;
+        let mut is_without_room = false;
         let moving_to = pool.order.as_ref().map_or("", |order| &order.to);
         let first = Some(&choice.version).filter(|_| !preferred_is_stopped || choice.fallback.is_none());
         for version in first.into_iter().chain(&choice.fallback) {
@@ -66,39 +104,59 @@
             let (targets, is_suspect) = self.admitted(call, targets.collect(), &mut is_held_back);
             if is_suspect {
                 match choose_for_suspect(call, &targets, tried) {
-                    Some(target) if !only_idle => return TargetChoice::Target(target.clone()),
+                    Some(target) if need != TargetNeed::Idle => return TargetChoice::Target(target.clone()),
                     _ => continue,
                 }
             }
             let candidates: Vec<CandidateTarget> = targets.iter().map(|target| candidate(target)).collect();
             let chosen = {
                 let selector = shared.selector.lock();
-                let answer_by = if now < call.useful_until {
-                    call.useful_until
-                } else {
-                    call.deadline
-                };
                 let criteria = TargetCriteria {
-                    route: &call.route.name,
                     cross_dc_cost_ms: selector.cross_dc_cost_ms(&call.route.name, body_bytes),
-                    limit_ms: Some(answer_by.ms_since(now) as f64),
-                    only_idle,
-                    priority: call.route.priority,
+                    need,
+                    ..criteria(call, now)
                 };
                 let chosen = selector.choose(&candidates, tried, criteria, &mut rng, now);
                 chosen.map(|chosen| Arc::clone(&chosen.name))
             };
-            if let Some(target) = chosen.and_then(|name| targets.iter().find(|target| target.name == name)) {
-                return TargetChoice::Target((*target).clone());
+            match chosen {
+                Ok(name) => {
+                    if let Some(target) = targets.iter().find(|target| target.name == name) {
+                        return TargetChoice::Target((*target).clone());
+                    }
+                }
+                Err(MissingTarget::NoRoom) => is_without_room = true,
+                Err(MissingTarget::None) => {}
             }
         }
         if is_held_back {
             TargetChoice::HeldBack
+        } else if is_without_room {
+            shared.metrics.calls_without_room.inc();
+            TargetChoice::NoRoom
         } else {
             TargetChoice::None
         }
     }
 
+    /// Returns the time after which a caller that was refused for want of room may try again, in milliseconds: once a
+    /// target is expected to answer in the useful time, drawn from up to twice that, so that callers that were refused
+    /// together don't return together. At most the part of the caller's time that callers wait.
+    pub(super) fn retry_after_ms(&self, call: &RoutedCall) -> u64 {
+        let shared = &self.shared;
+        let now = shared.now();
+        let snapshot = shared.snapshot.load();
+        let targets = snapshot.targets.get(&call.pool.entry.service);
+        let candidates: Vec<CandidateTarget> = targets.into_iter().flatten().map(candidate).collect();
+        let criteria = TargetCriteria {
+            limit_ms: Some(call.useful_until.ms_since(call.arrived_at) as f64),
+            ..criteria(call, now)
+        };
+        let room_in_ms = shared.selector.lock().room_in_ms(&candidates, criteria, now);
+        let wait_ms = room_in_ms.max(RETRY_AFTER_MS as f64) * self.rng.lock().random_range(1.0..2.0);
+        (wait_ms as u64).min(call.deadline.ms_since(now) / MAX_RETRY_AFTER_DIVISOR)
+    }
+
     /// Returns the targets at which a request is not held back, and whether it is a suspect there.
     fn admitted<'a>(
         &self,
@@ -128,6 +186,20 @@
     }
 }
 
+fn criteria(call: &RoutedCall, now: TimePoint) -> TargetCriteria<'_> {
+    let answer_by = if now < call.useful_until {
+        call.useful_until
+    } else {
+        call.deadline
+    };
+    TargetCriteria {
+        route: &call.route.name,
+        limit_ms: Some(answer_by.ms_since(now) as f64),
+        priority: call.route.priority,
+        ..TargetCriteria::default()
+    }
+}
+
 fn candidate(target: &ServingTarget) -> CandidateTarget {
     CandidateTarget {
         name: Arc::clone(&target.name),
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -2,6 +2,7 @@
 //! service, a target, a caller and a TCP relay.
 
 pub mod admission;
+pub mod balance;
 mod caller;
 pub mod figures;
 mod kv;
--- a/src/lab/run.rs
+++ b/src/lab/run.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         admission::render_admission,
+        balance::render_balance,
         caller::{CallerSettings, run_caller},
         figures,
         kv::KvServer,
@@ -26,6 +27,7 @@
   figures --trials N --seed N [--length long|short] [--only TEXT]
                                        measure simulated moves, with the decision code alone
   admission --seed N                   play loads over gates in memory and print who is served
+  balance --seed N                     play the choice of targets by old figures and print how even the load is
   ports --count N                      print N free ports
 
 Fakes for tests and the quick start; not for production.
@@ -91,6 +93,7 @@
             "{}",
             render_admission(&[0.9, 1.2, 1.5], option(&options, "seed")?)
         ),
+        "balance" => print!("{}", render_balance(option(&options, "seed")?)),
         "ports" => print_ports(option(&options, "count")?),
         _ => print!("{USAGE}"),
     }
