--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -168,6 +168,8 @@
     pub retries: Counter,
     /// Calls that the target beside this daemon made in runs of its own.
     pub nested_calls: Counter,
+    /// Calls for which no target was expected to answer in time.
+    pub calls_without_room: Counter,
     /// Latency of answered calls by pool, in seconds.
     latency: Family<PoolLabels, Histogram, fn() -> Histogram>,
 }
@@ -204,6 +206,7 @@
             cleared_requests: Counter::default(),
             retries: Counter::default(),
             nested_calls: Counter::default(),
+            calls_without_room: Counter::default(),
             latency: Family::new_with_constructor(latency_histogram),
         };
         registry.register(
@@ -261,12 +264,7 @@
         );
         register_quarantine(&mut registry, &metrics);
         registry.register("members", "Daemons present", metrics.members.clone());
-        registry.register("retries", "Retries sent", metrics.retries.clone());
-        registry.register(
-            "nested_calls",
-            "Calls that the target made in runs of its own",
-            metrics.nested_calls.clone(),
-        );
+        register_load(&mut registry, &metrics);
         registry.register(
             "call_seconds",
             "Time of answered calls by pool",
@@ -277,6 +275,21 @@
     }
 }
 
+/// Registers the metrics of calls under load.
+fn register_load(registry: &mut Registry, metrics: &DaemonMetrics) {
+    registry.register("retries", "Retries sent", metrics.retries.clone());
+    registry.register(
+        "nested_calls",
+        "Calls that the target made in runs of its own",
+        metrics.nested_calls.clone(),
+    );
+    registry.register(
+        "calls_without_room",
+        "Calls for which no target was expected to answer in time",
+        metrics.calls_without_room.clone(),
+    );
+}
+
 /// Registers the metrics of the target beside this daemon and of requests that end targets.
 fn register_quarantine(registry: &mut Registry, metrics: &DaemonMetrics) {
     registry.register(
