Large bodies are sent when a gate asks for them; undefined statuses are no answers

Cause: a body crossed the link to a gate that then refused its call, one over 64 KiB was consumed by that, so that the call was lost although nothing had run, and the gate held a slot while the body came. An answer with a status over 599 was passed on. Change: proxies read bodies of up to 512 KiB first, and offer those over 16 KiB (Expect: 100-continue). A status outside 100 to 599 counts as a broken answer at the gate and the proxy. Tests: two checks of large bodies now hold for bodies over 512 KiB, which are streamed as before (504 of a stalled one, "unknown" for one over the limit); for smaller ones the same tests require what is true now and says more: not run (408, 413), nothing at the target.

--- a/src/call/plan.rs
+++ b/src/call/plan.rs
@@ -21,7 +21,7 @@
 pub struct CallRules {
     /// Whether the request may run twice.
     pub repeatable: bool,
-    /// Whether its whole body is buffered, so that it can be sent again.
+    /// Whether its whole body is here, so that it can be sent again.
     pub resendable: bool,
     /// Maximum number of targets that it may reach.
     pub attempts: u32,
@@ -89,6 +89,11 @@
         self.hedge_at
     }
 
+    /// Sets whether the request can be sent again.
+    pub fn set_resendable(&mut self, resendable: bool) {
+        self.rules.resendable = resendable;
+    }
+
     /// Records that the request is sent to a target, and schedules a hedged attempt if this is the only attempt in
     /// flight and the request may be sent twice.
     pub fn record_attempt(&mut self, target: Arc<str>, now: TimePoint) {
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -126,6 +126,8 @@
     ended_connections: Family<EndLabels, Counter>,
     /// Bodies of requests and answers that were not transferred to their end, by listener and cause.
     broken_transfers: Family<EndLabels, Counter>,
+    /// Large bodies that proxies offered to this gate, by what became of them.
+    offered_bodies: Family<KindLabels, Counter>,
     /// Answers of targets that were passed on to callers, by status.
     answers: Family<StatusLabels, Counter>,
     /// Open connections of calls, by whose they are.
@@ -177,6 +179,7 @@
             refusals: Family::default(),
             ended_connections: Family::default(),
             broken_transfers: Family::default(),
+            offered_bodies: Family::default(),
             answers: Family::default(),
             open_connections: Family::default(),
             held_connections: Family::default(),
@@ -217,6 +220,11 @@
             "Bodies that were not transferred to their end, by listener and cause",
             metrics.broken_transfers.clone(),
         );
+        registry.register(
+            "offered_bodies",
+            "Large bodies offered to this gate: received, refused, expired before their turn, or broken off",
+            metrics.offered_bodies.clone(),
+        );
         registry.register(
             "answers",
             "Answers of targets that were passed on to callers, by status",
@@ -363,6 +371,11 @@
             .inc();
     }
 
+    /// Counts a body that was offered to this gate, by what became of it.
+    pub fn count_offered_body(&self, kind: &'static str) {
+        self.offered_bodies.get_or_create(&KindLabels { kind }).inc();
+    }
+
     /// Counts a target's answer that is passed on to the caller.
     pub fn count_status(&self, status: StatusCode) {
         let labels = StatusLabels {
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -11,7 +11,7 @@
         operators::{ControlHandler, OperatorHandler},
         readiness::ReadinessHandler,
         refusals::RefusalLines,
-        shared::{GateQueue, MoveRegistry, SharedState, TargetIdentity},
+        shared::{BodyIntake, GateQueue, MoveRegistry, SharedState, TargetIdentity},
         tasks::ControlEvent,
         traffic::{InboundHandler, OutboundHandler, PeerClients},
     },
@@ -20,6 +20,7 @@
         clock::ProcessClock,
         gate::GateState,
         http::{CLIENT_TIMEOUTS, ClientTimeouts, HeadLimits, REPEATABLE_IDLE_TIMEOUT, bind, serve_within},
+        intake::IntakeLimits,
         member::ProbeMessage,
         quarantine::QuarantineState,
         settings::DaemonSettings,
@@ -44,7 +45,7 @@
         net::UdpSocket,
         runtime::{Builder, Runtime},
         signal::unix::{SignalKind, signal},
-        sync::{Notify, mpsc},
+        sync::{Notify, Semaphore, mpsc},
         time::interval,
     },
 };
@@ -189,6 +190,7 @@
     let budget = PoolBudgets::new(settings.extra_retries, 1);
     let clock = ProcessClock::start();
     let metrics = DaemonMetrics::default();
+    let intake_limits = IntakeLimits::new(settings.link_mbps, settings.memory_mb);
     let started_at = clock.now();
     let quarantine = QuarantineState::new(Arc::clone(&settings.name), started_at.0, settings.quarantine_ms);
     SharedState {
@@ -203,6 +205,8 @@
             state,
             waiting: HashMap::new(),
         }),
+        intake: Mutex::new(BodyIntake::new(intake_limits)),
+        body_room: Arc::new(Semaphore::new(intake_limits.room_bytes as usize)),
         selector: Mutex::default(),
         budget: Mutex::new(budget),
         evidence: Mutex::default(),
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -9,6 +9,7 @@
         call::{PoolBudgets, TargetSelector},
         clock::{ProcessClock, TimePoint},
         gate::{DequeueOutcome, GateRefusal, GateState, TicketId},
+        intake::{IntakeId, IntakeLimits, IntakeState},
         moves::{Clearance, GateLease},
         quarantine::{QuarantineNotice, QuarantineState},
         settings::DaemonSettings,
@@ -27,7 +28,7 @@
         },
     },
     tokio::{
-        sync::{Notify, mpsc, oneshot},
+        sync::{Notify, Semaphore, mpsc, oneshot},
         time::sleep,
     },
 };
@@ -73,6 +74,37 @@
     }
 }
 
+/// The gate's intake of bodies with the channels of offers that wait.
+#[derive(Debug)]
+pub struct BodyIntake {
+    /// State of the intake, without I/O.
+    pub state: IntakeState,
+    /// Channels of the offers that wait.
+    pub waiting: HashMap<IntakeId, oneshot::Sender<()>>,
+}
+
+impl BodyIntake {
+    /// Creates an intake without bodies.
+    pub fn new(limits: IntakeLimits) -> Self {
+        Self {
+            state: IntakeState::new(limits),
+            waiting: HashMap::new(),
+        }
+    }
+
+    /// Tells the offers whose turn it is. Those that have been dropped give their turn to the next ones.
+    pub fn wake(&mut self, now: TimePoint) {
+        let mut turns = self.state.next_turns(now);
+        while let Some(id) = turns.pop() {
+            let sender = self.waiting.remove(&id);
+            if sender.is_none_or(|sender| sender.send(()).is_err()) {
+                self.state.remove(id);
+                turns.extend(self.state.next_turns(now));
+            }
+        }
+    }
+}
+
 /// State of open moves in this daemon, as a proxy and as a gate.
 #[derive(Debug, Default)]
 pub struct MoveRegistry {
@@ -187,6 +219,10 @@
     pub freshness: TableFreshness,
     /// The gate of this daemon's target.
     pub gate: Mutex<GateQueue>,
+    /// Bodies on their way to this gate.
+    pub intake: Mutex<BodyIntake>,
+    /// Room for callers' bodies, one permit a byte.
+    pub body_room: Arc<Semaphore>,
     /// Load and failures of targets, by which this proxy selects the target of a call.
     pub selector: Mutex<TargetSelector>,
     /// Retry budgets by pool.
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -2,10 +2,11 @@
 
 use {
     super::{
-        body::{AnswerBody, AnswerFault, BodyFault, BodyProgress, ForwardedBody, RequestBody},
+        answer_body::{AnswerBody, AnswerFault},
+        body::{BodyFault, BodyProgress, ForwardedBody, RequestBody},
         hop::{BODY_INCOMPLETE, HopCall, header},
         peer_client::{ConnectionReuse, PeerClients, SendFault},
-        relay::text_header,
+        relay::{is_defined_status, text_header},
     },
     crate::{
         call::{AttemptOutcome, LoadReport, TargetSelector},
@@ -21,12 +22,14 @@
     hyper::{
         Request, Response, Uri,
         body::Incoming,
-        header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
+        ext::on_informational,
+        header::{CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING},
         http::uri::PathAndQuery,
     },
+    parking_lot::Mutex,
     salvo::http::{HeaderMap, HeaderValue, Method, StatusCode},
     std::{net::SocketAddr, sync::Arc, time::Instant},
-    tokio::time::timeout,
+    tokio::{sync::oneshot, time::timeout},
 };
 
 /// Request of a call, from which the request of each attempt is built.
@@ -46,8 +49,38 @@
 }
 
 impl ForwardedRequest {
-    /// Builds the request to the next hop at `peer`. Returns `None` if the path can't be written as a URI.
-    pub fn request_to(&mut self, peer: SocketAddr) -> Option<Request<ForwardedBody>> {
+    /// Builds the request to the target at `peer`. Returns `None` if the path can't be written as a URI.
+    pub fn request_to(&self, peer: SocketAddr) -> Option<Request<ForwardedBody>> {
+        self.request_with(peer, self.body.take())
+    }
+
+    /// Builds the request to the gate at `peer`, which is to ask for a large body. Returns `None` if the path can't be written
+    /// as a URI.
+    pub fn offer_to(&self, peer: SocketAddr) -> Option<Request<ForwardedBody>> {
+        if !self.body.is_large() {
+            return self.request_to(peer);
+        }
+        let (ask, asked) = oneshot::channel();
+        let mut request = self.request_with(peer, self.body.take_when(asked))?;
+        let headers = request.headers_mut();
+        headers.insert(EXPECT, HeaderValue::from_static("100-continue"));
+        if let Some(bytes) = self.body.buffered_bytes() {
+            headers.remove(TRANSFER_ENCODING);
+            headers.insert(CONTENT_LENGTH, bytes.into());
+        }
+        let ask = Mutex::new(Some(ask));
+        on_informational(&mut request, move |interim| {
+            if interim.status() == StatusCode::CONTINUE
+                && let Some(ask) = ask.lock().take()
+            {
+                // Without a receiver the attempt has ended.
+                let _ = ask.send(());
+            }
+        });
+        Some(request)
+    }
+
+    fn request_with(&self, peer: SocketAddr, body: ForwardedBody) -> Option<Request<ForwardedBody>> {
         let uri = Uri::builder()
             .scheme("http")
             .authority(peer.to_string())
@@ -55,9 +88,8 @@
             .build()
             .ok()?;
         // Without a framing of its own the library sends no body with a GET or HEAD.
-        let is_chunked =
-            matches!(self.body, RequestBody::Streaming(_)) && !self.headers.contains_key(CONTENT_LENGTH);
-        let mut request = Request::new(self.body.take());
+        let is_chunked = !self.body.is_buffered() && !self.headers.contains_key(CONTENT_LENGTH);
+        let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = uri;
         *request.headers_mut() = self.headers.clone();
@@ -220,6 +252,9 @@
         match text_header(&headers, header::OUTCOME) {
             Some("not-run") => return self.record_refusal(reason, &headers),
             Some(_) => return AttemptResult::failure(AttemptOutcome::Broken, reason),
+            None if !is_defined_status(status) => {
+                return AttemptResult::failure(AttemptOutcome::Broken, "answer with an undefined status");
+            }
             None => {}
         }
         let until = tokio::time::Instant::now() + deadline.remaining_from(shared.now());
--- a/src/daemon/traffic/body.rs
+++ b/src/daemon/traffic/body.rs
@@ -1,16 +1,15 @@
-//! Request and answer bodies: small ones are fully buffered, larger ones are streamed.
+//! Request bodies: they are buffered as far as there is room, larger ones are streamed.
 
 use {
     super::transfer_report::{TransferFault, TransferReport},
-    crate::{clock::TimePoint, http::ConnectionCloser},
     bytes::{Bytes, BytesMut},
     futures_util::{Stream, StreamExt, TryStreamExt, stream},
-    http_body_util::{BodyExt, BodyStream, Full, StreamBody, combinators::UnsyncBoxBody},
-    hyper::body::{Body, Frame, Incoming},
+    http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
+    hyper::body::{Body, Frame},
     parking_lot::Mutex,
     salvo::http::{
-        HeaderMap, Method, ReqBody, StatusCode,
-        header::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING},
+        HeaderMap, ReqBody,
+        header::{CONTENT_LENGTH, EXPECT},
     },
     std::{
         io,
@@ -22,14 +21,19 @@
         time::Duration,
     },
     tokio::{
-        sync::mpsc,
-        time::{Instant, sleep_until, timeout, timeout_at},
+        sync::{OwnedSemaphorePermit, Semaphore, oneshot},
+        time::{Instant, timeout, timeout_at},
     },
 };
 
-/// Largest body that is fully buffered, in bytes. A buffered request can be sent again, and a buffered answer is known
-/// to be complete before any of it is returned.
+/// Largest body that is always buffered, in bytes. A buffered request can be sent again, and a buffered answer is known to
+/// be complete before any of it is returned.
 pub const MAX_BUFFERED_BYTES: usize = 64 * 1024;
+/// Largest request body that is buffered where there is room for it, in bytes.
+pub const MAX_HELD_BYTES: usize = 512 * 1024;
+/// Size over which a body is sent to a gate only when the gate asks for it, in bytes. A smaller one takes less time on a link
+/// than the question.
+pub const OFFERED_BYTES: usize = 16 * 1024;
 /// Maximum number of bytes of a refused body that are read and dropped, so that the caller, which may send its whole
 /// body first, gets to read the refusal.
 const DISCARD_BYTES: usize = 64 << 20;
@@ -40,16 +44,51 @@
 
 /// Body type of the HTTP clients' requests.
 pub type ForwardedBody = UnsyncBoxBody<Bytes, io::Error>;
-type ByteStream = Pin<Box<dyn Stream<Item = io::Result<Bytes>> + Send>>;
+/// Chunks of a body.
+pub type ByteStream = Pin<Box<dyn Stream<Item = io::Result<Bytes>> + Send>>;
 
 /// Body of a request to the next hop.
 pub enum RequestBody {
     /// Fully buffered; can be sent again.
-    Buffered(Bytes),
-    /// Streamed from the caller; can be sent once.
-    Streaming(ByteStream),
-    /// Streamed body that was sent already.
-    Consumed,
+    Buffered {
+        /// The body.
+        content: Bytes,
+        /// Room that the body takes until dropped.
+        _room: Option<OwnedSemaphorePermit>,
+    },
+    /// Streamed from the caller; can be sent once. `None` within once it has been taken.
+    Streaming(Arc<Mutex<Option<ByteStream>>>),
+}
+
+/// Room for bodies over [`MAX_BUFFERED_BYTES`].
+#[derive(Debug, Clone, Copy)]
+pub enum BodyRoom<'a> {
+    /// None: such a body is streamed.
+    None,
+    /// Room that all bodies share, one permit a byte. A body that finds too little is streamed.
+    Shared(&'a Arc<Semaphore>),
+    /// The room has been set aside.
+    Reserved,
+}
+
+/// Room that a body has taken.
+struct TakenRoom {
+    /// Permits of a shared room.
+    permit: Option<OwnedSemaphorePermit>,
+}
+
+impl BodyRoom<'_> {
+    /// Takes room for a body. Returns `None` if it has to be streamed.
+    fn take(self, bytes: usize) -> Option<TakenRoom> {
+        match self {
+            Self::None => None,
+            Self::Shared(room) => {
+                let permit = Arc::clone(room).try_acquire_many_owned(bytes as u32).ok()?;
+                Some(TakenRoom { permit: Some(permit) })
+            }
+            Self::Reserved => Some(TakenRoom { permit: None }),
+        }
+    }
 }
 
 /// Error on reading a request body.
@@ -69,6 +108,7 @@
     fault: Mutex<Option<BodyFault>>,
     /// What is left of a body over the limit.
     rest: Mutex<Option<ByteStream>>,
+    on_chunk: Option<Box<dyn Fn(usize) + Send + Sync>>,
 }
 
 impl BodyProgress {
@@ -80,6 +120,15 @@
             is_awaited: AtomicBool::new(false),
             fault: Mutex::default(),
             rest: Mutex::default(),
+            on_chunk: None,
+        }
+    }
+
+    /// Calls `on_chunk` with the size of each part of the body that comes.
+    pub fn with_observer(self, on_chunk: impl Fn(usize) + Send + Sync + 'static) -> Self {
+        Self {
+            on_chunk: Some(Box::new(on_chunk)),
+            ..self
         }
     }
 
@@ -124,8 +173,9 @@
 }
 
 impl RequestBody {
-    /// Buffers a body of up to [`MAX_BUFFERED_BYTES`]. A larger one is streamed; the stream ends with an error if it
-    /// exceeds `limit` bytes or is not complete at `until`. `progress` tells later why.
+    /// Buffers a body of up to [`MAX_BUFFERED_BYTES`], or of up to [`MAX_HELD_BYTES`] if there is room for it. A larger one is
+    /// streamed; the stream ends with an error if it exceeds `limit` bytes or is not complete at `until`. `progress` tells
+    /// later why.
     ///
     /// Fails with [`BodyFault::TooLarge`] if the body exceeds `limit` by its declared length or while it is buffered, and
     /// with [`BodyFault::Incomplete`] if it breaks off or `until` passes while it is buffered.
@@ -135,6 +185,7 @@
         limit: u64,
         until: Instant,
         progress: &Arc<BodyProgress>,
+        room: BodyRoom<'_>,
     ) -> Result<Self, BodyFault> {
         let length = declared_length(headers);
         if length.is_some_and(|length| length > limit) {
@@ -143,74 +194,143 @@
             return Err(BodyFault::TooLarge);
         }
         let chunks = observe(data_chunks(body), limit, until, Arc::clone(progress));
-        if length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64) {
-            return Ok(Self::Streaming(chunks));
+        if let Ok(Ok(body)) = timeout_at(until, Self::buffer(chunks, length, room)).await {
+            return Ok(body);
         }
-        match timeout_at(until, buffer(chunks)).await {
-            Ok(Ok(BufferedBody::Complete(bytes))) => Ok(Self::Buffered(bytes)),
-            Ok(Ok(BufferedBody::Oversized(chunks))) => Ok(Self::Streaming(chunks)),
-            Ok(Err(_)) | Err(_) => {
-                progress.discard_rest().await;
-                Err(progress.fault().unwrap_or(BodyFault::Incomplete))
-            }
+        progress.discard_rest().await;
+        Err(progress.fault().unwrap_or(BodyFault::Incomplete))
+    }
+
+    /// Buffers a body of a declared length, if it has one, as far as there is room.
+    async fn buffer(chunks: ByteStream, length: Option<u64>, room: BodyRoom<'_>) -> io::Result<Self> {
+        let (chunks, held_bytes) = match length {
+            Some(length) if length > MAX_HELD_BYTES as u64 => return Ok(Self::streaming(chunks)),
+            Some(length) if length > MAX_BUFFERED_BYTES as u64 => (chunks, length as usize),
+            _ => match buffer(chunks, MAX_BUFFERED_BYTES).await? {
+                BufferedBody::Complete(content) => return Ok(Self::buffered_in(content, None)),
+                BufferedBody::Oversized(chunks) => (chunks, MAX_HELD_BYTES),
+            },
+        };
+        let Some(room) = room.take(held_bytes) else {
+            return Ok(Self::streaming(chunks));
+        };
+        match buffer(chunks, MAX_HELD_BYTES).await? {
+            BufferedBody::Complete(content) => Ok(Self::buffered_in(content, room.permit)),
+            BufferedBody::Oversized(chunks) => Ok(Self::streaming(chunks)),
         }
     }
 
+    fn buffered_in(content: Bytes, room: Option<OwnedSemaphorePermit>) -> Self {
+        Self::Buffered { content, _room: room }
+    }
+
+    fn streaming(chunks: ByteStream) -> Self {
+        Self::Streaming(Arc::new(Mutex::new(Some(chunks))))
+    }
+
     /// Returns whether the body is buffered and can be sent again.
     pub fn is_buffered(&self) -> bool {
-        matches!(self, Self::Buffered(_))
+        matches!(self, Self::Buffered { .. })
+    }
+
+    /// Returns whether no part of the body has been lost, so that it can be sent.
+    pub fn is_whole(&self) -> bool {
+        match self {
+            Self::Buffered { .. } => true,
+            Self::Streaming(chunks) => chunks.lock().is_some(),
+        }
+    }
+
+    /// Returns whether the body is so large that a gate is to ask for it.
+    pub fn is_large(&self) -> bool {
+        match self {
+            Self::Buffered { content, .. } => content.len() > OFFERED_BYTES,
+            Self::Streaming(_) => true,
+        }
     }
 
-    /// Returns a buffered body.
-    pub fn buffered(&self) -> Option<&[u8]> {
+    /// Returns a body of up to [`MAX_BUFFERED_BYTES`].
+    pub fn small(&self) -> Option<&[u8]> {
         match self {
-            Self::Buffered(bytes) => Some(bytes),
-            Self::Streaming(_) | Self::Consumed => None,
+            Self::Buffered { content, .. } if content.len() <= MAX_BUFFERED_BYTES => Some(content),
+            Self::Buffered { .. } | Self::Streaming(_) => None,
         }
     }
 
-    /// Returns the size of a buffered body in bytes, otherwise [`MAX_BUFFERED_BYTES`], which a streamed body exceeds.
-    pub fn buffered_bytes(&self) -> usize {
+    /// Returns the size of a buffered body in bytes; `None` for a streamed one.
+    pub fn buffered_bytes(&self) -> Option<usize> {
         match self {
-            Self::Buffered(bytes) => bytes.len(),
-            Self::Streaming(_) | Self::Consumed => MAX_BUFFERED_BYTES,
+            Self::Buffered { content, .. } => Some(content.len()),
+            Self::Streaming(_) => None,
         }
     }
 
     /// Returns the body for the next attempt. A streamed body is consumed; after that, the body is empty.
-    pub fn take(&mut self) -> ForwardedBody {
+    pub fn take(&self) -> ForwardedBody {
         match self {
-            Self::Buffered(bytes) => Full::new(bytes.clone())
-                .map_err(|never| match never {})
-                .boxed_unsync(),
-            Self::Streaming(_) => {
-                let Self::Streaming(chunks) = std::mem::replace(self, Self::Consumed) else {
-                    return empty();
-                };
-                BodyExt::boxed_unsync(StreamBody::new(chunks.map_ok(Frame::data)))
-            }
-            Self::Consumed => empty(),
+            Self::Buffered { content, .. } => full(content.clone()),
+            Self::Streaming(chunks) => chunks.lock().take().map_or_else(|| full(Bytes::new()), forwarded),
         }
     }
+
+    /// Returns the body for the next attempt, which begins when `asked` is sent and fails if that is dropped. A streamed body
+    /// is consumed only then.
+    pub fn take_when(&self, asked: oneshot::Receiver<()>) -> ForwardedBody {
+        let source = match self {
+            Self::Buffered { content, .. } => {
+                let content = content.clone();
+                Box::new(move || once_chunk(content)) as Box<dyn FnOnce() -> ByteStream + Send>
+            }
+            Self::Streaming(chunks) => {
+                let chunks = Arc::clone(chunks);
+                Box::new(move || {
+                    chunks
+                        .lock()
+                        .take()
+                        .unwrap_or_else(|| failed_chunk("the body was sent before"))
+                })
+            }
+        };
+        let chunks = stream::once(async move {
+            match asked.await {
+                Ok(()) => source(),
+                Err(_) => failed_chunk("the body was not asked for"),
+            }
+        });
+        forwarded(Box::pin(chunks.flatten()))
+    }
+}
+
+fn once_chunk(content: Bytes) -> ByteStream {
+    Box::pin(stream::once(async move { Ok(content) }))
 }
 
-fn empty() -> ForwardedBody {
-    Full::new(Bytes::new())
-        .map_err(|never| match never {})
-        .boxed_unsync()
+fn failed_chunk(text: &'static str) -> ByteStream {
+    Box::pin(stream::once(async move { Err(io::Error::other(text)) }))
 }
 
-enum BufferedBody {
+fn forwarded(chunks: ByteStream) -> ForwardedBody {
+    BodyExt::boxed_unsync(StreamBody::new(chunks.map_ok(Frame::data)))
+}
+
+fn full(content: Bytes) -> ForwardedBody {
+    Full::new(content).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Body as far as it was buffered.
+pub enum BufferedBody {
+    /// The whole body.
     Complete(Bytes),
+    /// A longer body.
     Oversized(ByteStream),
 }
 
-/// Buffers a body of up to [`MAX_BUFFERED_BYTES`]. A longer one is returned as a stream that begins with what was read.
-async fn buffer(mut chunks: ByteStream) -> io::Result<BufferedBody> {
+/// Buffers a body of up to `limit` bytes. A longer one is returned as a stream that begins with what was read.
+pub async fn buffer(mut chunks: ByteStream, limit: usize) -> io::Result<BufferedBody> {
     let mut read = BytesMut::new();
     while let Some(chunk) = chunks.next().await {
         read.extend_from_slice(&chunk?);
-        if read.len() > MAX_BUFFERED_BYTES {
+        if read.len() > limit {
             let first = stream::once(async move { Ok(read.freeze()) });
             return Ok(BufferedBody::Oversized(Box::pin(first.chain(chunks))));
         }
@@ -222,15 +342,6 @@
     Box::pin(body.try_filter_map(|frame| async move { Ok(frame.into_data().ok()) }))
 }
 
-/// Returns whether a body has no transfer coding or `chunked` alone.
-fn is_plain_or_chunked(headers: &HeaderMap) -> bool {
-    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
-    let is_chunked = codings
-        .next()
-        .is_none_or(|coding| coding.as_bytes().eq_ignore_ascii_case(b"chunked"));
-    is_chunked && codings.next().is_none()
-}
-
 /// Returns the `content-length` of a message.
 pub fn declared_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
@@ -284,6 +395,9 @@
                     Some((Err(error), None))
                 }
                 Ok(Some(Ok(chunk))) => {
+                    if let Some(on_chunk) = &progress.on_chunk {
+                        on_chunk(chunk.len());
+                    }
                     if let Some(left) = left.checked_sub(chunk.len() as u64) {
                         return Some((Ok(chunk), Some((chunks, left, progress))));
                     }
@@ -295,167 +409,3 @@
         },
     ))
 }
-
-/// Body of an answer.
-pub enum AnswerBody {
-    /// Fully buffered, so known to be complete.
-    Buffered(Bytes),
-    /// Streamed from the previous hop.
-    Streaming {
-        /// Chunks of the body.
-        chunks: ByteStream,
-        /// Size of the whole body in bytes; `None` if it is known only at its end.
-        length: Option<u64>,
-    },
-    /// No body: the answer to a HEAD request, or one with status 204 or 304.
-    None,
-}
-
-/// Error on reading the body of an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AnswerFault {
-    /// The connection broke before the end of the body.
-    Cut,
-    /// The deadline passed before the end of the body.
-    Late,
-    /// The body is in a transfer coding other than `chunked`, which nobody here decodes.
-    Coded,
-}
-
-impl AnswerBody {
-    /// Buffers a body of up to [`MAX_BUFFERED_BYTES`] that is complete by `until`, so that a truncated one is detected
-    /// before any of the answer is returned. A larger one is streamed.
-    ///
-    /// Fails with [`AnswerFault::Cut`] if the body breaks off, with [`AnswerFault::Late`] if `until` passes while it is
-    /// buffered, and with [`AnswerFault::Coded`] if `headers` name a transfer coding other than `chunked`.
-    pub async fn read(
-        method: &Method,
-        status: StatusCode,
-        headers: &HeaderMap,
-        body: Incoming,
-        until: Instant,
-    ) -> Result<Self, AnswerFault> {
-        let is_bodiless =
-            *method == Method::HEAD || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
-        if is_bodiless {
-            return Ok(Self::None);
-        }
-        if !is_plain_or_chunked(headers) {
-            return Err(AnswerFault::Coded);
-        }
-        let length = body.size_hint().exact();
-        let frames = TryStreamExt::map_err(BodyStream::new(body), io::Error::other);
-        let chunks = frames.try_filter_map(|frame| async move { Ok(frame.into_data().ok()) });
-        match timeout_at(until, buffer(Box::pin(chunks))).await {
-            Ok(Ok(BufferedBody::Complete(bytes))) => Ok(Self::Buffered(bytes)),
-            Ok(Ok(BufferedBody::Oversized(chunks))) => Ok(Self::Streaming { chunks, length }),
-            Ok(Err(_)) => Err(AnswerFault::Cut),
-            Err(_) => Err(AnswerFault::Late),
-        }
-    }
-}
-
-/// End of the transfer of a streamed answer.
-#[derive(Debug, Clone)]
-pub struct TransferEnd {
-    /// Time at which the transfer is given up.
-    pub at: Instant,
-    /// Resets the connection of the caller, which may have stopped reading, or to whom the answer is cut.
-    closer: ConnectionCloser,
-    report: TransferReport,
-}
-
-impl TransferEnd {
-    /// Creates the end of a transfer at a deadline.
-    pub fn new(
-        deadline: TimePoint,
-        now: TimePoint,
-        closer: ConnectionCloser,
-        report: TransferReport,
-    ) -> Self {
-        Self {
-            at: Instant::now() + deadline.remaining_from(now),
-            closer,
-            report,
-        }
-    }
-}
-
-/// Item of a streamed body; `None` is its regular end.
-type PumpedItem = Option<io::Result<Bytes>>;
-
-/// Streams the chunks of an answer, of `length` bytes if that is known, until the end of the transfer, and drops `guard`
-/// after the body has been sent or given up. A body that breaks off or passes the deadline ends with an error, which aborts
-/// the transfer, so that it can't be taken for a complete short one.
-pub fn stream_until<K: Send + 'static>(
-    (chunks, length): (ByteStream, Option<u64>),
-    end: TransferEnd,
-    guard: K,
-) -> impl Stream<Item = io::Result<Bytes>> + Send {
-    let (sender, receiver) = mpsc::channel(1);
-    let closer = end.closer.clone();
-    // The server asks for no chunk while the caller doesn't read, so the source has a task of its own.
-    tokio::spawn(pump((chunks, length), sender, end, guard));
-    stream::unfold(Some((receiver, closer)), |state| async {
-        let (mut receiver, closer) = state?;
-        let error = match receiver.recv().await {
-            Some(Some(Ok(chunk))) => return Some((Ok(chunk), Some((receiver, closer)))),
-            Some(None) => return None,
-            Some(Some(Err(error))) => error,
-            None => io::Error::new(io::ErrorKind::TimedOut, "answer is over-late"),
-        };
-        closer.close();
-        Some((Err(error), None))
-    })
-}
-
-/// Passes chunks on until they end, the receiver is dropped, or the transfer ends. The source is dropped at once then,
-/// the guard only when the receiver has taken the last chunk or the transfer ends. A broken transfer is counted.
-async fn pump<K>(
-    (mut chunks, length): (ByteStream, Option<u64>),
-    sender: mpsc::Sender<PumpedItem>,
-    end: TransferEnd,
-    guard: K,
-) {
-    let mut left = length;
-    let mut awaited = TransferFault::AnswerLate;
-    let transfer = async {
-        loop {
-            awaited = TransferFault::AnswerLate;
-            let item = chunks.next().await;
-            let (size, ended) = match &item {
-                Some(Ok(chunk)) => (chunk.len() as u64, None),
-                Some(Err(_)) => (0, Some(Err(TransferFault::AnswerCut))),
-                None => (0, Some(Ok(()))),
-            };
-            awaited = TransferFault::ReceiverStalled;
-            if sender.send(item).await.is_err() {
-                return Err(TransferFault::ReceiverLeft);
-            }
-            left = left.map(|left| left.saturating_sub(size));
-            if let Some(ended) = ended {
-                return ended;
-            }
-        }
-    };
-    let transferred = tokio::select! {
-        transferred = transfer => Some(transferred),
-        () = sender.closed() => Some(Err(TransferFault::ReceiverLeft)),
-        () = sleep_until(end.at) => None,
-    };
-    let transferred = match transferred.unwrap_or(Err(awaited)) {
-        // The server drops a body when its declared length is reached.
-        Err(TransferFault::ReceiverLeft) if left == Some(0) => Ok(()),
-        transferred => transferred,
-    };
-    drop(chunks);
-    let is_taken = timeout_at(end.at, sender.closed()).await.is_ok();
-    if !is_taken {
-        end.closer.close();
-    }
-    let taken = is_taken.then_some(()).ok_or(TransferFault::ReceiverStalled);
-    if let Err(fault) = transferred.and(taken) {
-        end.report.count(fault);
-    }
-    drop(guard);
-}
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -1,22 +1,25 @@
 //! The inbound handler: admits calls through the gate to this daemon's target and records their outcomes.
 
+mod intake;
 mod runs;
 mod slots;
 
 use {
     self::{
+        intake::{ReceivedBody, receive},
         runs::{RunGuard, wait_for_turn},
         slots::{QueueGuard, SlotGuard, SlotWaiter},
     },
     super::{
+        answer_body::{AnswerBody, AnswerFault, TransferEnd},
         attempt::ForwardedRequest,
-        body::{AnswerBody, AnswerFault, BodyProgress, RequestBody, TransferEnd, discard_arrived},
+        body::{BodyProgress, BodyRoom, RequestBody, discard_arrived},
         dialect::{AnswerVerdict, CallContext},
         hop::{BODY_INCOMPLETE, HopCall, TARGET_ENDED, header},
         peer_client::{ConnectionReuse, PeerClients, SendFault, retire_connection},
         relay::{
-            add_close_header, end_to_end_headers, header_value, keep_connection_if, write_answer,
-            write_refusal,
+            add_close_header, end_to_end_headers, header_value, is_defined_status, keep_connection_if,
+            write_answer, write_refusal,
         },
         transfer_report::TransferReport,
     },
@@ -132,14 +135,7 @@
             add_outcome_headers(res, CallOutcome::NotRun, "bad-request");
             return;
         };
-        let result = match self.admit(req, &hop).await {
-            Ok(AdmittedRun { slot, identity, run }) => self.run(req, res, &hop, &identity, (slot, run)).await,
-            Err(refusal) => {
-                let body = req.take_body();
-                keep_connection_if(discard_arrived(req.headers(), body).await, res);
-                Err(GateFailure::NotRun(refusal))
-            }
-        };
+        let result = self.admit_and_run(req, res, &hop).await;
         if let Err(failure) = result {
             refuse(&self.shared, req, res, &hop, &failure);
         }
@@ -147,6 +143,57 @@
         self.add_load_and_clearance(res, &hop);
     }
 
+    /// Receives a large body, then waits until the call may run, and runs it.
+    async fn admit_and_run(
+        &self,
+        req: &mut Request,
+        res: &mut Response,
+        hop: &HopCall,
+    ) -> Result<(), GateFailure> {
+        let received = match self.check_target(hop, self.shared.now()) {
+            Ok(()) => receive(&self.shared, req, hop).await,
+            Err(refusal) => Err(GateFailure::NotRun(refusal)),
+        };
+        let admitted = match received {
+            Ok(received) => match self.admit(req, hop).await {
+                Ok(admitted) => Ok((admitted, received)),
+                Err(refusal) => Err(GateFailure::NotRun(refusal)),
+            },
+            Err(failure) => Err(failure),
+        };
+        match admitted {
+            Ok((AdmittedRun { slot, identity, run }, received)) => {
+                self.run(req, res, hop, &identity, (slot, run, received)).await
+            }
+            Err(failure) => {
+                let body = req.take_body();
+                let has_ended = !matches!(failure, GateFailure::BodyIncomplete)
+                    && discard_arrived(req.headers(), body).await;
+                keep_connection_if(has_ended, res);
+                Err(failure)
+            }
+        }
+    }
+
+    /// Reads the body of a call that has a slot; one over [`MAX_BUFFERED_BYTES`](super::body::MAX_BUFFERED_BYTES) is streamed.
+    async fn read_body(
+        &self,
+        req: &mut Request,
+        end: &TransferEnd,
+        report: TransferReport,
+    ) -> Result<ReceivedBody, GateFailure> {
+        let body = req.take_body();
+        let progress = Arc::new(BodyProgress::new(report));
+        // The proxy has checked the limit of its table, which may be newer than the one here.
+        let read = RequestBody::read(req.headers(), body, u64::MAX, end.at, &progress, BodyRoom::None).await;
+        let body = read.map_err(|_| GateFailure::BodyIncomplete)?;
+        Ok(ReceivedBody {
+            body,
+            progress,
+            _place: None,
+        })
+    }
+
     /// Waits for the turn of a suspect, then for a slot, and lists the run.
     async fn admit(&self, req: &Request, hop: &HopCall) -> Result<AdmittedRun, GateRefusal> {
         let wait_until = arrival(hop).wait_until();
@@ -236,7 +283,7 @@
         res: &mut Response,
         hop: &HopCall,
         identity: &TargetIdentity,
-        (slot, mut run): (SlotGuard, RunGuard),
+        (slot, mut run, received): (SlotGuard, RunGuard, Option<ReceivedBody>),
     ) -> Result<(), GateFailure> {
         let shared = &self.shared;
         let report = TransferReport::new(shared, "gate");
@@ -246,20 +293,19 @@
             ConnectionCloser::of(req),
             report.clone(),
         );
-        let body = req.take_body();
-        let progress = Arc::new(BodyProgress::new(report));
-        // The proxy has checked the limit of its table, which may be newer than the one here.
-        let body = RequestBody::read(req.headers(), body, u64::MAX, end.at, &progress).await;
-        if body.is_err() {
+        let received = match received {
+            Some(received) => Ok(received),
+            None => self.read_body(req, &end, report).await,
+        };
+        if received.is_err() {
             run.finish();
         }
-        let mut forwarded = self.forwarded_request(
-            req,
-            hop,
-            identity,
-            body.map_err(|_| GateFailure::BodyIncomplete)?,
+        let ReceivedBody {
+            body,
             progress,
-        );
+            _place,
+        } = received?;
+        let forwarded = self.forwarded_request(req, hop, identity, body, progress);
         let mut recorder = CallRecorder {
             shared: Arc::clone(shared),
             route: Arc::clone(&hop.route),
@@ -330,7 +376,11 @@
         let (head, body) = answer.into_parts();
         // Judged is what is passed on, as the target may name any header as one of its connection.
         let headers = end_to_end_headers(&head.headers, &[]);
-        let verdict = shared.dialect.classify_answer(request, head.status, &headers);
+        let verdict = if is_defined_status(head.status) {
+            shared.dialect.classify_answer(request, head.status, &headers)
+        } else {
+            AnswerVerdict::Foreign
+        };
         let stated_load = shared.dialect.target_load(&headers);
         if let Some(slowdown) = stated_load.and_then(|load| load.slowdown)
             && verdict != AnswerVerdict::Foreign
--- a/src/daemon/traffic/mod.rs
+++ b/src/daemon/traffic/mod.rs
@@ -1,6 +1,7 @@
 //! The traffic path of the daemon: the outbound proxy forwards calls from callers to gates, the inbound handler from
 //! the gate to the target.
 
+mod answer_body;
 mod attempt;
 mod body;
 mod dialect;
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -11,8 +11,9 @@
         logging::{LoggedRefusal, admit_answer, log_answer, log_failed_attempt, log_refusal},
     },
     super::{
+        answer_body::{AnswerBody, TransferEnd},
         attempt::{AttemptResult, CallAttempt, ForwardedRequest, InFlightGuard},
-        body::{AnswerBody, BodyFault, BodyProgress, RequestBody, TransferEnd, discard_arrived},
+        body::{BodyFault, BodyProgress, BodyRoom, MAX_BUFFERED_BYTES, RequestBody, discard_arrived},
         dialect::{CallOptions, call_deadline},
         hop::{HopCall, TARGET_ENDED},
         peer_client::PeerClients,
@@ -165,7 +166,8 @@
         let body = req.take_body();
         let progress = Arc::new(BodyProgress::new(report));
         let read = async {
-            RequestBody::read(req.headers(), body, limit, end.at, &progress)
+            let room = BodyRoom::Shared(&self.shared.body_room);
+            RequestBody::read(req.headers(), body, limit, end.at, &progress, room)
                 .await
                 .map_err(|fault| body_refusal(fault, limit))
         };
@@ -296,7 +298,7 @@
         let shared = &self.shared;
         let mut plan = CallPlan::new(CallRules {
             repeatable: call.repeatable,
-            resendable: request.body.is_buffered(),
+            resendable: request.body.is_whole(),
             attempts: call.route.attempts,
             deadline: call.deadline,
         });
@@ -320,7 +322,7 @@
                 }
                 CallStep::Send => match self.choose(
                     call,
-                    request.body.buffered_bytes(),
+                    request.body.buffered_bytes().unwrap_or(MAX_BUFFERED_BYTES),
                     plan.tried(),
                     std::mem::take(&mut is_hedge),
                 ) {
@@ -333,7 +335,7 @@
                         }
                         call.is_suspect |= call.ends == 0 && self.is_suspect(call, &target);
                         plan.record_attempt(Arc::clone(&target.name), shared.now());
-                        let forwarded = request.request_to(target.gate);
+                        let forwarded = request.offer_to(target.gate);
                         let progress = Arc::clone(&request.progress);
                         in_flight.push(self.attempt(call, target, progress).run(forwarded));
                         CallStep::Wait
@@ -343,7 +345,8 @@
                 },
                 CallStep::Wait => {
                     let hedge_at = Instant::now() + plan.hedge_at().remaining_from(shared.now());
-                    let can_hedge = plan.hedge_at() != TimePoint::FAR_FUTURE;
+                    // A second copy of a large body would delay other calls.
+                    let can_hedge = plan.hedge_at() != TimePoint::FAR_FUTURE && !request.body.is_large();
                     tokio::select! {
                         Some((attempt, result)) = in_flight.next() => {
                             let outcome = result.outcome();
@@ -366,6 +369,7 @@
                                     detail = reason;
                                 }
                             }
+                            plan.set_resendable(request.body.is_whole());
                             let max_ends = if call.is_suspect { 1 } else { MAX_ENDS_OF_CALL };
                             if call.ends >= max_ends || call.is_held_back {
                                 plan.after_quarantined(outcome)
@@ -572,7 +576,7 @@
         host: host.unwrap_or(""),
         path: request.path.as_str(),
     };
-    CallFingerprints::of(head, request.body.buffered())
+    CallFingerprints::of(head, request.body.small())
 }
 
 fn forwarded_path(req: &Request) -> PathAndQuery {
--- a/src/daemon/traffic/relay.rs
+++ b/src/daemon/traffic/relay.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        body::{AnswerBody, TransferEnd, stream_until},
+        answer_body::{AnswerBody, TransferEnd, stream_until},
         hop::header,
     },
     crate::{
@@ -148,6 +148,11 @@
     }
 }
 
+/// Returns whether a status of an answer is one (RFC 9110, 15); the HTTP library takes any number from 100 to 999.
+pub fn is_defined_status(status: StatusCode) -> bool {
+    status.as_u16() < 600
+}
+
 /// Adds `connection: close` if the daemon is leaving, so that its clients open another connection.
 pub fn add_close_header(shared: &SharedState, res: &mut Response) {
     if shared.is_leaving() {
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -322,6 +322,23 @@
         (GateAdmission::Wait(ticket), outcome)
     }
 
+    /// Returns the expected wait for a slot and the expected run time of a call that has not arrived yet, in milliseconds, or
+    /// why it would be refused.
+    pub fn forecast_ms(&self, arrival: &GateArrival, now: TimePoint) -> Result<(u64, u64), GateRefusal> {
+        if let Some(refusal) = self.refusal(arrival.wait_until(), now) {
+            return Err(refusal);
+        }
+        let call = WaitingCall {
+            ticket: TicketId(u64::MAX),
+            arrival: arrival.clone(),
+            expected_ms: self.expected_ms(arrival, now),
+        };
+        let at = self
+            .queue
+            .partition_point(|other| other.urgency() > call.urgency());
+        Ok((self.slot_wait_ms(at, now) as u64, call.expected_ms as u64))
+    }
+
     /// Frees the slot of a call that ended and dequeues further calls. `ran_ms` is the run time of a successful call in
     /// milliseconds, `None` for other calls, which don't count for the run times.
     pub fn finish(&mut self, ticket: TicketId, ran_ms: Option<f64>, now: TimePoint) -> Vec<DequeueOutcome> {
@@ -334,13 +351,18 @@
 
     /// Returns whether a call that takes the place `at` in the queue would be answered after its `useful_until`.
     fn is_too_late(&self, call: &WaitingCall, at: usize, now: TimePoint) -> bool {
+        let wait_ms = self.slot_wait_ms(at, now);
+        now.after_ms((wait_ms + call.expected_ms) as u64) > call.arrival.useful_until
+    }
+
+    /// Returns the wait for a slot of a call that takes the place `at` in the queue, in milliseconds.
+    fn slot_wait_ms(&self, at: usize, now: TimePoint) -> f64 {
         let running = self.running.values().map(|running| {
             let ran_ms = now.ms_since(running.started_at) as f64;
             time_left_ms(running.expected_ms, ran_ms)
         });
         let ahead = self.queue[at..].iter().rev().map(|ahead| ahead.expected_ms);
-        let wait_ms = wait_ms(self.open_slots(now) as usize, running, ahead);
-        now.after_ms((wait_ms + call.expected_ms) as u64) > call.arrival.useful_until
+        wait_ms(self.open_slots(now) as usize, running, ahead)
     }
 
     fn expected_ms(&self, arrival: &GateArrival, now: TimePoint) -> f64 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod gate;
 pub mod http;
 pub mod ini;
+pub mod intake;
 pub mod lab;
 pub mod member;
 pub mod moves;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -39,7 +39,7 @@
 }
 
 /// Settings of the section `[daemon]`, with those of the target.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct DaemonSettings {
     /// File that the settings were read from; `None` if they were parsed from text.
     pub file: Option<PathBuf>,
@@ -83,6 +83,10 @@
     pub leave_ms: u64,
     /// Maximum time of a drain, in milliseconds; the process exits then even if calls are still in flight.
     pub drain_limit_ms: u64,
+    /// Rate of the VM's link, in megabits per second; `None` if it is not known.
+    pub link_mbps: Option<f64>,
+    /// Memory of the VM, in MiB; `None` if it is not known.
+    pub memory_mb: Option<f64>,
     /// The target beside the daemon.
     pub target: TargetSettings,
 }
@@ -184,6 +188,8 @@
         quarantine_ms: take_number(section, "quarantine_ms", (0, 3_600_000), 30_000, faults),
         leave_ms: take_number(section, "leave_ms", (0, 3_600_000), 1_000, faults),
         drain_limit_ms: take_drain_limit(section, faults),
+        link_mbps: take_quantity(section, "link_mbps", faults),
+        memory_mb: take_quantity(section, "memory_mb", faults),
         target,
     }
 }
@@ -211,6 +217,19 @@
     target
 }
 
+/// Reads a property of the VM, which may have a fraction. It is unknown if the key is missing or empty.
+fn take_quantity(section: &mut IniSection, key: &str, faults: &mut Vec<ParseFault>) -> Option<f64> {
+    let remedy = "write a number from 0.001 to 1000000, or nothing if it is not known";
+    let quantity = section.take_parsed(key, remedy, faults, |text| {
+        if text.is_empty() {
+            return Some(None);
+        }
+        let quantity = text.parse().ok()?;
+        (0.001..=1e6).contains(&quantity).then_some(Some(quantity))
+    });
+    quantity.flatten()
+}
+
 fn take_number(
     section: &mut IniSection,
     key: &str,
