--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -265,6 +265,23 @@
         (GateAdmission::Wait(ticket), outcome)
     }
 
+    /// Returns the expected wait for a slot and the expected run time of a call that has not arrived yet, in milliseconds, or
+    /// why it would be refused.
+    pub fn forecast_ms(&self, arrival: &GateArrival, now: TimePoint) -> Result<(u64, u64), GateRefusal> {
+        if let Some(refusal) = self.refusal(arrival.wait_until(), now) {
+            return Err(refusal);
+        }
+        let call = WaitingCall {
+            ticket: TicketId(u64::MAX),
+            arrival: arrival.clone(),
+            expected_ms: self.expected_ms(arrival, now),
+        };
+        let at = self
+            .queue
+            .partition_point(|other| other.urgency() > call.urgency());
+        Ok((self.wait_at(at, now) as u64, call.expected_ms as u64))
+    }
+
     /// Frees the slot of a call that ended and dequeues further calls. `ran_ms` is the run time of a successful call in
     /// milliseconds, `None` for other calls, which don't count for the run times.
     pub fn finish(&mut self, ticket: TicketId, ran_ms: Option<f64>, now: TimePoint) -> Vec<DequeueOutcome> {
