Targets are drawn by expected room, and gates' expected waits are used

Cause: the better of two targets preferred fast ones until they queued beside idle ones; a refused call stayed in its data centre for the cost of traffic. Change: one target is drawn from those expected in time, by weight: slots over run time, times the third power of run time over expected time. The wait that a gate stated counts as long as its report does. A call that a full gate refused pays nothing more for another data centre.

--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -2,6 +2,7 @@
 //! caller.
 
 mod budget;
+mod expectation;
 mod load;
 mod outcome;
 mod plan;
--- a/src/call/selector.rs
+++ b/src/call/selector.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
+        expectation::{ExpectedAnswer, TargetBaseline, TargetLook, first_in_turn, mean, weighted_mean},
         load::LoadReport,
-        target_stats::{ExpectedLoad, TargetStats},
+        target_stats::TargetStats,
     },
     crate::clock::TimePoint,
     rand::{Rng, RngExt},
@@ -25,16 +26,14 @@
 const MAX_TRACKED_ROUTES: usize = 4_000;
 /// Fraction by which a run is expected to take longer at a target whose slots are all in use, before any call queues.
 const FULL_LOAD_SLOWDOWN: f64 = 0.5;
-/// Number of targets that are expected to answer in time of which the better one is chosen, in this data centre and again
-/// in the others.
-const LOOKS: u32 = 2;
+/// Power by which a target's share of the calls falls with its expected wait. With figures as old as a queue lives, a
+/// higher one sends all daemons to the same targets; a lower one makes less of fresh figures.
+const ROOM_EXPONENT: i32 = 3;
 /// Multiple of the time left for a useful answer over which the expected answer makes an attempt hopeless: estimates by
 /// old figures are hardly better.
 const HOPELESS_FACTOR: f64 = 1.5;
 /// Share of the calls that are sent though all targets are hopeless, which keeps their figures new.
 const PROBE_SHARE: f64 = 0.1;
-/// Smallest weight of a report in the mean load of targets.
-const MIN_REPORT_WEIGHT: f64 = 0.01;
 /// Cost added for a target that fails every call, in runs.
 const FAILURE_COST_RUNS: f64 = 8.0;
 /// Load below which a target is eligible for a hedged attempt, as a fraction of its slots.
@@ -104,9 +103,10 @@
 }
 
 impl TargetSelector {
-    /// Chooses a target. Looks at targets in an order drawn by weight, and takes the better of the first two that are
-    /// expected to answer in time; those in other data centres only where the lower cost makes up for the traffic. Never
-    /// chooses a tried target, and an ejected or suspect one only if no other is left.
+    /// Chooses a target: draws one of those in this data centre that are expected to answer in time, and one of those in
+    /// others, by weight, and takes the one with the lower cost. Traffic to other data centres costs nothing
+    /// more for a call that a full gate has refused. Never chooses a tried target, and an ejected or suspect one only if no
+    /// other is left.
     ///
     /// Targets that are full for the call's rank, or not expected to answer within the limit, count as late and come
     /// last. If the call has a limit, late targets in other data centres are left out, except for the first attempt if
@@ -127,7 +127,7 @@
         let not_ejected = prefer(untried, |target| !self.is_excluded(&target.name, baseline, now));
         let not_suspect = prefer(not_ejected, |target| !target.is_suspect);
         let has_near = not_suspect.iter().any(|target| target.is_near);
-        let mut looks: Vec<TargetLook<'_>> = not_suspect
+        let looks: Vec<TargetLook<'_>> = not_suspect
             .into_iter()
             .map(|target| self.look(target, criteria, baseline, rng, now))
             .collect();
@@ -138,28 +138,19 @@
         {
             return Err(MissingTarget::NoRoom);
         }
-        looks.sort_unstable_by(|a, b| a.turn.total_cmp(&b.turn));
-        let (mut near_looks, mut far_looks) = (0, 0);
-        let in_time = looks.iter().filter(|look| {
-            let count = if look.target.is_near {
-                &mut near_looks
-            } else {
-                &mut far_looks
-            };
-            let is_eligible =
-                !look.is_late && (criteria.need != TargetNeed::Idle || look.load < MAX_IDLE_LOAD);
-            *count += u32::from(is_eligible);
-            is_eligible && *count <= LOOKS
+        let is_eligible = |look: &TargetLook<'_>| {
+            !look.is_late && (criteria.need != TargetNeed::Idle || look.load < MAX_IDLE_LOAD)
+        };
+        let drawn = [true, false].into_iter().filter_map(|is_near| {
+            let group = looks.iter().filter(|look| look.target.is_near == is_near);
+            first_in_turn(group.filter(|look| is_eligible(look)))
         });
         // The cost of traffic between data centres may delay a call, but must not make it late.
-        if let Some(best) = in_time.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms)) {
+        if let Some(best) = drawn.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms)) {
             return Ok(best.target);
         }
         let accepts_far = criteria.limit_ms.is_none() || (!has_near && tried.is_empty());
-        let late = looks.iter().filter(|look| look.target.is_near || accepts_far);
-        let late = late
-            .take(LOOKS as usize)
-            .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
+        let late = first_in_turn(looks.iter().filter(|look| look.target.is_near || accepts_far));
         match (criteria.need, late) {
             (TargetNeed::Any, Some(late)) => Ok(late.target),
             _ => Err(MissingTarget::NoRoom),
@@ -175,10 +166,10 @@
     ) -> f64 {
         let baseline = self.compute_baseline(candidates, criteria, now);
         let limit_ms = criteria.limit_ms.unwrap_or(f64::INFINITY);
-        let times = candidates.iter().map(|target| {
-            let load = self.expected_load(target, criteria, baseline, now);
-            self.answer_cost(target, load, criteria.route, baseline, now).0
-        });
+        let answers = candidates
+            .iter()
+            .map(|target| self.expected_answer(target, criteria, baseline, now));
+        let times = answers.map(ExpectedAnswer::time_ms);
         (times.fold(f64::INFINITY, f64::min) - limit_ms).max(0.0)
     }
 
@@ -191,27 +182,21 @@
         rng: &mut impl Rng,
         now: TimePoint,
     ) -> TargetLook<'a> {
-        let load = self.expected_load(target, criteria, baseline, now);
-        let (time_ms, cost_ms) = self.answer_cost(target, load, criteria.route, baseline, now);
+        let answer = self.expected_answer(target, criteria, baseline, now);
+        let time_ms = answer.time_ms();
         let stats = self.stats.get(&target.name);
         let is_full = stats.is_some_and(|stats| stats.is_full(criteria.priority, now));
-        let is_over = |factor: f64| {
-            criteria
-                .limit_ms
-                .is_some_and(|limit_ms| time_ms > limit_ms * factor)
-        };
-        let distance_cost_ms = if target.is_near {
-            0.0
-        } else {
-            criteria.cross_dc_cost_ms
-        };
-        let weight = f64::from(target.slots.max(1)) / cost_ms;
+        let is_over = |time_ms: f64| criteria.limit_ms.is_some_and(|limit_ms| time_ms > limit_ms);
+        let is_free = target.is_near || criteria.need == TargetNeed::Room;
+        let distance_cost_ms = if is_free { 0.0 } else { criteria.cross_dc_cost_ms };
+        let room = (answer.run_ms / time_ms).powi(ROOM_EXPONENT);
+        let weight = f64::from(target.slots.max(1)) / answer.run_ms * room / answer.failure_factor;
         TargetLook {
             target,
-            load: load.calls,
-            is_late: is_full || is_over(1.0),
-            is_hopeless: is_full || is_over(HOPELESS_FACTOR),
-            cost_ms: cost_ms + distance_cost_ms,
+            load: answer.load,
+            is_late: is_full || is_over(time_ms),
+            is_hopeless: is_full || is_over(time_ms / HOPELESS_FACTOR),
+            cost_ms: time_ms * answer.failure_factor + distance_cost_ms,
             // The least of exponential draws is distributed by their rates.
             turn: -(1.0 - rng.random::<f64>()).ln() / weight,
         }
@@ -315,31 +300,6 @@
         self.stats.entry(Arc::clone(name)).or_default()
     }
 
-    /// Returns the load that is expected at a target; one that refused the rank as full has at least
-    /// [`ASSUMED_FULL_LOAD`].
-    fn expected_load(
-        &self,
-        target: &CandidateTarget,
-        criteria: TargetCriteria<'_>,
-        baseline: TargetBaseline,
-        now: TimePoint,
-    ) -> ExpectedLoad {
-        let mean = if target.is_near {
-            baseline.near_load
-        } else {
-            baseline.far_load
-        };
-        let Some(stats) = self.stats.get(&target.name) else {
-            return ExpectedLoad::of_mean(mean);
-        };
-        let load = stats.expected_load(target.slots, criteria.priority, mean, now);
-        if stats.is_full(criteria.priority, now) {
-            load.at_least(ASSUMED_FULL_LOAD)
-        } else {
-            load
-        }
-    }
-
     /// Computes the means of run times and loads, and the lowest failure share, of the candidates with statistics.
     fn compute_baseline(
         &self,
@@ -369,77 +329,44 @@
         }
     }
 
-    /// Returns the expected time to an answer and the cost of the target, both in milliseconds. The cost is this time,
-    /// increased by the target's failure share relative to the baseline.
-    fn answer_cost(
+    /// Returns the answer that is expected from a target. One that refused the rank as full has at least
+    /// [`ASSUMED_FULL_LOAD`].
+    fn expected_answer(
         &self,
         target: &CandidateTarget,
-        load: ExpectedLoad,
-        route: &str,
+        criteria: TargetCriteria<'_>,
         baseline: TargetBaseline,
         now: TimePoint,
-    ) -> (f64, f64) {
+    ) -> ExpectedAnswer {
         let empty_stats = TargetStats::default();
         let stats = self.stats.get(&target.name).unwrap_or(&empty_stats);
+        let mean = if target.is_near {
+            baseline.near_load
+        } else {
+            baseline.far_load
+        };
+        let mut load = stats.expected_load(target.slots, criteria.priority, mean, now);
+        if stats.is_full(criteria.priority, now) {
+            load = load.at_least(ASSUMED_FULL_LOAD);
+        }
         // The call waits for runs of all kinds, but its own takes as long as those of its route.
         let ahead_ms = stats.run_ms().unwrap_or(baseline.run_ms);
-        let known_ms = stats.route_run_ms.get(route).copied();
+        let known_ms = stats.route_run_ms.get(criteria.route).copied();
         let run_ms = known_ms.or(baseline.route_run_ms).unwrap_or(ahead_ms);
-        let distance_ms = if target.is_near { 0.0 } else { BASE_LATENCY_MS };
-        let run_ms = run_ms.max(BASE_LATENCY_MS) * (1.0 + load.calls.min(1.0) * FULL_LOAD_SLOWDOWN);
-        let wait_ms = ahead_ms.max(BASE_LATENCY_MS) * load.queued(target.slots);
-        let time_ms = (run_ms + wait_ms) * stats.slowdown(now) + distance_ms;
-        let failure_factor = (1.0 + FAILURE_COST_RUNS * stats.failure_share)
-            / (1.0 + FAILURE_COST_RUNS * baseline.failure_share);
-        (time_ms, time_ms * failure_factor)
+        let slowdown = stats.slowdown(now);
+        let computed_ms = ahead_ms.max(BASE_LATENCY_MS) * load.queued(target.slots) * slowdown;
+        let stated_ms = stats.stated_wait_ms(criteria.priority).unwrap_or(computed_ms);
+        ExpectedAnswer {
+            load: load.calls,
+            run_ms: run_ms.max(BASE_LATENCY_MS) * (1.0 + load.calls.min(1.0) * FULL_LOAD_SLOWDOWN) * slowdown,
+            wait_ms: computed_ms + (stated_ms - computed_ms) * load.certainty,
+            distance_ms: if target.is_near { 0.0 } else { BASE_LATENCY_MS },
+            failure_factor: (1.0 + FAILURE_COST_RUNS * stats.failure_share)
+                / (1.0 + FAILURE_COST_RUNS * baseline.failure_share),
+        }
     }
 }
 
-/// What is expected of a target for one call.
-#[derive(Debug, Clone, Copy)]
-struct TargetLook<'a> {
-    target: &'a CandidateTarget,
-    /// Calls a slot that precede the call.
-    load: f64,
-    /// Whether the target is full for the call's rank, or not expected to answer within the limit.
-    is_late: bool,
-    /// Whether it is late by so much that its gate would hardly admit the call.
-    is_hopeless: bool,
-    cost_ms: f64,
-    /// Place in the order of looking; drawn, lower for targets with more weight.
-    turn: f64,
-}
-
-/// Reference values over the candidates that have statistics.
-#[derive(Debug, Clone, Copy)]
-struct TargetBaseline {
-    /// Mean time of a run, in milliseconds. Targets without statistics are assumed to take as long, otherwise they
-    /// would appear to be free of cost.
-    run_ms: f64,
-    /// The same for runs of the call's route; `None` if no candidate has reported one.
-    route_run_ms: Option<f64>,
-    /// Lowest failure share.
-    failure_share: f64,
-    /// Mean load of the targets in this data centre, in calls a slot that precede the call.
-    near_load: f64,
-    /// The same for those in other data centres.
-    far_load: f64,
-}
-
-fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
-    let (sum, count) = values.fold((0.0, 0_u32), |(sum, count), value| (sum + value, count + 1));
-    (count > 0).then(|| sum / f64::from(count))
-}
-
-/// Returns the mean of values with weights, 0 without any.
-fn weighted_mean(values: impl Iterator<Item = (f64, f64)>) -> f64 {
-    let (sum, total) = values.fold((0.0, 0.0), |(sum, total), (value, weight)| {
-        let weight = weight.max(MIN_REPORT_WEIGHT);
-        (sum + value * weight, total + weight)
-    });
-    if total > 0.0 { sum / total } else { 0.0 }
-}
-
 /// Returns the targets that satisfy a condition, or all if none does.
 fn prefer(
     targets: Vec<&CandidateTarget>,
--- a/src/call/target_stats.rs
+++ b/src/call/target_stats.rs
@@ -48,6 +48,8 @@
     /// Whether a failed answer caused the last ejection, rather than an attempt without an answer.
     pub(super) is_ejected_for_answers: bool,
     report: LoadReport,
+    /// Rank of the call that the report came with.
+    report_rank: u8,
     /// The epoch before the first report.
     reported_at: TimePoint,
     /// Calls from here that were in flight at the last report, without the one that it was sent with.
@@ -63,6 +65,7 @@
     /// Stores the load that a gate reported with the answer to a call of a rank, which is still counted as in flight.
     pub(super) fn record_load(&mut self, load: LoadReport, priority: u8, now: TimePoint) {
         self.report = load;
+        self.report_rank = priority;
         self.reported_at = now;
         self.in_flight_at_report = self.in_flight;
         self.in_flight_at_report.remove(priority);
@@ -144,6 +147,11 @@
         Some((load, (-(age_ms as f64) / memory_ms).exp()))
     }
 
+    /// Returns the wait that the gate expected for a further call of this rank at its last report, in milliseconds.
+    pub(super) fn stated_wait_ms(&self, priority: u8) -> Option<f64> {
+        self.report.wait_ms.filter(|_| self.report_rank == priority)
+    }
+
     /// Returns the load that is expected before a call of a rank. It returns from the reported one to `mean`, that of the
     /// targets around; the calls that this daemon has begun or ended since count besides.
     pub(super) fn expected_load(&self, slots: u32, priority: u8, mean: f64, now: TimePoint) -> ExpectedLoad {
@@ -165,7 +173,7 @@
     /// Calls a slot that precede a new one.
     pub(super) calls: f64,
     /// 1 for what the gate has just reported, 0 for the mean of the targets around.
-    certainty: f64,
+    pub(super) certainty: f64,
 }
 
 impl ExpectedLoad {
--- a/src/lab/balance/play.rs
+++ b/src/lab/balance/play.rs
@@ -239,7 +239,7 @@
     }
 
     fn report(&mut self, target: usize, daemons: std::ops::Range<usize>) {
-        let load = self.gates[target].load("route");
+        let load = self.gates[target].load("route", 0, self.now);
         for daemon in &mut self.daemons[daemons] {
             daemon.learn(&self.targets[target], target, load, self.now);
         }
--- a/tests/target_choice.rs
+++ b/tests/target_choice.rs
@@ -144,3 +144,117 @@
     assert_eq!(load.to_string().parse(), Ok(load));
     assert!("12,60,1".parse::<LoadReport>().is_err());
 }
+
+/// Load: waves of demand that reach one data centre after the other. A gate that is full has refused the call, so it leaves
+/// its data centre for one with more room, which a call that was not refused doesn't.
+#[test]
+fn refused_call_leaves_a_data_centre_with_less_room() {
+    let mut candidates = candidates().to_vec();
+    candidates.push(CandidateTarget {
+        name: "near too".into(),
+        ..candidates[0].clone()
+    });
+    let mut selector = selector(30, 2);
+    selector.record_load(&"near too".into(), load(30, RANK), RANK, NOW);
+    let choose = |need, tried: &[Arc<str>]| {
+        let criteria = TargetCriteria {
+            need,
+            ..criteria(200.0)
+        };
+        let mut rng = SmallRng::seed_from_u64(1);
+        let target = selector.choose(&candidates, tried, criteria, &mut rng, NOW);
+        target.unwrap().is_near
+    };
+    assert!(choose(TargetNeed::Any, &[]));
+    assert!(!choose(TargetNeed::Room, &["near".into()]));
+}
+
+/// Load: many daemons with figures of which all but the latest are old. What was reported once says nothing for long.
+#[test]
+fn old_figures_count_as_the_mean_of_the_data_centre() {
+    let candidates = ["busy", "usual", "usual too"].map(|name| CandidateTarget {
+        name: name.into(),
+        slots: SLOTS,
+        is_near: true,
+        is_suspect: false,
+    });
+    let mut selector = TargetSelector::default();
+    for (target, calls) in candidates.iter().zip([60, 6, 6]) {
+        selector.record_load(&target.name, load(calls, RANK), RANK, NOW);
+    }
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut busy_share = |now: TimePoint| {
+        let draws = (0..3_000).map(|_| selector.choose(&candidates, &[], criteria(2_000.0), &mut rng, now));
+        let busy = draws.filter(|chosen| chosen.is_ok_and(|target| &*target.name == "busy"));
+        busy.count() as f64 / 3_000.0
+    };
+    let (fresh, old) = (busy_share(NOW), busy_share(NOW.after_ms(2_000)));
+    assert!(fresh < 0.02, "{fresh}");
+    assert!((0.3..0.37).contains(&old), "{old}");
+}
+
+/// Load: VMs shared with others, on which work takes two and a half times as long for moments of 0.6 s.
+#[test]
+fn slow_moment_of_a_vm_sends_calls_elsewhere_until_it_is_over() {
+    let candidates = ["slow", "usual"].map(|name| CandidateTarget {
+        name: name.into(),
+        slots: SLOTS,
+        is_near: true,
+        is_suspect: false,
+    });
+    let mut selector = TargetSelector::default();
+    for (target, slowdown) in candidates.iter().zip([2.5, 1.0]) {
+        let load = LoadReport {
+            slowdown,
+            ..load(6, RANK)
+        };
+        selector.record_load(&target.name, load, RANK, NOW);
+    }
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut slow_share = |now: TimePoint| {
+        let draws = (0..3_000).map(|_| selector.choose(&candidates, &[], criteria(2_000.0), &mut rng, now));
+        let slow = draws.filter(|chosen| chosen.is_ok_and(|target| &*target.name == "slow"));
+        slow.count() as f64 / 3_000.0
+    };
+    let (during, after) = (slow_share(NOW), slow_share(NOW.after_ms(2_000)));
+    // In proportion to what it can do.
+    assert!((0.25..0.32).contains(&during), "{during}");
+    assert!(after > 0.45, "{after}");
+}
+
+/// Load: less room than calls. A call that a full gate refused is not tried where no room is expected.
+#[test]
+fn refused_call_is_sent_on_only_where_room_is_expected() {
+    let need_room = TargetCriteria {
+        need: TargetNeed::Room,
+        ..criteria(200.0)
+    };
+    let candidates = candidates();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let tried: [Arc<str>; 1] = ["far".into()];
+    let mut choose = |near_calls| {
+        let selector = selector(near_calls, 60);
+        let chosen = selector.choose(&candidates, &tried, need_room, &mut rng, NOW);
+        chosen.map(|target| target.name.to_string())
+    };
+    assert_eq!(choose(12), Ok("near".to_owned()));
+    assert_eq!(choose(60), Err(MissingTarget::NoRoom));
+}
+
+/// Load: the same. Callers come back when there is room, the more urgent ones, for which fewer calls count, first.
+#[test]
+fn room_is_expected_later_by_more_calls_and_less_urgent_ones() {
+    let mut selector = selector(60, 60);
+    let room_in_ms = |selector: &TargetSelector, priority| {
+        let criteria = TargetCriteria {
+            priority,
+            ..criteria(200.0)
+        };
+        selector.room_in_ms(&candidates(), criteria, NOW)
+    };
+    let full_ms = room_in_ms(&selector, RANK);
+    assert!(full_ms > 100.0, "{full_ms}");
+    assert!(room_in_ms(&selector, RANK - 1) <= 0.0);
+    selector.record_load(&"far".into(), load(40, RANK), RANK, NOW);
+    assert!(room_in_ms(&selector, RANK) < full_ms);
+}
