--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -164,6 +164,8 @@
     pub retries: Counter,
     /// Calls for which no target was expected to answer in time.
     pub calls_without_room: Counter,
+    /// Calls that the target beside this daemon made in runs of its own.
+    pub nested_calls: Counter,
     /// Latency of answered calls by pool, in seconds.
     latency: Family<PoolLabels, Histogram, fn() -> Histogram>,
 }
@@ -198,6 +200,7 @@
             cleared_requests: Counter::default(),
             retries: Counter::default(),
             calls_without_room: Counter::default(),
+            nested_calls: Counter::default(),
             latency: Family::new_with_constructor(latency_histogram),
         };
         registry.register(
@@ -256,11 +259,7 @@
         register_quarantine(&mut registry, &metrics);
         registry.register("members", "Daemons present", metrics.members.clone());
         registry.register("retries", "Retries sent", metrics.retries.clone());
-        registry.register(
-            "calls_without_room",
-            "Calls for which no target was expected to answer in time",
-            metrics.calls_without_room.clone(),
-        );
+        register_choice(&mut registry, &metrics);
         registry.register(
             "call_seconds",
             "Time of answered calls by pool",
@@ -271,6 +270,20 @@
     }
 }
 
+/// Registers the metrics of what is sent where, and in which order.
+fn register_choice(registry: &mut Registry, metrics: &DaemonMetrics) {
+    registry.register(
+        "calls_without_room",
+        "Calls for which no target was expected to answer in time",
+        metrics.calls_without_room.clone(),
+    );
+    registry.register(
+        "nested_calls",
+        "Calls that the target made in runs of its own",
+        metrics.nested_calls.clone(),
+    );
+}
+
 /// Registers the metrics of requests that end targets.
 fn register_quarantine(registry: &mut Registry, metrics: &DaemonMetrics) {
     registry.register(
--- a/src/lab/balance/play.rs
+++ b/src/lab/balance/play.rs
@@ -269,6 +269,7 @@
                 useful_until,
                 deadline,
                 start_by: deadline,
+                is_nested: false,
             };
             let (admission, evicted) = self.gates[at].arrive(arrival, self.now);
             self.apply(at, evicted.into_iter().collect());
