--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -12,7 +12,7 @@
     },
     super::{
         answer_body::{AnswerBody, TransferEnd},
-        attempt::{AttemptResult, CallAttempt, ForwardedRequest, InFlightGuard},
+        attempt::{AttemptResult, CallAttempt, ForwardedRequest, InFlightGuard, queue_rank},
         body::{BodyFault, BodyProgress, BodyRoom, MAX_BUFFERED_BYTES, RequestBody, discard_arrived},
         dialect::{CallOptions, call_deadline},
         hop::{HopCall, TARGET_ENDED},
@@ -439,7 +439,11 @@
                 organisation: None,
                 is_nested: call.is_nested,
             },
-            in_flight_guard: InFlightGuard::new(shared, &target, call.route.priority),
+            in_flight_guard: InFlightGuard::new(
+                shared,
+                &target,
+                queue_rank(call.route.priority, call.is_nested),
+            ),
             target,
             body_progress,
         }
--- a/src/daemon/traffic/outbound/choosing.rs
+++ b/src/daemon/traffic/outbound/choosing.rs
@@ -1,7 +1,7 @@
 //! Choice of version and target for an attempt.
 
 use {
-    super::{OutboundHandler, RoutedCall},
+    super::{super::attempt::queue_rank, OutboundHandler, RoutedCall},
     crate::{
         call::{CandidateTarget, MissingTarget, TargetCriteria, TargetNeed, choose_version},
         clock::TimePoint,
@@ -187,7 +187,8 @@
 }
 
 fn criteria(call: &RoutedCall, now: TimePoint) -> TargetCriteria<'_> {
-    let answer_by = if now < call.useful_until {
+    // Without an answer, also a late one, the run that makes a nested call is lost.
+    let answer_by = if now < call.useful_until && !call.is_nested {
         call.useful_until
     } else {
         call.deadline
@@ -195,7 +196,7 @@
     TargetCriteria {
         route: &call.route.name,
         limit_ms: Some(answer_by.ms_since(now) as f64),
-        priority: call.route.priority,
+        priority: queue_rank(call.route.priority, call.is_nested),
         ..TargetCriteria::default()
     }
 }
--- a/src/lab/balance/play.rs
+++ b/src/lab/balance/play.rs
@@ -266,10 +266,10 @@
             let arrival = GateArrival {
                 route: "route".into(),
                 priority: 0,
-                is_nested: false,
                 useful_until,
                 deadline,
                 start_by: deadline,
+                is_nested: false,
             };
             let (admission, evicted) = self.gates[at].arrive(arrival, self.now);
             self.apply(at, evicted.into_iter().collect());
