--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -236,6 +236,8 @@
             format!("version={version} source={source} after_ms={delay_ms} edition={edition}"),
             now,
         );
+        self.limit_cold_calls(&table);
+        self.apply_evacuations(&table, now);
         let table = Arc::new(table);
         self.moves.set_table(&table, now);
         let is_open = |pool: &str, move_id: u64| {
@@ -248,6 +250,21 @@
         // First, as the table may be behind a version that the one before was not behind.
         self.publish_freshness();
         self.publish_snapshot();
+        self.clear_evacuated_queue(now);
+    }
+
+    /// Sets the pace of calls while this daemon's target is cold, from the pools of its service.
+    fn limit_cold_calls(&self, table: &CompiledTable) {
+        let settings = &self.shared.settings;
+        let own_pools = table
+            .pools
+            .values()
+            .filter(|pool| pool.entry.service == settings.target.service);
+        let calls_per_s = own_pools.filter_map(|pool| pool.entry.cold_calls_per_s).min();
+        let limit = calls_per_s
+            .zip(settings.cold_overshoot_percent)
+            .map(|(calls_per_s, percent)| (u64::from(calls_per_s) * u64::from(percent) / 100) as u32);
+        self.shared.gate.lock().state.cold().set_limit(limit);
     }
 
     /// Handles the result of writing the verdict of a move.
--- a/src/daemon/traffic/hop.rs
+++ b/src/daemon/traffic/hop.rs
@@ -60,6 +60,8 @@
     pub fingerprints: Option<CallFingerprints>,
     /// Organisation whose key the caller has shown.
     pub organisation: Option<Arc<str>>,
+    /// Whether gates know the route as one that targets call in their runs.
+    pub is_nested: bool,
     /// Whether the target beside the proxy was running nothing when the call came, so that it can't have made it.
     pub came_idle: bool,
 }
@@ -87,6 +89,9 @@
         if let Some(organisation) = &self.organisation {
             let _ = write!(text, " organisation={}", encode_word(organisation));
         }
+        if self.is_nested {
+            text.push_str(" nested=1");
+        }
         if self.came_idle {
             text.push_str(" idle=1");
         }
@@ -111,6 +116,7 @@
             start_by: TimePoint::FAR_FUTURE,
             fingerprints: None,
             organisation: None,
+            is_nested: false,
             came_idle: false,
         };
         // Earlier versions send fewer words.
@@ -120,6 +126,7 @@
         for word in words {
             match word.split_once('=') {
                 Some(("organisation", name)) => call.organisation = Some(decode_word(name)?),
+                Some(("nested", flag)) => call.is_nested = flag == "1",
                 Some(("idle", flag)) => call.came_idle = flag == "1",
                 // A word of a later version.
                 Some(_) => {}
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -1,22 +1,25 @@
 //! The inbound handler: admits calls through the gate to this daemon's target and records their outcomes.
 
+mod intake;
 mod runs;
 mod slots;
 
 use {
     self::{
+        intake::{ReceivedBody, receive},
         runs::{RunGuard, wait_for_turn},
         slots::{QueueGuard, SlotGuard, SlotWaiter},
     },
     super::{
+        answer_body::{AnswerBody, AnswerFault, TransferEnd},
         attempt::ForwardedRequest,
-        body::{AnswerBody, AnswerFault, BodyProgress, RequestBody, TransferEnd, discard_arrived},
+        body::{BodyProgress, BodyRoom, RequestBody, discard_arrived},
         dialect::{AnswerVerdict, CallContext},
         hop::{BODY_INCOMPLETE, HopCall, TARGET_ENDED, header},
         peer_client::{ConnectionReuse, PeerClients, SendFault, retire_connection},
         relay::{
-            add_close_header, end_to_end_headers, header_value, keep_connection_if, write_answer,
-            write_refusal,
+            add_close_header, end_to_end_headers, header_value, is_defined_status, keep_connection_if,
+            write_answer, write_refusal,
         },
         transfer_report::TransferReport,
     },
@@ -132,26 +135,79 @@
             add_outcome_headers(res, CallOutcome::NotRun, "bad-request");
             return;
         };
-        let is_nested = {
+        let (shows_nested, is_nested) = self.recognise(&hop);
+        let result = self.admit_and_run(req, res, &hop, is_nested).await;
+        if let Err(failure) = result {
+            refuse(&self.shared, req, res, &hop, &failure);
+        }
+        res.headers_mut().insert(header::CALL, header_value(&hop.id));
+        self.add_load_and_clearance(res, &hop, shows_nested);
+    }
+
+    /// Returns whether this gate knows the route of a call as one that targets call, and whether the call counts as nested:
+    /// also if the proxy heard so from another gate.
+    fn recognise(&self, hop: &HopCall) -> (bool, bool) {
+        let shows_nested = {
             let mut gate = self.shared.gate.lock();
             gate.state.record_call(&hop.route, &hop.caller, hop.came_idle)
         };
+        let is_nested = shows_nested || hop.is_nested;
         if is_nested {
             self.shared.metrics.nested_calls.inc();
         }
-        let result = match self.admit(req, &hop, is_nested).await {
-            Ok(AdmittedRun { slot, identity, run }) => self.run(req, res, &hop, &identity, (slot, run)).await,
-            Err(refusal) => {
+        (shows_nested, is_nested)
+    }
+
+    /// Receives a large body, then waits until the call may run, and runs it.
+    async fn admit_and_run(
+        &self,
+        req: &mut Request,
+        res: &mut Response,
+        hop: &HopCall,
+        is_nested: bool,
+    ) -> Result<(), GateFailure> {
+        let received = match self.check_target(hop, self.shared.now()) {
+            Ok(()) => receive(&self.shared, req, hop).await,
+            Err(refusal) => Err(GateFailure::NotRun(refusal)),
+        };
+        let admitted = match received {
+            Ok(received) => match self.admit(req, hop, is_nested).await {
+                Ok(admitted) => Ok((admitted, received)),
+                Err(refusal) => Err(GateFailure::NotRun(refusal)),
+            },
+            Err(failure) => Err(failure),
+        };
+        match admitted {
+            Ok((AdmittedRun { slot, identity, run }, received)) => {
+                self.run(req, res, hop, &identity, (slot, run, received)).await
+            }
+            Err(failure) => {
                 let body = req.take_body();
-                keep_connection_if(discard_arrived(req.headers(), body).await, res);
-                Err(GateFailure::NotRun(refusal))
+                let has_ended = !matches!(failure, GateFailure::BodyIncomplete)
+                    && discard_arrived(req.headers(), body).await;
+                keep_connection_if(has_ended, res);
+                Err(failure)
             }
-        };
-        if let Err(failure) = result {
-            refuse(&self.shared, req, res, &hop, &failure);
         }
-        res.headers_mut().insert(header::CALL, header_value(&hop.id));
-        self.add_load_and_clearance(res, &hop, is_nested);
+    }
+
+    /// Reads the body of a call that has a slot; one over [`MAX_BUFFERED_BYTES`](super::body::MAX_BUFFERED_BYTES) is streamed.
+    async fn read_body(
+        &self,
+        req: &mut Request,
+        end: &TransferEnd,
+        report: TransferReport,
+    ) -> Result<ReceivedBody, GateFailure> {
+        let body = req.take_body();
+        let progress = Arc::new(BodyProgress::new(report));
+        // The proxy has checked the limit of its table, which may be newer than the one here.
+        let read = RequestBody::read(req.headers(), body, u64::MAX, end.at, &progress, BodyRoom::None).await;
+        let body = read.map_err(|_| GateFailure::BodyIncomplete)?;
+        Ok(ReceivedBody {
+            body,
+            progress,
+            _place: None,
+        })
     }
 
     /// Waits for the turn of a suspect, then for a slot, and lists the run.
@@ -209,7 +265,8 @@
         Ok((slot, shared.target.load_full()))
     }
 
-    /// Checks that the request names this daemon's target and that the target's version may serve the pool. The new
+    /// Checks that the request names this daemon's target, that its data centre is not evacuated and that its version may
+    /// serve the pool. The new
     /// version of a move is refused without a valid lease of a controller or after the move was stopped, and so is a
     /// version that the pool does not name. A pool that is missing from this daemon's configuration is not checked.
     fn check_target(&self, hop: &HopCall, now: TimePoint) -> Result<(), GateRefusal> {
@@ -218,11 +275,13 @@
             return Err(GateRefusal::OtherTarget);
         }
         let snapshot = self.shared.snapshot.load();
-        let Some(pool) = snapshot
-            .table
-            .as_ref()
-            .and_then(|table| table.pools.get(&hop.pool))
-        else {
+        let Some(table) = &snapshot.table else {
+            return Ok(());
+        };
+        if table.evacuations.contains(&self.shared.settings.data_centre) {
+            return Err(GateRefusal::Evacuated);
+        }
+        let Some(pool) = table.pools.get(&hop.pool) else {
             return Ok(());
         };
         let is_cleared = match &pool.order {
@@ -247,7 +306,7 @@
         res: &mut Response,
         hop: &HopCall,
         identity: &TargetIdentity,
-        (slot, mut run): (SlotGuard, RunGuard),
+        (slot, mut run, received): (SlotGuard, RunGuard, Option<ReceivedBody>),
     ) -> Result<(), GateFailure> {
         let shared = &self.shared;
         let report = TransferReport::new(shared, "gate");
@@ -257,20 +316,19 @@
             ConnectionCloser::of(req),
             report.clone(),
         );
-        let body = req.take_body();
-        let progress = Arc::new(BodyProgress::new(report));
-        // The proxy has checked the limit of its table, which may be newer than the one here.
-        let body = RequestBody::read(req.headers(), body, u64::MAX, end.at, &progress).await;
-        if body.is_err() {
+        let received = match received {
+            Some(received) => Ok(received),
+            None => self.read_body(req, &end, report).await,
+        };
+        if received.is_err() {
             run.finish();
         }
-        let mut forwarded = self.forwarded_request(
-            req,
-            hop,
-            identity,
-            body.map_err(|_| GateFailure::BodyIncomplete)?,
+        let ReceivedBody {
+            body,
             progress,
-        );
+            _place,
+        } = received?;
+        let forwarded = self.forwarded_request(req, hop, identity, body, progress);
         let mut recorder = CallRecorder {
             shared: Arc::clone(shared),
             route: Arc::clone(&hop.route),
@@ -341,7 +399,11 @@
         let (head, body) = answer.into_parts();
         // Judged is what is passed on, as the target may name any header as one of its connection.
         let headers = end_to_end_headers(&head.headers, &[]);
-        let verdict = shared.dialect.classify_answer(request, head.status, &headers);
+        let verdict = if is_defined_status(head.status) {
+            shared.dialect.classify_answer(request, head.status, &headers)
+        } else {
+            AnswerVerdict::Foreign
+        };
         let stated_load = shared.dialect.target_load(&headers);
         if let Some(slowdown) = stated_load.and_then(|load| load.slowdown)
             && verdict != AnswerVerdict::Foreign
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -2,8 +2,10 @@
 
 mod arrival;
 mod brake;
+mod cold;
 mod forecast;
 mod nested;
+mod outcome;
 mod pace;
 mod refusal;
 mod run_times;
@@ -12,9 +14,11 @@
 pub use {
     arrival::GateArrival,
     brake::RunBrake,
+    cold::ColdPacer,
     nested::NestedRoutes,
+    outcome::{DequeueOutcome, GateAdmission, TicketId},
     pace::TargetPace,
     refusal::GateRefusal,
     run_times::RunTimes,
-    state::{DequeueOutcome, GateAdmission, GateState, TicketId},
+    state::GateState,
 };
--- a/src/gate/refusal.rs
+++ b/src/gate/refusal.rs
@@ -1,4 +1,4 @@
-//! Reasons for which gates refuse calls.
+//! Reasons for which a gate refuses a call.
 
 use crate::macros::key_type;
 
@@ -11,7 +11,7 @@
         Leaving,
         /// The target is not ready.
         Starting,
-        /// The call reached its [`GateArrival::wait_until`] before a slot was free.
+        /// The call reached its [`GateArrival::wait_until`](super::GateArrival::wait_until) before a slot was free.
         Expired,
         /// The target's version is stopped or not cleared for the pool.
         Stopped,
@@ -21,11 +21,13 @@
         Shed,
         /// Targets ended under this request, so it is held back.
         Quarantined,
+        /// The target's data centre is evacuated.
+        Evacuated,
     }
 }
 
 impl GateRefusal {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 9] = [
         Self::Full,
         Self::Leaving,
         Self::Starting,
@@ -34,6 +36,7 @@
         Self::OtherTarget,
         Self::Shed,
         Self::Quarantined,
+        Self::Evacuated,
     ];
 
     /// Returns the reason as written to the `fuchsiashore-reason` header.
@@ -47,6 +50,7 @@
             Self::OtherTarget => "other-target",
             Self::Shed => "target-shed",
             Self::Quarantined => "quarantined",
+            Self::Evacuated => "data-centre-evacuated",
         }
     }
 
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -4,8 +4,10 @@
     super::{
         arrival::GateArrival,
         brake::RunBrake,
+        cold::ColdPacer,
         forecast::{time_left_ms, wait_ms},
         nested::NestedRoutes,
+        outcome::{DequeueOutcome, GateAdmission, TicketId},
         pace::TargetPace,
         refusal::GateRefusal,
         run_times::RunTimes,
@@ -13,7 +15,6 @@
     crate::{
         call::{LoadReport, RankCounts},
         clock::TimePoint,
-        macros::key_type,
     },
     indexmap::IndexMap,
     std::sync::Arc,
@@ -23,31 +24,6 @@
 pub const SLOW_START_MS: u64 = 3_000;
 /// Median run time as a fraction of the mean; below 1, as run times have a long tail.
 const MEDIAN_RUN_FRACTION: f64 = 0.7;
-key_type! {
-    /// Identifies an admitted or queued call.
-    pub struct TicketId(pub u64);
-}
-
-/// Admission decision for an arriving call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum GateAdmission {
-    /// The call has a slot and runs now.
-    Run(TicketId),
-    /// The call is queued for a slot.
-    Wait(TicketId),
-    /// The call is refused.
-    Refuse(GateRefusal),
-}
-
-/// Reason for which a call left the queue.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DequeueOutcome {
-    /// The call has a slot and runs now.
-    Run(TicketId),
-    /// The call is refused.
-    Refuse(TicketId, GateRefusal),
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum GateMode {
     /// The target is not ready yet, or not any more.
@@ -105,6 +81,7 @@
     nested_routes: NestedRoutes,
     brake: RunBrake,
     pace: TargetPace,
+    cold: ColdPacer,
 }
 
 impl GateState {
@@ -121,9 +98,15 @@
             nested_routes: NestedRoutes::default(),
             brake: RunBrake::default(),
             pace: TargetPace::default(),
+            cold: ColdPacer::default(),
         }
     }
 
+    /// Returns the pace of calls while the target is cold.
+    pub fn cold(&mut self) -> &mut ColdPacer {
+        &mut self.cold
+    }
+
     /// Records how long work takes on the VM at this moment, relative to its usual time.
     pub fn record_slowdown(&mut self, slowdown: f64, now: TimePoint) {
         self.pace.record(slowdown, now);
@@ -245,7 +228,7 @@
             arrival,
             expected_ms,
         };
-        let has_slot = self.in_flight() < self.open_slots(now) && self.queue.is_empty();
+        let has_slot = self.may_start(now) && self.queue.is_empty();
         let at = self
             .queue
             .partition_point(|other| other.urgency() > call.urgency());
@@ -264,6 +247,23 @@
         (GateAdmission::Wait(ticket), outcome)
     }
 
+    /// Returns the expected wait for a slot and the expected run time of a call that has not arrived yet, in milliseconds, or
+    /// why it would be refused.
+    pub fn forecast_ms(&self, arrival: &GateArrival, now: TimePoint) -> Result<(u64, u64), GateRefusal> {
+        if let Some(refusal) = self.refusal(arrival.wait_until(), now) {
+            return Err(refusal);
+        }
+        let call = WaitingCall {
+            ticket: TicketId(u64::MAX),
+            arrival: arrival.clone(),
+            expected_ms: self.expected_ms(arrival, now),
+        };
+        let at = self
+            .queue
+            .partition_point(|other| other.urgency() > call.urgency());
+        Ok((self.wait_at(at, now) as u64, call.expected_ms as u64))
+    }
+
     /// Frees the slot of a call that ended and dequeues further calls. `ran_ms` is the run time of a successful call in
     /// milliseconds, `None` for other calls, which don't count for the run times.
     pub fn finish(&mut self, ticket: TicketId, ran_ms: Option<f64>, now: TimePoint) -> Vec<DequeueOutcome> {
@@ -311,7 +311,8 @@
             .iter()
             .rev()
             .map(|ahead| ahead.expected_ms * pace);
-        wait_ms(self.open_slots(now) as usize, running, ahead)
+        let wait_ms = wait_ms(self.open_slots(now) as usize, running, ahead);
+        wait_ms.max(self.cold.wait_ms(self.queue.len() - at, now) as f64)
     }
 
     fn expected_ms(&self, arrival: &GateArrival, now: TimePoint) -> f64 {
@@ -326,6 +327,11 @@
             expected_ms: call.expected_ms,
         };
         self.running.insert(call.ticket, running);
+        self.cold.record_start(now);
+    }
+
+    fn may_start(&self, now: TimePoint) -> bool {
+        self.in_flight() < self.open_slots(now) && self.cold.may_start(now)
     }
 
     /// Records a call that came from beside a service, and returns whether targets of it make the calls of this route.
@@ -352,7 +358,7 @@
             }
             !is_expired
         });
-        while self.in_flight() < self.open_slots(now) {
+        while self.may_start(now) {
             let Some(call) = self.dequeue_next(now) else { break };
             outcomes.push(DequeueOutcome::Run(call.ticket));
             self.start(call, now);
@@ -385,6 +391,11 @@
         }
     }
 
+    /// Refuses all queued calls, as the target's data centre is evacuated. Running calls continue.
+    pub fn evacuate(&mut self) -> Vec<DequeueOutcome> {
+        self.refuse_waiting(GateRefusal::Evacuated)
+    }
+
     fn refuse_waiting(&mut self, refusal: GateRefusal) -> Vec<DequeueOutcome> {
         self.queue
             .drain(..)
