A caller that leaves is noticed behind its further calls

Cause: the HTTP library reads nothing while it holds bytes of the next call, so the end of a connection with calls sent ahead was met at the deadline of the call that ran; a test with raw sockets found it with one call behind. Change: the connection reads up to 8 KiB ahead while a request is handled and the library does not read, and cancels the call at the end.

--- a/src/client_stream.rs
+++ b/src/client_stream.rs
@@ -3,7 +3,10 @@
 
 use {
     crate::{connection_phase::ConnectionPhase, http::ConnectionCloser},
+    bytes::{Buf, BytesMut},
+    parking_lot::Mutex,
     std::{
+        future::poll_fn,
         io::{self, IoSlice},
         pin::Pin,
         sync::Arc,
@@ -16,10 +19,73 @@
     },
 };
 
+/// Number of bytes that are read ahead of the server, to notice the end of the connection behind them.
+const MAX_AHEAD_BYTES: usize = 8 * 1024;
+
+/// Socket of a connection, which its stream and its watch share.
+#[derive(Debug)]
+struct ClientSocket {
+    stream: TcpStream,
+    /// Bytes that were read ahead of the server.
+    ahead: BytesMut,
+    /// Whether the server waits for bytes, and so notices the end itself.
+    is_awaited: bool,
+}
+
+impl ClientSocket {
+    fn poll_read(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        if !self.ahead.is_empty() {
+            let count = self.ahead.len().min(buf.remaining());
+            buf.put_slice(&self.ahead[..count]);
+            self.ahead.advance(count);
+            return Poll::Ready(Ok(()));
+        }
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.is_awaited = result.is_pending();
+        result
+    }
+
+    /// Reads ahead, and waits for the end of the connection.
+    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut chunk = [0; MAX_AHEAD_BYTES];
+        while !self.is_awaited && self.ahead.len() < MAX_AHEAD_BYTES {
+            let mut buf = ReadBuf::new(&mut chunk[self.ahead.len()..]);
+            let read = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf));
+            if read.is_err() || buf.filled().is_empty() {
+                return Poll::Ready(());
+            }
+            self.ahead.extend_from_slice(buf.filled());
+        }
+        Poll::Pending
+    }
+}
+
+/// Watch for the end of a connection while the server does not read, as the next request is there already, or a body that
+/// nobody has asked for.
+#[derive(Debug)]
+pub struct ClientWatch {
+    socket: Arc<Mutex<ClientSocket>>,
+    phase: Arc<ConnectionPhase>,
+}
+
+impl ClientWatch {
+    /// Waits until the client leaves while a request is handled. It is to be polled after the server, by the same task.
+    pub async fn left(&self) {
+        poll_fn(|cx| {
+            if self.phase.is_exchange() {
+                self.socket.lock().poll_end(cx)
+            } else {
+                Poll::Pending
+            }
+        })
+        .await;
+    }
+}
+
 /// Stream of an accepted connection.
 #[derive(Debug)]
 pub struct ClientStream {
-    stream: TcpStream,
+    socket: Arc<Mutex<ClientSocket>>,
     closer: ConnectionCloser,
     phase: Arc<ConnectionPhase>,
     timer: Option<Pin<Box<Sleep>>>,
@@ -28,14 +94,27 @@
 impl ClientStream {
     /// Wraps a stream.
     pub fn new(stream: TcpStream, closer: ConnectionCloser, phase: Arc<ConnectionPhase>) -> Self {
-        Self {
+        let socket = ClientSocket {
             stream,
+            ahead: BytesMut::new(),
+            is_awaited: false,
+        };
+        Self {
+            socket: Arc::new(Mutex::new(socket)),
             closer,
             phase,
             timer: None,
         }
     }
 
+    /// Returns the watch for the end of the connection.
+    pub fn watch(&self) -> ClientWatch {
+        ClientWatch {
+            socket: Arc::clone(&self.socket),
+            phase: Arc::clone(&self.phase),
+        }
+    }
+
     /// Waits for the time at which the client is given up.
     fn poll_timeout(&mut self, cx: &mut Context<'_>) -> Poll<io::Error> {
         // The limits may have changed since the last poll.
@@ -55,7 +134,7 @@
 impl Drop for ClientStream {
     fn drop(&mut self) {
         if self.closer.is_closing()
-            && let Err(error) = self.stream.set_zero_linger()
+            && let Err(error) = self.socket.lock().stream.set_zero_linger()
         {
             log::warn!("event=connection-not-reset error={error:?}");
         }
@@ -69,7 +148,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let result = self.socket.lock().poll_read(cx, buf);
         if result.is_pending() {
             return self.poll_timeout(cx).map(Err);
         }
@@ -81,29 +160,29 @@
 }
 
 impl AsyncWrite for ClientStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.phase.record_write();
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        Pin::new(&mut self.socket.lock().stream).poll_write(cx, buf)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket.lock().stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket.lock().stream).poll_shutdown(cx)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.socket.lock().stream.is_write_vectored()
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.phase.record_write();
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        Pin::new(&mut self.socket.lock().stream).poll_write_vectored(cx, bufs)
     }
 }
--- a/src/connection_phase.rs
+++ b/src/connection_phase.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Returns whether a request is handled.
+    pub fn is_exchange(&self) -> bool {
+        matches!(*self.phase.lock(), Phase::Exchange(_))
+    }
+
     /// Records that bytes have arrived.
     pub fn record_read(&self) {
         let mut phase = self.phase.lock();
--- a/src/http.rs
+++ b/src/http.rs
@@ -285,6 +285,7 @@
         let control = ConnCtrl::new();
         let phase = Arc::new(ConnectionPhase::new(Arc::clone(&timeouts)));
         let stream = ClientStream::new(stream, closer.clone(), Arc::clone(&phase));
+        let watch = stream.watch();
         let stream = StraightStream::new(stream, Some(fuse), control.clone(), None);
         let handler = service.hyper_handler(
             address.into(),
@@ -310,7 +311,9 @@
             // The socket is closed after the report, so that whoever sees the end finds it counted.
             let mut connection = pin!(connection);
             let ended = tokio::select! {
+                biased;
                 ended = &mut connection => ended,
+                () = watch.left() => return,
                 () = closer.closed() => return,
             };
             let cause = match phase.passed_limit() {
