--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -142,6 +142,11 @@
     }
 }
 
+/// Returns the rank by which gates queue a call. Nested ones go before all others.
+pub fn queue_rank(priority: u8, is_nested: bool) -> u8 {
+    if is_nested { 0 } else { priority }
+}
+
 /// Counts a call as in flight at a target until dropped.
 pub struct InFlightGuard {
     shared: Arc<SharedState>,
@@ -235,6 +240,10 @@
         result
     }
 
+    fn rank(&self) -> u8 {
+        queue_rank(self.hop.priority, self.hop.is_nested)
+    }
+
     /// Applies the clearance in the head of the gate's answer, and reads the body unless the gate refused the request.
     async fn read_answer(
         &self,
@@ -291,9 +300,9 @@
         let mut selector = shared.selector.lock();
         match refusal {
             Some(GateRefusal::Full | GateRefusal::Expired) => {
-                selector.record_full(&self.target.name, self.hop.priority, now);
+                selector.record_full(&self.target.name, self.rank(), now);
                 if let Some(load) = parse_load(headers) {
-                    selector.record_load(&self.target.name, load, now);
+                    selector.record_load(&self.target.name, load, self.rank(), now);
                     self.record_route_run(&mut selector, load);
                 }
             }
@@ -328,8 +337,9 @@
                 let latency_ms = started.elapsed().as_secs_f64() * 1e3;
                 let (load, now) = (parse_load(headers), shared.now());
                 let mut selector = shared.selector.lock();
-                selector.record_success(&self.target.name, latency_ms, load, now);
+                selector.record_success(&self.target.name, latency_ms);
                 if let Some(load) = load {
+                    selector.record_load(&self.target.name, load, self.rank(), now);
                     self.record_route_run(&mut selector, load);
                 }
                 drop(selector);
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -245,7 +245,8 @@
         Ok((slot, shared.target.load_full()))
     }
 
-    /// Checks that the request names this daemon's target and that the target's version may serve the pool. The new
+    /// Checks that the request names this daemon's target, that its data centre is not evacuated and that its version may
+    /// serve the pool. The new
     /// version of a move is refused without a valid lease of a controller or after the move was stopped, and so is a
     /// version that the pool does not name. A pool that is missing from this daemon's configuration is not checked.
     fn check_target(&self, hop: &HopCall, now: TimePoint) -> Result<(), GateRefusal> {
@@ -254,11 +255,13 @@
             return Err(GateRefusal::OtherTarget);
         }
         let snapshot = self.shared.snapshot.load();
-        let Some(pool) = snapshot
-            .table
-            .as_ref()
-            .and_then(|table| table.pools.get(&hop.pool))
-        else {
+        let Some(table) = &snapshot.table else {
+            return Ok(());
+        };
+        if table.evacuations.contains(&self.shared.settings.data_centre) {
+            return Err(GateRefusal::Evacuated);
+        }
+        let Some(pool) = table.pools.get(&hop.pool) else {
             return Ok(());
         };
         let is_cleared = match &pool.order {
@@ -471,7 +474,8 @@
 
     /// Adds the gate's load and, during a move, the pool's clearance to an answer, for the proxy that receives it.
     fn add_load_and_clearance(&self, res: &mut Response, hop: &HopCall) {
-        let load = self.shared.gate.lock().state.load(&hop.route);
+        let now = self.shared.now();
+        let load = self.shared.gate.lock().state.load(&hop.route, hop.priority, now);
         let headers = res.headers_mut();
         headers.insert(header::LOAD, header_value(&load.to_string()));
         let snapshot = self.shared.snapshot.load();
@@ -515,6 +519,7 @@
         useful_until: hop.useful_until,
         deadline: hop.deadline,
         start_by: hop.start_by,
+        is_nested: hop.is_nested,
     }
 }
 
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -2,7 +2,11 @@
 
 use {
     super::{
+        arrival::GateArrival,
+        cold::ColdPacer,
         forecast::{time_left_ms, wait_ms},
+        nested::{NestedRoutes, NestedVerdict},
+        refusal::GateRefusal,
         run_times::RunTimes,
     },
     crate::{
@@ -18,68 +22,11 @@
 pub const SLOW_START_MS: u64 = 3_000;
 /// Median run time as a fraction of the mean; below 1, as run times have a long tail.
 const MEDIAN_RUN_FRACTION: f64 = 0.7;
-/// Time that a refusal takes to reach the proxy, in milliseconds: two hops and a timer.
-const REFUSAL_RETURN_MS: u64 = 60;
-
 key_type! {
     /// Identifies an admitted or queued call.
     pub struct TicketId(pub u64);
 }
 
-key_type! {
-    /// Reason for which a gate refuses a call. None of these calls ran.
-    pub enum GateRefusal {
-        /// The queue is full, or the call would be answered too late.
-        Full,
-        /// The target is leaving.
-        Leaving,
-        /// The target is not ready.
-        Starting,
-        /// The call reached its [`GateArrival::wait_until`] before a slot was free.
-        Expired,
-        /// The target's version is stopped or not cleared for the pool.
-        Stopped,
-        /// The target beside this gate is not the one that the request names.
-        OtherTarget,
-        /// The target itself rejected the call without running it.
-        Shed,
-        /// Targets ended under this request, so it is held back.
-        Quarantined,
-    }
-}
-
-impl GateRefusal {
-    const ALL: [Self; 8] = [
-        Self::Full,
-        Self::Leaving,
-        Self::Starting,
-        Self::Expired,
-        Self::Stopped,
-        Self::OtherTarget,
-        Self::Shed,
-        Self::Quarantined,
-    ];
-
-    /// Returns the reason as written to the `fuchsiashore-reason` header.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Full => "target-full",
-            Self::Leaving => "target-leaving",
-            Self::Starting => "target-starting",
-            Self::Expired => "deadline-passed",
-            Self::Stopped => "version-stopped",
-            Self::OtherTarget => "other-target",
-            Self::Shed => "target-shed",
-            Self::Quarantined => "quarantined",
-        }
-    }
-
-    /// Returns the refusal for a reason from the `fuchsiashore-reason` header.
-    pub fn parse(text: &str) -> Option<Self> {
-        Self::ALL.into_iter().find(|refusal| refusal.as_str() == text)
-    }
-}
-
 /// Admission decision for an arriving call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GateAdmission {
@@ -110,21 +57,6 @@
     Leaving,
 }
 
-/// Call that arrives at the gate.
-#[derive(Debug, Clone)]
-pub struct GateArrival {
-    /// Name of its route.
-    pub route: Arc<str>,
-    /// Rank of its route; 0 is the most urgent.
-    pub priority: u8,
-    /// Time after which an answer counts as late. A call that would be queued and not answered by then is refused.
-    pub useful_until: TimePoint,
-    /// Time at which the call is given up.
-    pub deadline: TimePoint,
-    /// Time by which it must have a slot in any case.
-    pub start_by: TimePoint,
-}
-
 #[derive(Debug, Clone)]
 struct WaitingCall {
     ticket: TicketId,
@@ -142,24 +74,17 @@
     expected_ms: f64,
 }
 
-impl GateArrival {
-    /// Returns the time at which the call is refused if it is still queued: at `start_by`, or halfway between
-    /// `useful_until` and the deadline, as it would hardly be served after that, but early enough for the refusal to arrive
-    /// before the deadline.
-    pub fn wait_until(&self) -> TimePoint {
-        let margin_ms = self.deadline.ms_since(self.useful_until);
-        let halfway = self.useful_until.after_ms(margin_ms / 2);
-        halfway
-            .min(self.deadline.before_ms(REFUSAL_RETURN_MS))
-            .min(self.start_by)
-    }
-}
-
 impl WaitingCall {
-    /// Returns the sort key of the queue, lowest for the most urgent call: by rank, then by `useful_until`, then by
-    /// arrival.
-    fn urgency(&self) -> (u8, TimePoint, TicketId) {
-        (self.arrival.priority, self.arrival.useful_until, self.ticket)
+    /// Returns the sort key of the queue, lowest for the most urgent call: nested ones, as their runs are in hand, then by
+    /// rank, by the time until which an answer is worth its run, and by arrival.
+    fn urgency(&self) -> (bool, u8, TimePoint, TicketId) {
+        let arrival = &self.arrival;
+        (
+            !arrival.is_nested,
+            arrival.priority,
+            arrival.answer_by(),
+            self.ticket,
+        )
     }
 }
 
@@ -176,8 +101,10 @@
     /// Number of the last ticket issued.
     last_ticket: u64,
     run_times: RunTimes,
+    nested_routes: NestedRoutes,
     /// How long work takes on the VM, relative to its usual time, as the target stated last; 1 if it has not.
     slowdown: f64,
+    cold: ColdPacer,
 }
 
 impl GateState {
@@ -191,10 +118,17 @@
             queue: Vec::new(),
             last_ticket: 0,
             run_times: RunTimes::default(),
+            nested_routes: NestedRoutes::default(),
             slowdown: 1.0,
+            cold: ColdPacer::default(),
         }
     }
 
+    /// Returns the pace of calls while the target is cold.
+    pub fn cold(&mut self) -> &mut ColdPacer {
+        &mut self.cold
+    }
+
     /// Records how long work takes on the VM at this moment, relative to its usual time.
     pub fn record_slowdown(&mut self, slowdown: f64) {
         self.slowdown = slowdown;
@@ -210,9 +144,10 @@
         self.queue.len()
     }
 
-    /// Returns the load that is reported to the proxy of a call, with the run time of the call's route. The mean run
-    /// time is that of the calls that are here; the one of all calls while there are none.
-    pub fn load(&self, route: &str) -> LoadReport {
+    /// Returns the load that is reported to the proxy of a call, with the run time of the call's route and the expected
+    /// wait of a further call of its rank. The mean run time is that of the calls that are here; the one of all calls while
+    /// there are none.
+    pub fn load(&self, route: &str, priority: u8, now: TimePoint) -> LoadReport {
         let mut waiting = RankCounts::default();
         self.queue
             .iter()
@@ -230,6 +165,14 @@
             },
             route_run_ms: self.run_times.of_route(route).unwrap_or_default(),
             slowdown: self.slowdown,
+            wait_ms: Some(
+                self.wait_at(
+                    self.queue.partition_point(|other| {
+                        !other.arrival.is_nested && other.arrival.priority > priority
+                    }),
+                    now,
+                ),
+            ),
         }
     }
 
@@ -306,7 +249,7 @@
             arrival,
             expected_ms,
         };
-        if self.in_flight() < self.open_slots(now) && self.queue.is_empty() {
+        if self.may_start(now) && self.queue.is_empty() {
             self.start(call, now);
             return (GateAdmission::Run(ticket), None);
         }
@@ -336,7 +279,7 @@
         let at = self
             .queue
             .partition_point(|other| other.urgency() > call.urgency());
-        Ok((self.slot_wait_ms(at, now) as u64, call.expected_ms as u64))
+        Ok((self.wait_at(at, now) as u64, call.expected_ms as u64))
     }
 
     /// Frees the slot of a call that ended and dequeues further calls. `ran_ms` is the run time of a successful call in
@@ -351,18 +294,19 @@
 
     /// Returns whether a call that takes the place `at` in the queue would be answered after its `useful_until`.
     fn is_too_late(&self, call: &WaitingCall, at: usize, now: TimePoint) -> bool {
-        let wait_ms = self.slot_wait_ms(at, now);
-        now.after_ms((wait_ms + call.expected_ms) as u64) > call.arrival.useful_until
+        let wait_ms = self.wait_at(at, now);
+        now.after_ms((wait_ms + call.expected_ms) as u64) > call.arrival.answer_by()
     }
 
-    /// Returns the wait for a slot of a call that takes the place `at` in the queue, in milliseconds.
-    fn slot_wait_ms(&self, at: usize, now: TimePoint) -> f64 {
+    /// Returns the expected wait of a call that takes the place `at` in the queue, in milliseconds.
+    fn wait_at(&self, at: usize, now: TimePoint) -> f64 {
         let running = self.running.values().map(|running| {
             let ran_ms = now.ms_since(running.started_at) as f64;
             time_left_ms(running.expected_ms, ran_ms)
         });
         let ahead = self.queue[at..].iter().rev().map(|ahead| ahead.expected_ms);
-        wait_ms(self.open_slots(now) as usize, running, ahead)
+        let wait_ms = wait_ms(self.open_slots(now) as usize, running, ahead);
+        wait_ms.max(self.cold.wait_ms(self.queue.len() - at, now) as f64)
     }
 
     fn expected_ms(&self, arrival: &GateArrival, now: TimePoint) -> f64 {
@@ -377,6 +321,18 @@
             expected_ms: call.expected_ms,
         };
         self.running.insert(call.ticket, running);
+        self.cold.record_start(now);
+        self.nested_routes.record_start(now);
+    }
+
+    fn may_start(&self, now: TimePoint) -> bool {
+        self.in_flight() < self.open_slots(now) && self.cold.may_start(now)
+    }
+
+    /// Records a call that arrived from beside this daemon, and returns whether a run of the target makes it.
+    pub fn record_call(&mut self, route: &Arc<str>, now: TimePoint) -> NestedVerdict {
+        let running = self.in_flight();
+        self.nested_routes.record_call(route, running, now)
     }
 
     /// Removes a queued call whose caller went away. Returns whether it was still queued.
@@ -397,7 +353,7 @@
             }
             !is_expired
         });
-        while self.in_flight() < self.open_slots(now) {
+        while self.may_start(now) {
             let Some(call) = self.dequeue_next(now) else { break };
             outcomes.push(DequeueOutcome::Run(call.ticket));
             self.start(call, now);
@@ -411,7 +367,7 @@
     fn dequeue_next(&mut self, now: TimePoint) -> Option<WaitingCall> {
         let in_time = |call: &WaitingCall| {
             let median_ms = call.expected_ms * MEDIAN_RUN_FRACTION;
-            now.after_ms(median_ms as u64) <= call.arrival.useful_until
+            now.after_ms(median_ms as u64) <= call.arrival.answer_by()
         };
         let at = self.queue.iter().rposition(in_time);
         let at = at.or_else(|| self.queue.len().checked_sub(1))?;
@@ -429,6 +385,11 @@
         }
     }
 
+    /// Refuses all queued calls, as the target's data centre is evacuated. Running calls continue.
+    pub fn evacuate(&mut self) -> Vec<DequeueOutcome> {
+        self.refuse_waiting(GateRefusal::Evacuated)
+    }
+
     fn refuse_waiting(&mut self, refusal: GateRefusal) -> Vec<DequeueOutcome> {
         self.queue
             .drain(..)
