--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -132,3 +132,36 @@
         );
     }
 }
+
+/// All targets are in the evacuated data centre, so calls are refused as not run until it is taken back.
+#[tokio::test(flavor = "multi_thread")]
+async fn data_centre_is_evacuated_and_taken_back_by_commands() {
+    let mesh = Mesh::start("evacuate", 2);
+    assert!(mesh.apply("v1", 600).status.success());
+    let status = json_of(&mesh, &["status", "--json"]);
+    let data_centre = status["daemons"][0]["own"]["data_centre"]
+        .as_str()
+        .unwrap()
+        .to_owned();
+    let stock = format!("http://{}/stock", mesh.pairs[0].calls);
+    let evacuate = |further: &[&str]| {
+        let args = ["evacuate", &data_centre, "--message", "power works", "--wait"];
+        mesh.run_cli(&[&args[..], further].concat()).status.code()
+    };
+
+    assert_eq!(evacuate(&["--back"]), Some(2), "it is not evacuated");
+    assert_eq!(evacuate(&[]), Some(0));
+    assert_eq!(evacuate(&[]), Some(2), "it is evacuated already");
+    let status = mesh.run_cli(&["status"]).stdout;
+    let line = format!("data centre {data_centre} evacuated, in force at 2 of 2 daemons");
+    assert!(String::from_utf8_lossy(&status).contains(&line));
+    let refused = reqwest::get(&stock).await.unwrap();
+    let outcome = refused.headers().get("fuchsiashore-outcome");
+    assert_eq!(
+        (refused.status().as_u16(), outcome.unwrap().to_str().unwrap()),
+        (503, "not-run")
+    );
+
+    assert_eq!(evacuate(&["--back"]), Some(0));
+    assert!(reqwest::get(&stock).await.unwrap().status().is_success());
+}
