--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -126,6 +126,8 @@
     ended_connections: Family<EndLabels, Counter>,
     /// Bodies of requests and answers that were not transferred to their end, by listener and cause.
     broken_transfers: Family<EndLabels, Counter>,
+    /// Large bodies that proxies offered to this gate, by what became of them.
+    offered_bodies: Family<KindLabels, Counter>,
     /// Answers of targets that were passed on to callers, by status.
     answers: Family<StatusLabels, Counter>,
     /// Open connections of calls, by whose they are.
@@ -166,6 +168,10 @@
     pub cleared_requests: Counter,
     /// Retries sent.
     pub retries: Counter,
+    /// Calls that the target beside this daemon made in runs of its own.
+    pub nested_calls: Counter,
+    /// Calls for which no target was expected to answer in time.
+    pub calls_without_room: Counter,
     /// Latency of answered calls by pool, in seconds.
     latency: Family<PoolLabels, Histogram, fn() -> Histogram>,
 }
@@ -181,6 +187,7 @@
             refusals: Family::default(),
             ended_connections: Family::default(),
             broken_transfers: Family::default(),
+            offered_bodies: Family::default(),
             answers: Family::default(),
             open_connections: Family::default(),
             held_connections: Family::default(),
@@ -201,6 +208,8 @@
             held_requests: Counter::default(),
             cleared_requests: Counter::default(),
             retries: Counter::default(),
+            nested_calls: Counter::default(),
+            calls_without_room: Counter::default(),
             latency: Family::new_with_constructor(latency_histogram),
         };
         registry.register(
@@ -218,11 +227,7 @@
             "Connections that this process ended without an answer, by listener and cause",
             metrics.ended_connections.clone(),
         );
-        registry.register(
-            "broken_transfers",
-            "Bodies that were not transferred to their end, by listener and cause",
-            metrics.broken_transfers.clone(),
-        );
+        register_transfers(&mut registry, &metrics);
         registry.register(
             "answers",
             "Answers of targets that were passed on to callers, by status",
@@ -258,7 +263,7 @@
         );
         register_quarantine(&mut registry, &metrics);
         registry.register("members", "Daemons present", metrics.members.clone());
-        registry.register("retries", "Retries sent", metrics.retries.clone());
+        register_load(&mut registry, &metrics);
         registry.register(
             "call_seconds",
             "Time of answered calls by pool",
@@ -269,6 +274,35 @@
     }
 }
 
+/// Registers the metrics of bodies.
+fn register_transfers(registry: &mut Registry, metrics: &DaemonMetrics) {
+    registry.register(
+        "broken_transfers",
+        "Bodies that were not transferred to their end, by listener and cause",
+        metrics.broken_transfers.clone(),
+    );
+    registry.register(
+        "offered_bodies",
+        "Large bodies offered to this gate: received, refused, expired before their turn, or broken off",
+        metrics.offered_bodies.clone(),
+    );
+}
+
+/// Registers the metrics of calls under load.
+fn register_load(registry: &mut Registry, metrics: &DaemonMetrics) {
+    registry.register("retries", "Retries sent", metrics.retries.clone());
+    registry.register(
+        "nested_calls",
+        "Calls that the target made in runs of its own",
+        metrics.nested_calls.clone(),
+    );
+    registry.register(
+        "calls_without_room",
+        "Calls for which no target was expected to answer in time",
+        metrics.calls_without_room.clone(),
+    );
+}
+
 /// Registers the metrics of the target beside this daemon and of requests that end targets.
 fn register_quarantine(registry: &mut Registry, metrics: &DaemonMetrics) {
     registry.register(
@@ -379,6 +413,11 @@
             .inc();
     }
 
+    /// Counts a body that was offered to this gate, by what became of it.
+    pub fn count_offered_body(&self, kind: &'static str) {
+        self.offered_bodies.get_or_create(&KindLabels { kind }).inc();
+    }
+
     /// Counts a target's answer that is passed on to the caller.
     pub fn count_status(&self, status: StatusCode) {
         let labels = StatusLabels {
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -7,12 +7,13 @@
 use {
     self::{
         checks::{check_expected_body, check_form, check_head},
-        choosing::TargetChoice,
+        choosing::{AttemptNeed, RETRY_AFTER_MS, TargetChoice},
         logging::{LoggedRefusal, admit_answer, log_answer, log_failed_attempt, log_refusal},
     },
     super::{
-        attempt::{AttemptResult, CallAttempt, ForwardedRequest, InFlightGuard},
-        body::{AnswerBody, BodyFault, BodyProgress, RequestBody, TransferEnd, discard_arrived},
+        answer_body::{AnswerBody, TransferEnd},
+        attempt::{AttemptResult, CallAttempt, ForwardedRequest, InFlightGuard, queue_rank},
+        body::{BodyFault, BodyProgress, BodyRoom, MAX_BUFFERED_BYTES, RequestBody, discard_arrived},
         dialect::{CallOptions, call_deadline},
         hop::{HopCall, TARGET_ENDED},
         peer_client::PeerClients,
@@ -28,11 +29,11 @@
         config::{CompiledPool, CompiledRoute, RouteMatch},
         daemon::{
             leave_schedule::LeaveSchedule,
-            refusals::request_subject,
+            refusals::{log_word, request_subject},
             shared::{ActiveCall, SharedState},
             snapshot::{ServingTarget, TrafficSnapshot},
         },
-        gate::GateRefusal,
+        gate::{GateRefusal, NestedVerdict},
         http::ConnectionCloser,
         quarantine::{CallFingerprints, RequestHead, RequestStanding},
     },
@@ -51,8 +52,6 @@
     tokio::time::{Instant, sleep_until},
 };
 
-/// Time after which a refused caller may try again, in milliseconds: a few runs have ended by then.
-const RETRY_AFTER_MS: u64 = 250;
 /// Time after which a caller may try again if the daemon has no configuration or target yet, or is leaving, in
 /// milliseconds.
 const RETRY_AFTER_UNREADY_MS: u64 = 500;
@@ -114,6 +113,8 @@
     is_suspect: bool,
     /// Whether a gate holds it back, of which this daemon may not have heard.
     is_held_back: bool,
+    /// Whether the target beside this daemon makes it in a run of its own.
+    is_nested: bool,
 }
 
 /// Answer that may be returned to the caller.
@@ -165,7 +166,8 @@
         let body = req.take_body();
         let progress = Arc::new(BodyProgress::new(report));
         let read = async {
-            RequestBody::read(req.headers(), body, limit, end.at, &progress)
+            let room = BodyRoom::Shared(&self.shared.body_room);
+            RequestBody::read(req.headers(), body, limit, end.at, &progress, room)
                 .await
                 .map_err(|fault| body_refusal(fault, limit))
         };
@@ -252,6 +254,7 @@
             0.0
         };
         let pool = Arc::clone(route.pool(draw));
+        let is_nested = self.is_nested(&route);
         Ok(RoutedCall {
             repeatable: route.is_repeatable(req.method().as_str()),
             arrived_at: now,
@@ -264,6 +267,7 @@
             ends: 0,
             is_suspect: false,
             is_held_back: false,
+            is_nested,
         })
     }
 
@@ -296,14 +300,14 @@
         let shared = &self.shared;
         let mut plan = CallPlan::new(CallRules {
             repeatable: call.repeatable,
-            resendable: request.body.is_buffered(),
+            resendable: request.body.is_whole(),
             attempts: call.route.attempts,
             deadline: call.deadline,
         });
         let mut step = plan.begin(shared.budget.lock().for_pool(&call.pool.name), shared.now());
         let mut in_flight = FuturesUnordered::new();
         let mut received = None;
-        let mut is_hedge = false;
+        let mut need = AttemptNeed::default();
         let mut detail: Arc<str> = "".into();
         loop {
             step = match step {
@@ -318,32 +322,32 @@
                         detail,
                     });
                 }
-                CallStep::Send => match self.choose(
-                    call,
-                    request.body.buffered_bytes(),
-                    plan.tried(),
-                    std::mem::take(&mut is_hedge),
-                ) {
-                    TargetChoice::Target(target) if self.start_by(call, &target) <= shared.now() => {
-                        plan.after_no_time(received.is_some())
-                    }
-                    TargetChoice::Target(target) => {
-                        if !plan.tried().is_empty() {
-                            shared.metrics.retries.inc();
+                CallStep::Send => {
+                    let body_bytes = request.body.buffered_bytes().unwrap_or(MAX_BUFFERED_BYTES);
+                    match self.choose(call, body_bytes, plan.tried(), need.take()) {
+                        TargetChoice::Target(target) if self.start_by(call, &target) <= shared.now() => {
+                            plan.after_no_time(received.is_some())
+                        }
+                        TargetChoice::Target(target) => {
+                            if !plan.tried().is_empty() {
+                                shared.metrics.retries.inc();
+                            }
+                            call.is_suspect |= call.ends == 0 && self.is_suspect(call, &target);
+                            plan.record_attempt(Arc::clone(&target.name), shared.now());
+                            let forwarded = request.offer_to(target.gate);
+                            let progress = Arc::clone(&request.progress);
+                            in_flight.push(self.attempt(call, target, progress).run(forwarded));
+                            CallStep::Wait
                         }
-                        call.is_suspect |= call.ends == 0 && self.is_suspect(call, &target);
-                        plan.record_attempt(Arc::clone(&target.name), shared.now());
-                        let forwarded = request.request_to(target.gate);
-                        let progress = Arc::clone(&request.progress);
-                        in_flight.push(self.attempt(call, target, progress).run(forwarded));
-                        CallStep::Wait
+                        TargetChoice::HeldBack => plan.after_held_back(received.is_some()),
+                        TargetChoice::NoRoom => plan.after_no_room(received.is_some()),
+                        TargetChoice::None => plan.after_no_target(received.is_some()),
                     }
-                    TargetChoice::HeldBack => plan.after_held_back(received.is_some()),
-                    TargetChoice::None => plan.after_no_target(received.is_some()),
-                },
+                }
                 CallStep::Wait => {
                     let hedge_at = Instant::now() + plan.hedge_at().remaining_from(shared.now());
-                    let can_hedge = plan.hedge_at() != TimePoint::FAR_FUTURE;
+                    // A second copy of a large body would delay other calls.
+                    let can_hedge = plan.hedge_at() != TimePoint::FAR_FUTURE && !request.body.is_large();
                     tokio::select! {
                         Some((attempt, result)) = in_flight.next() => {
                             let outcome = result.outcome();
@@ -361,11 +365,13 @@
                                 }
                                 AttemptResult::Failure { reason, .. } => {
                                     log_failed_attempt(call, &attempt.target, &attempt.hop, outcome, &reason);
+                                    need.record_failure(&reason);
                                     call.ends += u32::from(&*reason == TARGET_ENDED);
                                     call.is_held_back |= &*reason == GateRefusal::Quarantined.as_str();
                                     detail = reason;
                                 }
                             }
+                            plan.set_resendable(request.body.is_whole());
                             let max_ends = if call.is_suspect { 1 } else { MAX_ENDS_OF_CALL };
                             if call.ends >= max_ends || call.is_held_back {
                                 plan.after_quarantined(outcome)
@@ -378,7 +384,7 @@
                             }
                         }
                         () = sleep_until(hedge_at), if can_hedge => {
-                            is_hedge = true;
+                            need.is_hedge = true;
                             plan.hedge(shared.budget.lock().for_pool(&call.pool.name), shared.now())
                         }
                         else => plan.refuse(RefusalReason::Refused),
@@ -431,8 +437,13 @@
                 start_by: self.start_by(call, &target),
                 fingerprints: call.fingerprints,
                 organisation: None,
+                is_nested: call.is_nested,
             },
-            in_flight_guard: InFlightGuard::new(shared, &target, call.route.priority),
+            in_flight_guard: InFlightGuard::new(
+                shared,
+                &target,
+                queue_rank(call.route.priority, call.is_nested),
+            ),
             target,
             body_progress,
         }
@@ -507,6 +518,7 @@
             | RefusalReason::NoTarget
             | RefusalReason::Leaving => RETRY_AFTER_UNREADY_MS,
             RefusalReason::Quarantined => self.held_ms(call).max(RETRY_AFTER_HELD_MS),
+            RefusalReason::Refused => call.map_or(RETRY_AFTER_MS, |call| self.retry_after_ms(call)),
             _ => RETRY_AFTER_MS,
         };
         write_refusal(
@@ -525,6 +537,20 @@
         );
     }
 
+    /// Returns whether a call of a route that arrives now is made by the target beside this daemon in a run of its own.
+    fn is_nested(&self, route: &CompiledRoute) -> bool {
+        let shared = &self.shared;
+        let verdict = shared.gate.lock().state.record_call(&route.name, shared.now());
+        if verdict == NestedVerdict::Recognised {
+            log::info!("event=nested-route route={}", log_word(&route.name));
+        }
+        if verdict == NestedVerdict::Callers {
+            return false;
+        }
+        shared.metrics.nested_calls.inc();
+        true
+    }
+
     fn is_suspect(&self, call: &RoutedCall, target: &ServingTarget) -> bool {
         call.fingerprints.is_some_and(|fingerprints| {
             let now = self.shared.now();
@@ -572,7 +598,7 @@
         host: host.unwrap_or(""),
         path: request.path.as_str(),
     };
-    CallFingerprints::of(head, request.body.buffered())
+    CallFingerprints::of(head, request.body.small())
 }
 
 fn forwarded_path(req: &Request) -> PathAndQuery {
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -3,6 +3,7 @@
 mod arrival;
 mod cold;
 mod forecast;
+mod nested;
 mod refusal;
 mod run_times;
 mod state;
@@ -10,6 +11,7 @@
 pub use {
     arrival::GateArrival,
     cold::ColdPacer,
+    nested::{NestedRoutes, NestedVerdict},
     refusal::GateRefusal,
     run_times::RunTimes,
     state::{DequeueOutcome, GateAdmission, GateState, TicketId},
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -5,6 +5,7 @@
         arrival::GateArrival,
         cold::ColdPacer,
         forecast::{time_left_ms, wait_ms},
+        nested::{NestedRoutes, NestedVerdict},
         refusal::GateRefusal,
         run_times::RunTimes,
     },
@@ -74,10 +75,16 @@
 }
 
 impl WaitingCall {
-    /// Returns the sort key of the queue, lowest for the most urgent call: by rank, then by `useful_until`, then by
-    /// arrival.
-    fn urgency(&self) -> (u8, TimePoint, TicketId) {
-        (self.arrival.priority, self.arrival.useful_until, self.ticket)
+    /// Returns the sort key of the queue, lowest for the most urgent call: nested ones, as their runs are in hand, then by
+    /// rank, by the time until which an answer is worth its run, and by arrival.
+    fn urgency(&self) -> (bool, u8, TimePoint, TicketId) {
+        let arrival = &self.arrival;
+        (
+            !arrival.is_nested,
+            arrival.priority,
+            arrival.answer_by(),
+            self.ticket,
+        )
     }
 }
 
@@ -94,6 +101,7 @@
     /// Number of the last ticket issued.
     last_ticket: u64,
     run_times: RunTimes,
+    nested_routes: NestedRoutes,
     /// How long work takes on the VM, relative to its usual time, as the target stated last; 1 if it has not.
     slowdown: f64,
     cold: ColdPacer,
@@ -110,6 +118,7 @@
             queue: Vec::new(),
             last_ticket: 0,
             run_times: RunTimes::default(),
+            nested_routes: NestedRoutes::default(),
             slowdown: 1.0,
             cold: ColdPacer::default(),
         }
@@ -158,8 +167,9 @@
             slowdown: self.slowdown,
             wait_ms: Some(
                 self.wait_at(
-                    self.queue
-                        .partition_point(|other| other.arrival.priority > priority),
+                    self.queue.partition_point(|other| {
+                        !other.arrival.is_nested && other.arrival.priority > priority
+                    }),
                     now,
                 ),
             ),
@@ -255,6 +265,23 @@
         (GateAdmission::Wait(ticket), outcome)
     }
 
+    /// Returns the expected wait for a slot and the expected run time of a call that has not arrived yet, in milliseconds, or
+    /// why it would be refused.
+    pub fn forecast_ms(&self, arrival: &GateArrival, now: TimePoint) -> Result<(u64, u64), GateRefusal> {
+        if let Some(refusal) = self.refusal(arrival.wait_until(), now) {
+            return Err(refusal);
+        }
+        let call = WaitingCall {
+            ticket: TicketId(u64::MAX),
+            arrival: arrival.clone(),
+            expected_ms: self.expected_ms(arrival, now),
+        };
+        let at = self
+            .queue
+            .partition_point(|other| other.urgency() > call.urgency());
+        Ok((self.wait_at(at, now) as u64, call.expected_ms as u64))
+    }
+
     /// Frees the slot of a call that ended and dequeues further calls. `ran_ms` is the run time of a successful call in
     /// milliseconds, `None` for other calls, which don't count for the run times.
     pub fn finish(&mut self, ticket: TicketId, ran_ms: Option<f64>, now: TimePoint) -> Vec<DequeueOutcome> {
@@ -268,7 +295,7 @@
     /// Returns whether a call that takes the place `at` in the queue would be answered after its `useful_until`.
     fn is_too_late(&self, call: &WaitingCall, at: usize, now: TimePoint) -> bool {
         let wait_ms = self.wait_at(at, now);
-        now.after_ms((wait_ms + call.expected_ms) as u64) > call.arrival.useful_until
+        now.after_ms((wait_ms + call.expected_ms) as u64) > call.arrival.answer_by()
     }
 
     /// Returns the expected wait of a call that takes the place `at` in the queue, in milliseconds.
@@ -295,12 +322,19 @@
         };
         self.running.insert(call.ticket, running);
         self.cold.record_start(now);
+        self.nested_routes.record_start(now);
     }
 
     fn may_start(&self, now: TimePoint) -> bool {
         self.in_flight() < self.open_slots(now) && self.cold.may_start(now)
     }
 
+    /// Records a call that arrived from beside this daemon, and returns whether a run of the target makes it.
+    pub fn record_call(&mut self, route: &Arc<str>, now: TimePoint) -> NestedVerdict {
+        let running = self.in_flight();
+        self.nested_routes.record_call(route, running, now)
+    }
+
     /// Removes a queued call whose caller went away. Returns whether it was still queued.
     pub fn abandon(&mut self, ticket: TicketId) -> bool {
         let before = self.queue.len();
@@ -333,7 +367,7 @@
     fn dequeue_next(&mut self, now: TimePoint) -> Option<WaitingCall> {
         let in_time = |call: &WaitingCall| {
             let median_ms = call.expected_ms * MEDIAN_RUN_FRACTION;
-            now.after_ms(median_ms as u64) <= call.arrival.useful_until
+            now.after_ms(median_ms as u64) <= call.arrival.answer_by()
         };
         let at = self.queue.iter().rposition(in_time);
         let at = at.or_else(|| self.queue.len().checked_sub(1))?;
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -26,6 +26,7 @@
         useful_until: now.after_ms(useful_ms),
         deadline: now.after_ms(useful_ms * 3),
         start_by: TimePoint::FAR_FUTURE,
+        is_nested: false,
     }
 }
 
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -170,6 +170,7 @@
             useful_until: NOW.after_ms(5_000),
             deadline: NOW.after_ms(9_000),
             start_by: TimePoint::FAR_FUTURE,
+            is_nested: false,
         };
         gate.arrive(arrival, NOW);
     }
