--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -222,7 +222,7 @@
         pub changes: Vec<ChangeNote>,
         /// Digest of everything else.
         pub digest: u64,
-        /// Whether newer tables are accepted that can't be used, so that these lack their routes. Last and left out if
+        /// Whether newer tables are accepted that can't be used, so that these lack their routes. Left out if
         /// false: a head without it keeps its encoding and its digest.
         #[serde(default, skip_serializing_if = "is_false")]
         pub is_behind: bool,
