Organisations: keys, their revocation and their priority

Tables have organisations with digests of keys, a priority and a quota (which nothing enforces yet). A daemon answers 401 to calls without exactly one key that is in force, or 503 while it may not have the newest table; targets are told the organisation and never the key. With `revoke_ms` a removed key runs nothing after that time, at proxy and gate, by the holder's own clock: keyed calls are served only until that time after the table was last known to be the newest one. The rank of an organisation goes before the rank of the route.

Heads without organisations keep encoding and digest.

--- a/src/call/outcome.rs
+++ b/src/call/outcome.rs
@@ -76,6 +76,10 @@
         Leaving,
         /// Targets ended under this request, so it is held back.
         Quarantined,
+        /// The caller shows no key of an organisation.
+        UnknownKey,
+        /// Keys may have been removed of which this daemon has not heard.
+        KeysUnconfirmed,
     }
 }
 
@@ -98,6 +102,8 @@
             Self::BodyIncomplete => "body-incomplete",
             Self::Leaving => "leaving",
             Self::Quarantined => "quarantined",
+            Self::UnknownKey => "unknown-key",
+            Self::KeysUnconfirmed => "keys-unconfirmed",
         }
     }
 
@@ -126,6 +132,10 @@
             Self::BodyTooLarge => "the request body is over the limit; send less:",
             Self::BodyIncomplete => "the body did not arrive whole before the deadline; send it again",
             Self::Leaving => "this daemon is leaving; use another one",
+            Self::UnknownKey => "the request shows no key of an organisation; send one key that is in force:",
+            Self::KeysUnconfirmed => {
+                "this daemon has not heard for too long which keys are in force; try again or use another daemon"
+            }
             Self::Quarantined => {
                 "targets ended under this request, so it is held back; don't repeat it before the time in retry-after"
             }
--- a/src/config/change.rs
+++ b/src/config/change.rs
@@ -21,7 +21,7 @@
 value_type! {
     /// The operation of an edit.
     pub enum TableEdit {
-        /// Replaces both tables.
+        /// Replaces the tables.
         Replace {
             /// The new tables.
             tables: ConfigTables,
@@ -360,13 +360,19 @@
     let version = next.version;
     let removed_routes = restamp(&mut next.routes, tables.routes, version);
     let removed_pools = restamp(&mut next.pools, tables.pools, version);
+    let removed_organisations = restamp(&mut next.tail.organisations, tables.organisations, version);
     let routes = removed_routes.into_iter().map(|name| (TableKind::Route, name));
     let pools = removed_pools.into_iter().map(|name| (TableKind::Pool, name));
-    let tombstones = routes.chain(pools).map(|(kind, name)| Tombstone {
-        kind,
-        name,
-        stamp: version,
-    });
+    let organisations = removed_organisations.into_iter();
+    let organisations = organisations.map(|name| (TableKind::Organisation, name));
+    let tombstones = routes
+        .chain(pools)
+        .chain(organisations)
+        .map(|(kind, name)| Tombstone {
+            kind,
+            name,
+            stamp: version,
+        });
     next.tombstones.extend(tombstones);
     let surplus = next.tombstones.len().saturating_sub(HISTORY_LIMIT);
     if surplus > 0 {
--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -5,9 +5,13 @@
     super::{
         head::{ConfigHead, MoveOrder, TrafficLimits},
         host::{normalize_host, split_port},
+        organisation::{CallQuota, KeyDigest},
         tables::{ANY_VERSION, PoolEntry, RepeatRule, TableFault},
     },
-    std::{collections::HashMap, sync::Arc},
+    std::{
+        collections::{BTreeSet, HashMap},
+        sync::Arc,
+    },
     thiserror::Error,
 };
 
@@ -58,6 +62,19 @@
     pub priority: u8,
     /// Maximum number of targets that one request is sent to.
     pub attempts: u32,
+    /// Whether calls need no key although there are organisations.
+    pub is_keyless: bool,
+}
+
+/// An organisation whose callers show a key.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CompiledOrganisation {
+    /// Name of the organisation.
+    pub name: Arc<str>,
+    /// Rank of its calls under load, which goes before the rank of the route; 0 is the most urgent.
+    pub priority: u8,
+    /// How many calls it may make; `None` for any number.
+    pub quota: Option<CallQuota>,
 }
 
 impl CompiledRoute {
@@ -124,6 +141,12 @@
     pub limits: TrafficLimits,
     /// Pools by name.
     pub pools: HashMap<Arc<str>, Arc<CompiledPool>>,
+    /// Organisations by the digests of their keys.
+    keys: HashMap<KeyDigest, Arc<CompiledOrganisation>>,
+    /// Ranks of organisation and route that occur, most urgent first; empty without organisations.
+    ranks: Vec<(u8, u8)>,
+    /// Whether there are organisations, so that callers have to show a key.
+    pub needs_keys: bool,
 }
 
 impl CompiledTable {
@@ -139,6 +162,7 @@
         let mut table = Self {
             version: head.version,
             limits: head.limits,
+            needs_keys: !head.tail.organisations.is_empty(),
             ..Self::default()
         };
         for (name, row) in &head.pools {
@@ -149,6 +173,17 @@
             };
             table.pools.insert(Arc::clone(name), Arc::new(pool));
         }
+        for (name, row) in &head.tail.organisations {
+            let organisation = Arc::new(CompiledOrganisation {
+                name: Arc::clone(name),
+                priority: row.entry.priority,
+                quota: row.entry.quota,
+            });
+            let keys = row.entry.keys.iter();
+            table
+                .keys
+                .extend(keys.map(|key| (*key, Arc::clone(&organisation))));
+        }
         for (name, row) in &head.routes {
             let mut sum = 0;
             let pools: Vec<(u64, Arc<CompiledPool>)> = row
@@ -173,6 +208,7 @@
                 target_latency_ms: row.entry.target_latency_ms.unwrap_or(row.entry.timeout_ms),
                 priority: row.entry.priority,
                 attempts: row.entry.attempts,
+                is_keyless: row.entry.is_keyless,
             };
             let host = normalize_host(row.entry.host.as_deref().unwrap_or(""));
             table.longest_path = table.longest_path.max(route.path.len());
@@ -184,9 +220,36 @@
                 .or_default()
                 .push(Arc::new(route));
         }
+        table.ranks = table.occurring_ranks();
         Ok(table)
     }
 
+    /// Returns the rank of a call: that of its route, after the rank of its organisation if there are any. A call without a
+    /// key counts as one of the most urgent organisation.
+    pub fn rank(&self, organisation: Option<&CompiledOrganisation>, route: &CompiledRoute) -> u8 {
+        let first = organisation.map_or(0, |organisation| organisation.priority);
+        match self.ranks.binary_search(&(first, route.priority)) {
+            Ok(at) => u8::try_from(at).unwrap_or(u8::MAX),
+            Err(_) => route.priority,
+        }
+    }
+
+    fn occurring_ranks(&self) -> Vec<(u8, u8)> {
+        if !self.needs_keys {
+            return Vec::new();
+        }
+        let organisations: BTreeSet<u8> = self.keys.values().map(|holder| holder.priority).collect();
+        let mut ranks = BTreeSet::new();
+        for route in self.routes() {
+            let of_keyed = organisations.iter().map(|first| (*first, route.priority));
+            ranks.extend(of_keyed);
+            if route.is_keyless {
+                ranks.insert((0, route.priority));
+            }
+        }
+        ranks.into_iter().collect()
+    }
+
     /// Finds the route with the longest path prefix that ends at a segment boundary and accepts the method, first
     /// among the routes for `host` with its port, then among those for `host` with any port, then among those for every
     /// host.
@@ -215,6 +278,11 @@
         }
     }
 
+    /// Returns the organisation that holds a key.
+    pub fn organisation(&self, key: &KeyDigest) -> Option<&Arc<CompiledOrganisation>> {
+        self.keys.get(key)
+    }
+
     /// Returns every route.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<CompiledRoute>> {
         self.hosts.values().flat_map(HashMap::values).flatten()
--- a/src/config/delta.rs
+++ b/src/config/delta.rs
@@ -3,9 +3,10 @@
 use {
     super::{
         head::{
-            ChangeNote, ClosedMove, ConfigHead, HeadError, MoveOrder, Stamped, Tombstone, TrafficLimits,
-            is_false,
+            ChangeNote, ClosedMove, ConfigHead, HeadError, HeadTail, MoveOrder, Stamped, Tombstone,
+            TrafficLimits,
         },
+        organisation::OrganisationEntry,
         tables::{PoolEntry, RouteEntry, TableKind},
     },
     crate::macros::value_type,
@@ -44,12 +45,30 @@
         pub kept_changes: usize,
         /// Digest of the new head.
         pub digest: u64,
-        /// Whether the new head lacks what newer accepted tables have.
-        #[serde(default, skip_serializing_if = "is_false")]
-        pub is_behind: bool,
+        /// What not every head has; of organisations, those that are new or changed.
+        #[serde(default, rename = "is_behind", skip_serializing_if = "HeadTail::is_empty")]
+        pub tail: HeadTail,
     }
 }
 
+/// Rows of a delta.
+struct DeltaRows {
+    routes: IndexMap<Arc<str>, Stamped<RouteEntry>>,
+    pools: IndexMap<Arc<str>, Stamped<PoolEntry>>,
+    organisations: IndexMap<Arc<str>, Stamped<OrganisationEntry>>,
+}
+
+/// Names of the entries that differ between two versions.
+#[derive(Debug, Clone, Default)]
+pub struct ChangedNames {
+    /// Names of routes.
+    pub routes: IndexSet<Arc<str>>,
+    /// Names of pools.
+    pub pools: IndexSet<Arc<str>>,
+    /// Names of organisations.
+    pub organisations: IndexSet<Arc<str>>,
+}
+
 /// A delta that can't be applied; the whole head must be read instead.
 #[derive(Debug, Error)]
 pub enum DeltaError {
@@ -80,27 +99,30 @@
         if base < head.delta_floor || base >= head.version || base == 0 {
             return None;
         }
-        let (routes, pools) = (changed_rows(&head.routes, base), changed_rows(&head.pools, base));
-        Some(Self::of_rows(base, base_digest, head, routes, pools))
+        let rows = DeltaRows {
+            routes: changed_rows(&head.routes, base),
+            pools: changed_rows(&head.pools, base),
+            organisations: changed_rows(&head.tail.organisations, base),
+        };
+        Some(Self::of_rows(base, base_digest, head, rows))
     }
 
     /// Computes the delta from version `base` to `head` from the names of the entries that differ. Names that `head` does
     /// not have are removed.
-    pub fn of_names(
-        base: u64,
-        base_digest: u64,
-        head: &ConfigHead,
-        routes: &IndexSet<Arc<str>>,
-        pools: &IndexSet<Arc<str>>,
-    ) -> Self {
-        let route_rows = named_rows(&head.routes, routes);
-        let pool_rows = named_rows(&head.pools, pools);
-        let mut delta = Self::of_rows(base, base_digest, head, route_rows, pool_rows);
-        let removed = removed_names(TableKind::Route, &head.routes, routes).chain(removed_names(
-            TableKind::Pool,
-            &head.pools,
-            pools,
-        ));
+    pub fn of_names(base: u64, base_digest: u64, head: &ConfigHead, names: &ChangedNames) -> Self {
+        let rows = DeltaRows {
+            routes: named_rows(&head.routes, &names.routes),
+            pools: named_rows(&head.pools, &names.pools),
+            organisations: named_rows(&head.tail.organisations, &names.organisations),
+        };
+        let mut delta = Self::of_rows(base, base_digest, head, rows);
+        let removed = removed_names(TableKind::Route, &head.routes, &names.routes)
+            .chain(removed_names(TableKind::Pool, &head.pools, &names.pools))
+            .chain(removed_names(
+                TableKind::Organisation,
+                &head.tail.organisations,
+                &names.organisations,
+            ));
         // The stamp keeps the tombstone out of the resulting head.
         delta.tombstones.extend(removed.map(|(kind, name)| Tombstone {
             kind,
@@ -110,19 +132,13 @@
         delta
     }
 
-    fn of_rows(
-        base: u64,
-        base_digest: u64,
-        head: &ConfigHead,
-        routes: IndexMap<Arc<str>, Stamped<RouteEntry>>,
-        pools: IndexMap<Arc<str>, Stamped<PoolEntry>>,
-    ) -> Self {
+    fn of_rows(base: u64, base_digest: u64, head: &ConfigHead, rows: DeltaRows) -> Self {
         Self {
             base,
             base_digest,
             version: head.version,
-            routes,
-            pools,
+            routes: rows.routes,
+            pools: rows.pools,
             limits: head.limits,
             tombstones: head
                 .tombstones
@@ -141,7 +157,10 @@
                 .collect(),
             kept_changes: head.changes.len(),
             digest: head.digest,
-            is_behind: head.is_behind,
+            tail: HeadTail {
+                is_behind: head.tail.is_behind,
+                organisations: rows.organisations,
+            },
         }
     }
 
@@ -160,10 +179,12 @@
             match tombstone.kind {
                 TableKind::Route => head.routes.shift_remove(&tombstone.name).map(drop),
                 TableKind::Pool => head.pools.shift_remove(&tombstone.name).map(drop),
+                TableKind::Organisation => head.tail.organisations.shift_remove(&tombstone.name).map(drop),
             };
         }
         head.routes.extend(self.routes.clone());
         head.pools.extend(self.pools.clone());
+        head.tail.organisations.extend(self.tail.organisations.clone());
         head.tombstones.extend(self.tombstones.iter().cloned());
         head.tombstones
             .retain(|tombstone| tombstone.stamp > self.delta_floor);
@@ -174,7 +195,7 @@
         let surplus = head.changes.len().saturating_sub(self.kept_changes);
         head.changes.drain(..surplus);
         head.digest = self.digest;
-        head.is_behind = self.is_behind;
+        head.tail.is_behind = self.tail.is_behind;
         head.check_digest()?;
         Ok(head)
     }
--- a/src/config/diff.rs
+++ b/src/config/diff.rs
@@ -1,7 +1,10 @@
 //! The difference between two sets of tables, as shown to operators.
 
 use {
-    super::tables::{ConfigTables, TableKind},
+    super::{
+        organisation::{CallQuota, KeyDigest, OrganisationEntry},
+        tables::{ConfigTables, TableKind},
+    },
     crate::macros::value_type,
     indexmap::IndexMap,
     std::{
@@ -64,9 +67,37 @@
     let mut diff = TableDiff::default();
     diff_rows(&mut diff, TableKind::Route, &old.routes, &new.routes);
     diff_rows(&mut diff, TableKind::Pool, &old.pools, &new.pools);
+    diff_rows(
+        &mut diff,
+        TableKind::Organisation,
+        &shown_organisations(&old.organisations),
+        &shown_organisations(&new.organisations),
+    );
     diff
 }
 
+/// Organisation as it is shown, with fingerprints of its keys.
+#[derive(PartialEq, serde::Serialize)]
+struct ShownOrganisation {
+    keys: Vec<String>,
+    priority: u8,
+    quota: Option<CallQuota>,
+}
+
+fn shown_organisations(
+    organisations: &IndexMap<Arc<str>, OrganisationEntry>,
+) -> IndexMap<Arc<str>, ShownOrganisation> {
+    let shown = |entry: &OrganisationEntry| ShownOrganisation {
+        keys: entry.keys.iter().map(KeyDigest::fingerprint).collect(),
+        priority: entry.priority,
+        quota: entry.quota,
+    };
+    organisations
+        .iter()
+        .map(|(name, entry)| (Arc::clone(name), shown(entry)))
+        .collect()
+}
+
 fn diff_rows<T: PartialEq + serde::Serialize>(
     diff: &mut TableDiff,
     kind: TableKind,
--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        organisation::OrganisationEntry,
         tables::{ConfigTables, MovePolicy, PoolEntry, RouteEntry, TableKind},
         version_rank::VersionRank,
     },
@@ -221,13 +222,68 @@
         pub changes: Vec<ChangeNote>,
         /// Digest of everything else.
         pub digest: u64,
-        /// Whether newer tables are accepted that can't be used, so that these lack their routes. Last and left out if
-        /// false: a head without it keeps its encoding and its digest.
-        #[serde(default, skip_serializing_if = "is_false")]
+        /// What not every head has. Last and left out if empty: a head without it keeps its encoding and its digest.
+        #[serde(default, rename = "is_behind", skip_serializing_if = "HeadTail::is_empty")]
+        pub tail: HeadTail,
+    }
+}
+
+value_type! {
+    /// What not every head or delta has. The encoding between daemons tells fields by their order, so this is one field.
+    #[derive(Default)]
+    #[serde(from = "TailForm", into = "TailForm")]
+    pub struct HeadTail {
+        /// Whether newer tables are accepted that can't be used, so that these lack their routes.
         pub is_behind: bool,
+        /// Organisations by name; in a delta, those that are new or changed.
+        pub organisations: IndexMap<Arc<str>, Stamped<OrganisationEntry>>,
+    }
+}
+
+impl HeadTail {
+    pub(super) fn is_empty(&self) -> bool {
+        !self.is_behind && self.organisations.is_empty()
+    }
+}
+
+/// Encoding of a tail. Earlier builds know the first form only.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(untagged)]
+enum TailForm {
+    Behind(bool),
+    Whole(bool, IndexMap<Arc<str>, Stamped<OrganisationEntry>>),
+}
+
+impl From<TailForm> for HeadTail {
+    fn from(form: TailForm) -> Self {
+        let (is_behind, organisations) = match form {
+            TailForm::Behind(is_behind) => (is_behind, IndexMap::new()),
+            TailForm::Whole(is_behind, organisations) => (is_behind, organisations),
+        };
+        Self {
+            is_behind,
+            organisations,
+        }
     }
 }
 
+impl From<HeadTail> for TailForm {
+    fn from(tail: HeadTail) -> Self {
+        if tail.organisations.is_empty() {
+            Self::Behind(tail.is_behind)
+        } else {
+            Self::Whole(tail.is_behind, tail.organisations)
+        }
+    }
+}
+
+/// Returns the entries without stamps.
+fn entries<T: Clone>(rows: &IndexMap<Arc<str>, Stamped<T>>) -> IndexMap<Arc<str>, T> {
+    rows.iter()
+        .map(|(name, row)| (Arc::clone(name), row.entry.clone()))
+        .collect()
+}
+
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
 pub(super) fn is_false(value: &bool) -> bool {
     !value
@@ -259,16 +315,9 @@
     /// Returns the tables without stamps.
     pub fn tables(&self) -> ConfigTables {
         ConfigTables {
-            routes: self
-                .routes
-                .iter()
-                .map(|(name, row)| (Arc::clone(name), row.entry.clone()))
-                .collect(),
-            pools: self
-                .pools
-                .iter()
-                .map(|(name, row)| (Arc::clone(name), row.entry.clone()))
-                .collect(),
+            routes: entries(&self.routes),
+            pools: entries(&self.pools),
+            organisations: entries(&self.tail.organisations),
         }
     }
 
@@ -290,6 +339,7 @@
         content.routes.sort_keys();
         content.pools.sort_keys();
         content.moves.sort_keys();
+        content.tail.organisations.sort_keys();
         Ok(xxh3_64(&codec::encode(&content)?))
     }
 
@@ -326,6 +376,7 @@
         self.changes.clone_from(&known.changes);
         self.limits = known.limits;
         self.routes.clone_from(&known.routes);
+        self.tail.organisations.clone_from(&known.tail.organisations);
         let stored_pools = std::mem::replace(&mut self.pools, known.pools.clone());
         for (name, row) in &mut self.pools {
             let stored = stored_pools.get(name);
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -7,19 +7,24 @@
 mod diff;
 mod head;
 mod host;
+mod organisation;
 mod parse;
 mod tables;
 mod version_rank;
 
 pub use {
     change::{AppliedEdit, EditError, EditRequest, HeadEdit, TableEdit, apply_edit},
-    compile::{CompileError, CompiledPool, CompiledRoute, CompiledTable, RouteMatch, matches_version},
-    delta::{DeltaError, HeadDelta},
+    compile::{
+        CompileError, CompiledOrganisation, CompiledPool, CompiledRoute, CompiledTable, RouteMatch,
+        matches_version,
+    },
+    delta::{ChangedNames, DeltaError, HeadDelta},
     diff::{EntryChange, TableDiff, diff_tables},
     head::{
-        ChangeNote, ClosedMove, ConfigHead, HeadError, MAX_HEAD_BYTES, MoveOrder, MoveStamp, MoveVerdict,
-        Stamped, Tombstone, TrafficLimits,
+        ChangeNote, ClosedMove, ConfigHead, HeadError, HeadTail, MAX_HEAD_BYTES, MoveOrder, MoveStamp,
+        MoveVerdict, Stamped, Tombstone, TrafficLimits,
     },
+    organisation::{CallQuota, KeyDigest, MAX_QUOTA, NotADigest, OrganisationEntry},
     parse::{ParseFault, ParseFaults, parse_tables, render_tables},
     tables::{
         ANY_VERSION, ConfigTables, MAX_TIMEOUT_MS, MovePolicy, PoolEntry, PoolShare, RepeatRule, RouteEntry,
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -1,9 +1,12 @@
 //! Parses the tables from INI text and renders them back.
 
 use {
-    super::tables::{
-        ConfigTables, DEFAULT_ATTEMPTS, DEFAULT_TIMEOUT_MS, MAX_WEIGHT, MovePolicy, PoolEntry, PoolShare,
-        RepeatRule, RouteEntry, TableFault,
+    super::{
+        organisation::{CallQuota, KeyDigest, OrganisationEntry},
+        tables::{
+            ConfigTables, DEFAULT_ATTEMPTS, DEFAULT_TIMEOUT_MS, MAX_WEIGHT, MovePolicy, PoolEntry, PoolShare,
+            RepeatRule, RouteEntry, TableFault,
+        },
     },
     crate::{
         clock::TimePoint,
@@ -18,7 +21,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum ParseFault {
     /// A line is malformed.
-    #[error("{file}:{line}: {text}; write `key = value`, `[route NAME]` or `[pool NAME]`")]
+    #[error(
+        "{file}:{line}: {text}; write `key = value`, `[route NAME]`, `[pool NAME]` or `[organisation NAME]`"
+    )]
     BadLine {
         /// File name.
         file: Arc<str>,
@@ -79,7 +84,10 @@
 
 fn add_section(tables: &mut ConfigTables, mut section: IniSection, faults: &mut Vec<ParseFault>) {
     let Some((kind, name)) = section.title.split_once(' ') else {
-        faults.push(section.fault("", "write the title as [route NAME] or [pool NAME]"));
+        faults.push(section.fault(
+            "",
+            "write the title as [route NAME], [pool NAME] or [organisation NAME]",
+        ));
         return;
     };
     let name: Arc<str> = Arc::from(name.trim());
@@ -92,10 +100,14 @@
             let entry = read_pool(&mut section, faults);
             tables.pools.insert(name, entry).is_some()
         }
+        "organisation" => {
+            let entry = read_organisation(&mut section, faults);
+            tables.organisations.insert(name, entry).is_some()
+        }
         _ => {
             faults.push(section.fault(
                 "",
-                "unknown section; only [route NAME] and [pool NAME] are allowed",
+                "unknown section; only [route NAME], [pool NAME] and [organisation NAME] are allowed",
             ));
             return;
         }
@@ -139,6 +151,29 @@
         target_latency_ms: read_number(section, "target_latency_ms", faults),
         priority: read_number(section, "priority", faults).unwrap_or_default(),
         attempts: read_number(section, "attempts", faults).unwrap_or(DEFAULT_ATTEMPTS),
+        is_keyless: read_switch(section, "keyless", faults),
+    }
+}
+
+fn read_switch(section: &mut IniSection, key: &str, faults: &mut Vec<ParseFault>) -> bool {
+    let value = section.take_parsed(key, "write yes or no", faults, |text| match text {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    });
+    value.unwrap_or_default()
+}
+
+/// Reads an organisation. Keys are words: a key itself, or its digest as the tables are shown with.
+fn read_organisation(section: &mut IniSection, faults: &mut Vec<ParseFault>) -> OrganisationEntry {
+    let keys = section.take("keys").unwrap_or_default();
+    let digest = |word: &str| word.parse().unwrap_or_else(|_| KeyDigest::of(word.as_bytes()));
+    let burst = read_number(section, "burst", faults).unwrap_or_default();
+    let rate_per_s = read_number(section, "rate_per_s", faults);
+    OrganisationEntry {
+        keys: keys.split_whitespace().map(digest).collect(),
+        priority: read_number(section, "priority", faults).unwrap_or_default(),
+        quota: rate_per_s.map(|rate_per_s| CallQuota { rate_per_s, burst }),
     }
 }
 
@@ -236,11 +271,25 @@
         if route.priority > 0 {
             let _ = writeln!(text, "priority = {}", route.priority);
         }
+        if route.is_keyless {
+            let _ = writeln!(text, "keyless = yes");
+        }
         if route.attempts != DEFAULT_ATTEMPTS {
             let _ = writeln!(text, "attempts = {}", route.attempts);
         }
         text.push('\n');
     }
+    for (name, organisation) in &tables.organisations {
+        let keys: Vec<String> = organisation.keys.iter().map(KeyDigest::to_string).collect();
+        let _ = writeln!(text, "[organisation {name}]\nkeys = {}", keys.join(" "));
+        if organisation.priority > 0 {
+            let _ = writeln!(text, "priority = {}", organisation.priority);
+        }
+        if let Some(quota) = organisation.quota {
+            let _ = writeln!(text, "rate_per_s = {}\nburst = {}", quota.rate_per_s, quota.burst);
+        }
+        text.push('\n');
+    }
     for (name, pool) in &tables.pools {
         let policy = match pool.policy {
             MovePolicy::Prompt => "prompt",
--- a/src/config/tables.rs
+++ b/src/config/tables.rs
@@ -1,7 +1,11 @@
 //! The tables of routes and pools that operators edit, and the rules for their content.
 
 use {
-    super::host::normalize_host,
+    super::{
+        head::is_false,
+        host::normalize_host,
+        organisation::{OrganisationEntry, check_organisations},
+    },
     crate::{
         clock::TimePoint,
         macros::{key_type, value_type},
@@ -45,6 +49,8 @@
         Route,
         /// The table of pools.
         Pool,
+        /// The table of organisations.
+        Organisation,
     }
 }
 
@@ -53,6 +59,7 @@
         f.write_str(match self {
             Self::Route => "route",
             Self::Pool => "pool",
+            Self::Organisation => "organisation",
         })
     }
 }
@@ -125,6 +132,10 @@
         pub priority: u8,
         /// Maximum number of targets that one request is sent to.
         pub attempts: u32,
+        /// Whether calls need no key although there are organisations. Left out if false, so that entries without it keep their
+        /// encoding.
+        #[serde(default, skip_serializing_if = "is_false")]
+        pub is_keyless: bool,
     }
 }
 
@@ -140,6 +151,7 @@
             target_latency_ms: None,
             priority: 0,
             attempts: DEFAULT_ATTEMPTS,
+            is_keyless: false,
         }
     }
 }
@@ -159,13 +171,16 @@
 }
 
 value_type! {
-    /// Both tables by entry name.
+    /// The tables by entry name.
     #[derive(Default)]
     pub struct ConfigTables {
         /// Routes by name.
         pub routes: IndexMap<Arc<str>, RouteEntry>,
         /// Pools by name.
         pub pools: IndexMap<Arc<str>, PoolEntry>,
+        /// Organisations by name. If there are any, callers have to show a key of one.
+        #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
+        pub organisations: IndexMap<Arc<str>, OrganisationEntry>,
     }
 }
 
@@ -222,6 +237,24 @@
         /// Name of the route.
         route: Arc<str>,
     },
+    /// An organisation has a name, a rank or a quota that can't be used.
+    #[error("organisation {name:?}: {remedy}")]
+    Organisation {
+        /// Name of the organisation.
+        name: Arc<str>,
+        /// What is wrong and how to fix it.
+        remedy: &'static str,
+    },
+    /// Two organisations, or one twice, hold the same key.
+    #[error("organisations {first} and {second} both hold the key {fingerprint}; remove it from one")]
+    SharedKey {
+        /// Name of the earlier organisation.
+        first: Arc<str>,
+        /// Name of the later organisation.
+        second: Arc<str>,
+        /// Fingerprint of the key.
+        fingerprint: String,
+    },
     /// A table has too many entries.
     #[error("the table of {kind}s has {count} entries, 4000 are allowed; remove unused ones")]
     TooMany {
@@ -273,12 +306,14 @@
             self.check_route(scope, faults, name, route);
         }
         self.check_overlaps(scope, faults);
+        check_organisations(&self.organisations, faults);
     }
 
     fn check_sizes(&self, faults: &mut Vec<TableFault>) {
         for (kind, count) in [
             (TableKind::Route, self.routes.len()),
             (TableKind::Pool, self.pools.len()),
+            (TableKind::Organisation, self.organisations.len()),
         ] {
             if count > MAX_ENTRIES {
                 faults.push(TableFault::TooMany { kind, count });
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -23,6 +23,10 @@
 /// Time after which ends of moves that are still lost are recorded once more, in milliseconds; longer than the edge tries.
 const RESTORING_INTERVAL_MS: u64 = 4_000;
 
+/// Time before the last moment at which a removed key may be used in which it is used no more, in milliseconds: a call on its
+/// way from the gate to the target has begun to run then.
+const KEY_MARGIN_MS: u64 = 250;
+
 impl ControlState {
     /// Sets the watch on the store, and writes the seeds of the data centre when that is due. Both are jobs of the
     /// watchers of the data centre, which rendezvous hashing selects, and of daemons that get no confirmation from
@@ -291,6 +295,35 @@
             .publish(self.spread.newest_version(), confirmed_at, current_until);
     }
 
+    /// Publishes to the traffic threads until when the keys of the table in force may be used: no key can have been removed
+    /// before the table was last known to be the newest one. A newer version that is not in force yet changes nothing, as it
+    /// was accepted after that.
+    pub(super) fn publish_keys(&mut self, now: TimePoint) {
+        let Some(table) = &self.table else { return };
+        if table.version >= self.spread.newest_version() {
+            self.keys_confirmed_at = self.keys_confirmed_at.max(self.members.confirmed_at());
+        }
+        let until = match self.shared.settings.revoke_ms {
+            0 => TimePoint::FAR_FUTURE,
+            revoke_ms => self
+                .keys_confirmed_at
+                .after_ms(revoke_ms.saturating_sub(KEY_MARGIN_MS)),
+        };
+        self.shared.freshness.publish_keys(table.version, until);
+        let are_confirmed = now < until;
+        if table.needs_keys && are_confirmed != self.were_keys_confirmed {
+            let age_ms = now.ms_since(self.keys_confirmed_at);
+            let (version, newest) = (table.version, self.spread.newest_version());
+            let event = if are_confirmed {
+                "keys-confirmed"
+            } else {
+                "keys-unconfirmed"
+            };
+            log::warn!("event={event} version={version} newest={newest} age_ms={age_ms}");
+        }
+        self.were_keys_confirmed = are_confirmed;
+    }
+
     /// Publishes a snapshot to the traffic threads if the current one is outdated, and drops the state of targets and
     /// pools that are no longer listed.
     pub(super) fn publish_snapshot(&mut self) {
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -145,6 +145,9 @@
     next_restoring_at: TimePoint,
     /// Whether it did so in place of others at the last tick.
     had_taken_over: bool,
+    /// Since when no accepted version may lack from the one in force.
+    keys_confirmed_at: TimePoint,
+    were_keys_confirmed: bool,
     /// Whether the published snapshot is outdated.
     is_snapshot_stale: bool,
     rng: SmallRng,
@@ -203,6 +206,8 @@
             is_leading: false,
             next_restoring_at: now,
             had_taken_over: false,
+            keys_confirmed_at: TimePoint::default(),
+            were_keys_confirmed: false,
             is_snapshot_stale: true,
             rng,
             shared,
@@ -227,6 +232,7 @@
             }
             self.publish_snapshot();
             self.publish_freshness();
+            self.publish_keys(self.shared.now());
         }
     }
 
--- a/src/daemon/freshness.rs
+++ b/src/daemon/freshness.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::clock::TimePoint,
+    parking_lot::Mutex,
     std::sync::atomic::{AtomicU64, Ordering},
 };
 
@@ -14,6 +15,8 @@
     confirmed_at: AtomicU64,
     /// [`TimePoint`] in milliseconds; a suspended process finds it in the past when it continues.
     current_until: AtomicU64,
+    /// Lowest version of the tables whose keys are confirmed, and until when they are.
+    keys: Mutex<(u64, TimePoint)>,
 }
 
 impl TableFreshness {
@@ -25,6 +28,17 @@
         self.current_until.store(current_until.0, Ordering::Release);
     }
 
+    /// Publishes until when the keys of tables from `version` on are confirmed.
+    pub fn publish_keys(&self, version: u64, until: TimePoint) {
+        *self.keys.lock() = (version, until);
+    }
+
+    /// Returns whether no key of the table of `version` may have been removed for so long that it must not be used.
+    pub fn are_keys_confirmed(&self, version: u64, now: TimePoint) -> bool {
+        let (lowest_version, until) = *self.keys.lock();
+        version >= lowest_version && now < until
+    }
+
     /// Returns the newest version that this daemon has heard of, which it may be unable to apply.
     pub fn newest_version(&self) -> u64 {
         self.newest_version.load(Ordering::Relaxed)
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -38,6 +38,7 @@
     run::{RunError, run},
     snapshot::TrafficSnapshot,
     traffic::{
-        AnswerVerdict, CallContext, CallDialect, CallOptions, NotANumber, OwnDialect, header, parse_time_left,
+        AnswerVerdict, CallContext, CallDialect, CallOptions, CallerKey, NotANumber, OwnDialect, header,
+        parse_time_left,
     },
 };
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -262,7 +262,7 @@
                     self.record_route_run(&mut selector, load);
                 }
             }
-            Some(GateRefusal::Stopped | GateRefusal::Quarantined) => {}
+            Some(GateRefusal::Stopped | GateRefusal::Quarantined | GateRefusal::UnknownKey) => {}
             // The target has not seen the request.
             None if reason == BODY_INCOMPLETE => {}
             Some(GateRefusal::Shed) => selector.record_shed(&self.target.name),
--- a/src/daemon/traffic/dialect.rs
+++ b/src/daemon/traffic/dialect.rs
@@ -1,13 +1,19 @@
 //! Header conventions of callers and targets, behind a trait.
 
 use {
-    super::{hop::header, relay::header_value},
+    super::{
+        hop::header,
+        relay::{header_value, text_header},
+    },
     crate::{
         call::{CallOutcome, RefusalReason, TargetLoad},
         clock::TimePoint,
     },
     salvo::http::{HeaderMap, StatusCode},
-    std::{fmt::Debug, sync::Arc},
+    std::{
+        fmt::{Debug, Formatter},
+        sync::Arc,
+    },
 };
 
 /// Options that a caller sets for its call.
@@ -32,6 +38,27 @@
     pub left_ms: u64,
 }
 
+/// Key in the headers of a caller's request.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum CallerKey<'a> {
+    /// There is none.
+    Missing,
+    /// There are several, or the header has another form.
+    Malformed,
+    /// This one.
+    Shown(&'a str),
+}
+
+impl Debug for CallerKey<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Missing => "missing",
+            Self::Malformed => "malformed",
+            Self::Shown(_) => "shown",
+        })
+    }
+}
+
 /// Verdict on the head of a target's answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerVerdict {
@@ -57,6 +84,12 @@
     /// must contain.
     fn parse_options(&self, headers: &HeaderMap) -> Result<CallOptions, &'static str>;
 
+    /// Returns the key that the caller shows.
+    fn caller_key<'a>(&self, headers: &'a HeaderMap) -> CallerKey<'a>;
+
+    /// Removes what only this system may tell a target, or must not: the caller's key and organisation.
+    fn remove_credentials(&self, headers: &mut HeaderMap);
+
     /// Adds the headers of a refusal to `headers`. `request` holds the headers of the call, `retry_ms` is the time in
     /// milliseconds after which the caller may try again.
     fn add_refusal_headers(
@@ -103,6 +136,21 @@
         Ok(CallOptions { id: None, timeout_ms })
     }
 
+    fn caller_key<'a>(&self, headers: &'a HeaderMap) -> CallerKey<'a> {
+        match headers.get_all(header::KEY).iter().count() {
+            0 => CallerKey::Missing,
+            1 => text_header(headers, header::KEY)
+                .filter(|key| !key.is_empty())
+                .map_or(CallerKey::Malformed, CallerKey::Shown),
+            _ => CallerKey::Malformed,
+        }
+    }
+
+    fn remove_credentials(&self, headers: &mut HeaderMap) {
+        headers.remove(header::KEY);
+        headers.remove(header::ORGANISATION);
+    }
+
     fn add_refusal_headers(
         &self,
         _request: &HeaderMap,
@@ -117,6 +165,9 @@
 
     fn add_request_headers(&self, call: &CallContext<'_>, headers: &mut HeaderMap) {
         headers.insert(header::TIMEOUT_MS, call.left_ms.into());
+        if let Some(organisation) = call.organisation {
+            headers.insert(header::ORGANISATION, header_value(organisation));
+        }
     }
 
     fn can_match_answer(&self, _request: &HeaderMap) -> bool {
--- a/src/daemon/traffic/hop.rs
+++ b/src/daemon/traffic/hop.rs
@@ -2,7 +2,7 @@
 
 use {
     super::relay::{header_value, text_header},
-    crate::{clock::TimePoint, quarantine::CallFingerprints},
+    crate::{clock::TimePoint, config::KeyDigest, quarantine::CallFingerprints},
     salvo::http::HeaderMap,
     std::{borrow::Cow, fmt::Write as _, sync::Arc},
 };
@@ -23,6 +23,10 @@
     pub const LOAD: &str = "fuchsiashore-load";
     /// Clearance of the pool's open move, on a gate's answers.
     pub const CLEARANCE: &str = "fuchsiashore-clearance";
+    /// Key of the caller's organisation.
+    pub const KEY: &str = "fuchsiashore-key";
+    /// Organisation of the caller, on requests to targets.
+    pub const ORGANISATION: &str = "fuchsiashore-organisation";
     /// Common prefix of all of them.
     pub const PREFIX: &str = "fuchsiashore-";
 }
@@ -60,6 +64,8 @@
     pub fingerprints: Option<CallFingerprints>,
     /// Organisation whose key the caller has shown.
     pub organisation: Option<Arc<str>>,
+    /// Digest of that key.
+    pub key: Option<KeyDigest>,
 }
 
 impl HopCall {
@@ -85,6 +91,9 @@
         if let Some(organisation) = &self.organisation {
             let _ = write!(text, " organisation={}", encode_word(organisation));
         }
+        if let Some(key) = &self.key {
+            let _ = write!(text, " key={key}");
+        }
         headers.insert(header::HOP, header_value(&text));
     }
 
@@ -106,6 +115,7 @@
             start_by: TimePoint::FAR_FUTURE,
             fingerprints: None,
             organisation: None,
+            key: None,
         };
         // Earlier versions send fewer words.
         if let Some(word) = next() {
@@ -114,6 +124,7 @@
         for word in words {
             match word.split_once('=') {
                 Some(("organisation", name)) => call.organisation = Some(decode_word(name)?),
+                Some(("key", digest)) => call.key = digest.parse().ok(),
                 // A word of a later version.
                 Some(_) => {}
                 None => call.fingerprints = word.parse().ok(),
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -27,6 +27,7 @@
             listeners::report_refusal,
             refusals::{RequestFields, log_word},
             shared::{SharedState, TargetIdentity, TrafficEvent},
+            snapshot::TrafficSnapshot,
         },
         gate::{GateAdmission, GateArrival, GateRefusal},
         http::ConnectionCloser,
@@ -207,6 +208,7 @@
             return Err(GateRefusal::OtherTarget);
         }
         let snapshot = self.shared.snapshot.load();
+        self.check_key(&snapshot, hop, now)?;
         let Some(pool) = snapshot
             .table
             .as_ref()
@@ -229,6 +231,27 @@
         }
     }
 
+    /// Refuses a call whose key this daemon does not know to be in force. The proxy has checked it, too, but the call may have
+    /// waited since.
+    fn check_key(
+        &self,
+        snapshot: &TrafficSnapshot,
+        hop: &HopCall,
+        now: TimePoint,
+    ) -> Result<(), GateRefusal> {
+        let (Some(name), Some(key)) = (&hop.organisation, &hop.key) else {
+            return Ok(());
+        };
+        let table = snapshot.table.as_ref().ok_or(GateRefusal::KeysUnconfirmed)?;
+        if !self.shared.freshness.are_keys_confirmed(table.version, now) {
+            return Err(GateRefusal::KeysUnconfirmed);
+        }
+        match table.organisation(key) {
+            Some(holder) if holder.name == *name => Ok(()),
+            _ => Err(GateRefusal::UnknownKey),
+        }
+    }
+
     /// Sends the request to the target and records the outcome.
     async fn run(
         &self,
@@ -270,6 +293,11 @@
         let request = forwarded
             .request_to(identity.address)
             .ok_or(GateFailure::BadRequest)?;
+        // The body may have taken long.
+        if let Err(refusal) = self.check_key(&shared.snapshot.load(), hop, shared.now()) {
+            run.finish();
+            return Err(GateFailure::NotRun(refusal));
+        }
         recorder.outcome = RecordedOutcome::Open;
         let is_resendable = forwarded.body.is_buffered() && hop.repeatable;
         let reuse = if shared.dialect.can_match_answer(&forwarded.headers) {
@@ -401,6 +429,10 @@
         progress: Arc<BodyProgress>,
     ) -> ForwardedRequest {
         let mut headers = end_to_end_headers(req.headers(), self.shared.dialect.end_to_end_names());
+        let table = self.shared.snapshot.load().table.clone();
+        if hop.organisation.is_some() || table.is_some_and(|table| table.needs_keys) {
+            self.shared.dialect.remove_credentials(&mut headers);
+        }
         let call = CallContext {
             target: &identity.id,
             caller: &hop.caller,
--- a/src/daemon/traffic/mod.rs
+++ b/src/daemon/traffic/mod.rs
@@ -13,7 +13,8 @@
 
 pub use {
     dialect::{
-        AnswerVerdict, CallContext, CallDialect, CallOptions, NotANumber, OwnDialect, parse_time_left,
+        AnswerVerdict, CallContext, CallDialect, CallOptions, CallerKey, NotANumber, OwnDialect,
+        parse_time_left,
     },
     hop::header,
     inbound::InboundHandler,
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -2,12 +2,14 @@
 
 mod checks;
 mod choosing;
+mod identity;
 mod logging;
 
 use {
     self::{
         checks::{check_expected_body, check_form, check_head},
         choosing::TargetChoice,
+        identity::{CallerIdentity, identify},
         logging::{LoggedRefusal, admit_answer, log_answer, log_failed_attempt, log_refusal},
     },
     super::{
@@ -25,7 +27,7 @@
     crate::{
         call::{CallOutcome, CallPlan, CallRules, CallStep, RefusalReason, SplitSequence},
         clock::TimePoint,
-        config::{CompiledPool, CompiledRoute, RouteMatch},
+        config::{CompiledPool, CompiledRoute, CompiledTable, RouteMatch},
         daemon::{
             leave_schedule::LeaveSchedule,
             refusals::request_subject,
@@ -98,6 +100,10 @@
 struct RoutedCall {
     route: Arc<CompiledRoute>,
     pool: Arc<CompiledPool>,
+    /// Organisation whose key the caller has shown.
+    identity: Option<CallerIdentity>,
+    /// Rank of the call under load.
+    priority: u8,
     options: CallOptions,
     /// Whether the request may run twice.
     repeatable: bool,
@@ -187,7 +193,7 @@
         let mut request = ForwardedRequest {
             method: req.method().clone(),
             path: forwarded_path(req),
-            headers: end_to_end_headers(req.headers(), self.shared.dialect.end_to_end_names()),
+            headers: self.forwarded_headers(&snapshot, req.headers()),
             host: forwarded_host(req),
             body,
             progress,
@@ -219,6 +225,16 @@
         configured.unwrap_or(self.shared.settings.max_body_bytes)
     }
 
+    /// Returns the headers for the next hop. Where callers show keys, none passes on, nor an organisation that a caller states.
+    fn forwarded_headers(&self, snapshot: &TrafficSnapshot, headers: &HeaderMap) -> HeaderMap {
+        let dialect = &self.shared.dialect;
+        let mut forwarded = end_to_end_headers(headers, dialect.end_to_end_names());
+        if snapshot.table.as_ref().is_some_and(|table| table.needs_keys) {
+            dialect.remove_credentials(&mut forwarded);
+        }
+        forwarded
+    }
+
     /// Finds the route of a request, parses the caller's options and draws a pool.
     fn route(&self, req: &Request) -> Result<RoutedCall, CallRefusal> {
         let shared = &self.shared;
@@ -227,9 +243,9 @@
         }
         check_form(req)?;
         let snapshot = shared.snapshot.load();
-        let route = find_route(&snapshot, req)
+        let (table, route) = find_route(&snapshot, req)
             .map_err(|reason| self.unless_stale(&snapshot, CallRefusal::not_run(reason, req.uri().path())))?;
-        let limits = snapshot.table.as_ref().map(|table| table.limits);
+        let limits = Some(table.limits);
         check_head(req, limits.and_then(|limits| limits.head_bytes))
             .and_then(|()| check_expected_body(req, self.body_limit(&snapshot)))
             .map_err(|refusal| self.unless_stale(&snapshot, refusal))?;
@@ -238,6 +254,11 @@
             .parse_options(req.headers())
             .map_err(|text| CallRefusal::not_run(RefusalReason::BadRequest, text))?;
         let now = shared.now();
+        let dialect = &*shared.dialect;
+        let identity = identify(dialect, req.headers(), (table, &route), &shared.freshness, now)
+            .map_err(|refusal| self.unless_stale(&snapshot, refusal))?;
+        let organisation = identity.as_ref().map(|identity| &*identity.organisation);
+        let priority = table.rank(organisation, &route);
         let deadline = call_deadline(&options, route.timeout_ms, now);
         if shared
             .leaving
@@ -258,6 +279,8 @@
             useful_until: now.after_ms(route.target_latency_ms).min(deadline),
             route,
             pool,
+            identity,
+            priority,
             options,
             deadline,
             fingerprints: None,
@@ -276,6 +299,7 @@
                 | RefusalReason::WrongMethod
                 | RefusalReason::HeadTooLarge
                 | RefusalReason::BodyTooLarge
+                | RefusalReason::UnknownKey
         );
         let version = snapshot.table.as_ref().map_or(0, |table| table.version);
         if !depends_on_table || self.shared.freshness.is_newest(version, self.shared.now()) {
@@ -414,6 +438,7 @@
         let shared = &self.shared;
         let leaving = shared.leaving.get();
         let answer_by = leaving.map_or(TimePoint::FAR_FUTURE, LeaveSchedule::answer_by);
+        let identity = call.identity.as_ref();
         CallAttempt {
             shared: Arc::clone(shared),
             clients: Arc::clone(&self.clients),
@@ -425,14 +450,15 @@
                 target: Arc::clone(&target.id),
                 caller: Arc::clone(&shared.settings.target.service),
                 repeatable: call.repeatable,
-                priority: call.route.priority,
+                priority: call.priority,
                 useful_until: call.useful_until.min(answer_by),
                 deadline: call.deadline,
                 start_by: self.start_by(call, &target),
                 fingerprints: call.fingerprints,
-                organisation: None,
+                organisation: identity.map(|identity| Arc::clone(&identity.organisation.name)),
+                key: identity.map(|identity| identity.key),
             },
-            in_flight_guard: InFlightGuard::new(shared, &target, call.route.priority),
+            in_flight_guard: InFlightGuard::new(shared, &target, call.priority),
             target,
             body_progress,
         }
@@ -504,6 +530,7 @@
         let retry_ms = match reason {
             RefusalReason::NoConfiguration
             | RefusalReason::StaleTable
+            | RefusalReason::KeysUnconfirmed
             | RefusalReason::NoTarget
             | RefusalReason::Leaving => RETRY_AFTER_UNREADY_MS,
             RefusalReason::Quarantined => self.held_ms(call).max(RETRY_AFTER_HELD_MS),
@@ -555,10 +582,13 @@
     }
 }
 
-fn find_route(snapshot: &TrafficSnapshot, req: &Request) -> Result<Arc<CompiledRoute>, RefusalReason> {
+fn find_route<'a>(
+    snapshot: &'a TrafficSnapshot,
+    req: &Request,
+) -> Result<(&'a CompiledTable, Arc<CompiledRoute>), RefusalReason> {
     let table = snapshot.table.as_ref().ok_or(RefusalReason::NoConfiguration)?;
     match table.find(request_host(req), req.method().as_str(), req.uri().path()) {
-        RouteMatch::Found(route) => Ok(route),
+        RouteMatch::Found(route) => Ok((table, route)),
         RouteMatch::WrongMethod => Err(RefusalReason::WrongMethod),
         RouteMatch::None => Err(RefusalReason::NoRoute),
     }
--- a/src/daemon/traffic/outbound/choosing.rs
+++ b/src/daemon/traffic/outbound/choosing.rs
@@ -83,7 +83,7 @@
                     cross_dc_cost_ms: selector.cross_dc_cost_ms(&call.route.name, body_bytes),
                     limit_ms: Some(answer_by.ms_since(now) as f64),
                     only_idle,
-                    priority: call.route.priority,
+                    priority: call.priority,
                 };
                 let chosen = selector.choose(&candidates, tried, criteria, &mut rng, now);
                 chosen.map(|chosen| Arc::clone(&chosen.name))
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -45,11 +45,15 @@
         Shed,
         /// Targets ended under this request, so it is held back.
         Quarantined,
+        /// The key of the call is not in force here.
+        UnknownKey,
+        /// Keys may have been removed of which this daemon has not heard.
+        KeysUnconfirmed,
     }
 }
 
 impl GateRefusal {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 10] = [
         Self::Full,
         Self::Leaving,
         Self::Starting,
@@ -58,6 +62,8 @@
         Self::OtherTarget,
         Self::Shed,
         Self::Quarantined,
+        Self::UnknownKey,
+        Self::KeysUnconfirmed,
     ];
 
     /// Returns the reason as written to the `fuchsiashore-reason` header.
@@ -71,6 +77,8 @@
             Self::OtherTarget => "other-target",
             Self::Shed => "target-shed",
             Self::Quarantined => "quarantined",
+            Self::UnknownKey => "unknown-key",
+            Self::KeysUnconfirmed => "keys-unconfirmed",
         }
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -79,6 +79,9 @@
     pub extra_retries: u32,
     /// Time for which a request is held back first after targets ended under it, in milliseconds; 0 if none is.
     pub quarantine_ms: u64,
+    /// Time from the acceptance of a configuration without a key until no call runs under that key at any daemon, in
+    /// milliseconds; 0 for as soon as each daemon has it.
+    pub revoke_ms: u64,
     /// Time that callers have to move away from a daemon that stops, in milliseconds.
     pub leave_ms: u64,
     /// Maximum time of a drain, in milliseconds; the process exits then even if calls are still in flight.
@@ -182,6 +185,7 @@
         watchers: take_number(section, "watchers", (1, 1_000), 2, faults) as usize,
         extra_retries: take_extra_retries(section, faults),
         quarantine_ms: take_number(section, "quarantine_ms", (0, 3_600_000), 30_000, faults),
+        revoke_ms: take_number(section, "revoke_ms", (0, 3_600_000), 0, faults),
         leave_ms: take_number(section, "leave_ms", (0, 3_600_000), 1_000, faults),
         drain_limit_ms: take_drain_limit(section, faults),
         target,
--- a/src/spread/history.rs
+++ b/src/spread/history.rs
@@ -1,8 +1,8 @@
 //! Names that recent versions changed, from which deltas to earlier versions are computed.
 
 use {
-    crate::config::{ConfigHead, HeadDelta, Stamped},
-    indexmap::{IndexMap, IndexSet},
+    crate::config::{ChangedNames, ConfigHead, HeadDelta, Stamped},
+    indexmap::IndexMap,
     std::{collections::VecDeque, sync::Arc},
 };
 
@@ -17,11 +17,12 @@
     base: u64,
     routes: Vec<Arc<str>>,
     pools: Vec<Arc<str>>,
+    organisations: Vec<Arc<str>>,
 }
 
 impl HeadChange {
     fn name_count(&self) -> usize {
-        self.routes.len() + self.pools.len()
+        self.routes.len() + self.pools.len() + self.organisations.len()
     }
 }
 
@@ -39,6 +40,7 @@
             base: base.version,
             routes: changed_names(&base.routes, &head.routes),
             pools: changed_names(&base.pools, &head.pools),
+            organisations: changed_names(&base.tail.organisations, &head.tail.organisations),
         };
         self.name_count += change.name_count();
         self.changes.push_back(change);
@@ -54,12 +56,13 @@
     /// which the digest shows when the delta is applied.
     pub fn delta(&self, base: u64, base_digest: u64, head: &ConfigHead) -> Option<HeadDelta> {
         let first = self.changes.iter().rposition(|change| change.base <= base)?;
-        let (mut routes, mut pools) = (IndexSet::new(), IndexSet::new());
+        let mut names = ChangedNames::default();
         for change in self.changes.range(first..) {
-            routes.extend(change.routes.iter().cloned());
-            pools.extend(change.pools.iter().cloned());
+            names.routes.extend(change.routes.iter().cloned());
+            names.pools.extend(change.pools.iter().cloned());
+            names.organisations.extend(change.organisations.iter().cloned());
         }
-        Some(HeadDelta::of_names(base, base_digest, head, &routes, &pools))
+        Some(HeadDelta::of_names(base, base_digest, head, &names))
     }
 }
 
--- a/src/spread/state.rs
+++ b/src/spread/state.rs
@@ -161,7 +161,7 @@
     /// Returns the newest version that this daemon has heard of. It is above [`Self::version`] while that version is on
     /// its way, after it was refused, and while the head in force is behind accepted tables that can't be used.
     pub fn newest_version(&self) -> u64 {
-        let behind = self.head.as_ref().filter(|head| head.is_behind);
+        let behind = self.head.as_ref().filter(|head| head.tail.is_behind);
         let unusable = behind.map_or(0, |head| head.version + 1);
         self.newest.max(self.floor).max(unusable)
     }
