--- a/tests/settings_and_tables.rs
+++ b/tests/settings_and_tables.rs
@@ -36,6 +36,30 @@
     assert_eq!(tables_of(&render_tables(&tables)).unwrap(), tables);
 }
 
+#[test]
+fn organisations_are_shown_without_their_keys() {
+    let text = |keys: &str, rate: &str| {
+        format!(
+            "{}\n[organisation north]\nkeys = {keys}\npriority = 1\nrate_per_s = {rate}\nburst = 20\n",
+            example("tables.ini")
+        )
+    };
+    let tables = tables_of(&text("first-key second-key", "12.5")).unwrap();
+    let shown = render_tables(&tables);
+    assert_eq!(tables_of(&shown).unwrap(), tables);
+    assert!(!shown.contains("-key"));
+    let changed = tables_of(&text("second-key", "10")).unwrap();
+    insta::assert_snapshot!(diff_tables(&tables, &changed).to_string());
+}
+
+#[test]
+fn unusable_organisations_are_refused_with_the_reason() {
+    let organisations = "[organisation two words]\n[organisation a]\nkeys = k1 k2\nrate_per_s = -1\n[organisation b]\nkeys = k2\n\
+                         rate_per_s = 1e300\nburst = inf\npriority = 10\n[organisation c]\nrate_per_s = NaN\n";
+    let faults = tables_of(&format!("{}\n{organisations}", example("tables.ini"))).unwrap_err();
+    insta::assert_snapshot!(faults.to_string());
+}
+
 #[test]
 fn all_faults_of_settings_are_named_at_once() {
     let text = "[daemon]\nname = a\nmesh = m\nregion = r\ndata_centre = d\ncalls = here\ngate = 1.2.3.4:1\n\
