--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod lab;
 pub mod member;
 pub mod moves;
+pub mod organisations;
 mod paced_client;
 mod paced_connector;
 mod paced_stream;
