Merge organisations: keys, their revocation and priority

Cause: evacuations and organisations were both added to the end of the head. The decisions on quotas are not wired to calls yet.

--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        organisation::OrganisationEntry,
         tables::{ConfigTables, MovePolicy, PoolEntry, RouteEntry, TableKind},
         version_rank::VersionRank,
     },
@@ -222,16 +223,77 @@
         pub changes: Vec<ChangeNote>,
         /// Digest of everything else.
         pub digest: u64,
-        /// Whether newer tables are accepted that can't be used, so that these lack their routes. Left out if
-        /// false: a head without it keeps its encoding and its digest.
-        #[serde(default, skip_serializing_if = "is_false")]
+        /// What not every head has. Last and left out if empty: a head without it keeps its encoding and its digest.
+        #[serde(default, rename = "is_behind", skip_serializing_if = "HeadTail::is_empty")]
+        pub tail: HeadTail,
+    }
+}
+
+value_type! {
+    /// What not every head or delta has. The encoding between daemons tells fields by their order, so this is one field.
+    #[derive(Default)]
+    #[serde(from = "TailForm", into = "TailForm")]
+    pub struct HeadTail {
+        /// Whether newer tables are accepted that can't be used, so that these lack their routes.
         pub is_behind: bool,
-        /// Evacuated data centres. Left out if there are none; a head with some is sent with field names.
-        #[serde(default, skip_serializing_if = "EvacuationOrders::is_empty")]
+        /// Organisations by name; in a delta, those that are new or changed.
+        pub organisations: IndexMap<Arc<str>, Stamped<OrganisationEntry>>,
+        /// Evacuated data centres.
         pub evacuations: EvacuationOrders,
     }
 }
 
+impl HeadTail {
+    pub(super) fn is_empty(&self) -> bool {
+        !self.is_behind && self.organisations.is_empty() && self.evacuations.is_empty()
+    }
+}
+
+/// Encoding of a tail. Earlier builds know the first form only.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(untagged)]
+enum TailForm {
+    Behind(bool),
+    Whole(
+        bool,
+        IndexMap<Arc<str>, Stamped<OrganisationEntry>>,
+        EvacuationOrders,
+    ),
+}
+
+impl From<TailForm> for HeadTail {
+    fn from(form: TailForm) -> Self {
+        match form {
+            TailForm::Behind(is_behind) => Self {
+                is_behind,
+                ..Self::default()
+            },
+            TailForm::Whole(is_behind, organisations, evacuations) => Self {
+                is_behind,
+                organisations,
+                evacuations,
+            },
+        }
+    }
+}
+
+impl From<HeadTail> for TailForm {
+    fn from(tail: HeadTail) -> Self {
+        if tail.organisations.is_empty() && tail.evacuations.is_empty() {
+            Self::Behind(tail.is_behind)
+        } else {
+            Self::Whole(tail.is_behind, tail.organisations, tail.evacuations)
+        }
+    }
+}
+
+/// Returns the entries without stamps.
+fn entries<T: Clone>(rows: &IndexMap<Arc<str>, Stamped<T>>) -> IndexMap<Arc<str>, T> {
+    rows.iter()
+        .map(|(name, row)| (Arc::clone(name), row.entry.clone()))
+        .collect()
+}
+
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
 pub(super) fn is_false(value: &bool) -> bool {
     !value
@@ -263,16 +325,9 @@
     /// Returns the tables without stamps.
     pub fn tables(&self) -> ConfigTables {
         ConfigTables {
-            routes: self
-                .routes
-                .iter()
-                .map(|(name, row)| (Arc::clone(name), row.entry.clone()))
-                .collect(),
-            pools: self
-                .pools
-                .iter()
-                .map(|(name, row)| (Arc::clone(name), row.entry.clone()))
-                .collect(),
+            routes: entries(&self.routes),
+            pools: entries(&self.pools),
+            organisations: entries(&self.tail.organisations),
         }
     }
 
@@ -294,7 +349,8 @@
         content.routes.sort_keys();
         content.pools.sort_keys();
         content.moves.sort_keys();
-        content.evacuations.sort();
+        content.tail.evacuations.sort();
+        content.tail.organisations.sort_keys();
         Ok(xxh3_64(&codec::encode(&content)?))
     }
 
@@ -331,6 +387,7 @@
         self.changes.clone_from(&known.changes);
         self.limits = known.limits;
         self.routes.clone_from(&known.routes);
+        self.tail.organisations.clone_from(&known.tail.organisations);
         let stored_pools = std::mem::replace(&mut self.pools, known.pools.clone());
         for (name, row) in &mut self.pools {
             let stored = stored_pools.get(name);
--- a/src/gate/refusal.rs
+++ b/src/gate/refusal.rs
@@ -23,11 +23,15 @@
         Quarantined,
         /// The target's data centre is evacuated.
         Evacuated,
+        /// The key of the call is not in force here.
+        UnknownKey,
+        /// Keys may have been removed of which this daemon has not heard.
+        KeysUnconfirmed,
     }
 }
 
 impl GateRefusal {
-    const ALL: [Self; 9] = [
+    const ALL: [Self; 11] = [
         Self::Full,
         Self::Leaving,
         Self::Starting,
@@ -37,6 +41,8 @@
         Self::Shed,
         Self::Quarantined,
         Self::Evacuated,
+        Self::UnknownKey,
+        Self::KeysUnconfirmed,
     ];
 
     /// Returns the reason as written to the `fuchsiashore-reason` header.
@@ -51,6 +57,8 @@
             Self::Shed => "target-shed",
             Self::Quarantined => "quarantined",
             Self::Evacuated => "data-centre-evacuated",
+            Self::UnknownKey => "unknown-key",
+            Self::KeysUnconfirmed => "keys-unconfirmed",
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod lab;
 pub mod member;
 pub mod moves;
+pub mod organisations;
 mod paced_client;
 mod paced_connector;
 mod paced_stream;
