--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -208,6 +208,7 @@
         intake: Mutex::new(BodyIntake::new(intake_limits)),
         body_room: Arc::new(Semaphore::new(intake_limits.room_bytes as usize)),
         selector: Mutex::default(),
+        nested_routes: Mutex::default(),
         budget: Mutex::new(budget),
         evidence: Mutex::default(),
         moves: Mutex::new(MoveRegistry::default()),
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -24,7 +24,7 @@
         transfer_report::TransferReport,
     },
     crate::{
-        call::CallOutcome,
+        call::{CallOutcome, LoadReport},
         clock::TimePoint,
         daemon::{
             listeners::report_refusal,
@@ -135,12 +135,27 @@
             add_outcome_headers(res, CallOutcome::NotRun, "bad-request");
             return;
         };
-        let result = self.admit_and_run(req, res, &hop).await;
+        let (shows_nested, is_nested) = self.recognise(&hop);
+        let result = self.admit_and_run(req, res, &hop, is_nested).await;
         if let Err(failure) = result {
             refuse(&self.shared, req, res, &hop, &failure);
         }
         res.headers_mut().insert(header::CALL, header_value(&hop.id));
-        self.add_load_and_clearance(res, &hop);
+        self.add_load_and_clearance(res, &hop, shows_nested);
+    }
+
+    /// Returns whether this gate knows the route of a call as one that targets call, and whether the call counts as nested:
+    /// also if the proxy heard so from another gate.
+    fn recognise(&self, hop: &HopCall) -> (bool, bool) {
+        let shows_nested = {
+            let mut gate = self.shared.gate.lock();
+            gate.state.record_call(&hop.route, &hop.caller, hop.came_idle)
+        };
+        let is_nested = shows_nested || hop.is_nested;
+        if is_nested {
+            self.shared.metrics.nested_calls.inc();
+        }
+        (shows_nested, is_nested)
     }
 
     /// Receives a large body, then waits until the call may run, and runs it.
@@ -149,13 +164,14 @@
         req: &mut Request,
         res: &mut Response,
         hop: &HopCall,
+        is_nested: bool,
     ) -> Result<(), GateFailure> {
         let received = match self.check_target(hop, self.shared.now()) {
             Ok(()) => receive(&self.shared, req, hop).await,
             Err(refusal) => Err(GateFailure::NotRun(refusal)),
         };
         let admitted = match received {
-            Ok(received) => match self.admit(req, hop).await {
+            Ok(received) => match self.admit(req, hop, is_nested).await {
                 Ok(admitted) => Ok((admitted, received)),
                 Err(refusal) => Err(GateFailure::NotRun(refusal)),
             },
@@ -195,11 +211,12 @@
     }
 
     /// Waits for the turn of a suspect, then for a slot, and lists the run.
-    async fn admit(&self, req: &Request, hop: &HopCall) -> Result<AdmittedRun, GateRefusal> {
-        let wait_until = arrival(hop).wait_until();
+    async fn admit(&self, req: &Request, hop: &HopCall, is_nested: bool) -> Result<AdmittedRun, GateRefusal> {
+        let arrival = arrival(hop, is_nested);
+        let wait_until = arrival.wait_until();
         loop {
             let turn = wait_for_turn(&self.shared, hop, wait_until).await?;
-            let (slot, identity) = self.wait_for_slot(hop).await?;
+            let (slot, identity) = self.wait_for_slot(hop, &arrival).await?;
             if let Some(run) = RunGuard::start(&self.shared, req, hop, &identity.version, turn)? {
                 return Ok(AdmittedRun { slot, identity, run });
             }
@@ -208,11 +225,14 @@
 
     /// Returns a slot and the target, after queueing the call if necessary. After a wait in the queue, the target is
     /// checked again, as it or the move may have changed.
-    async fn wait_for_slot(&self, hop: &HopCall) -> Result<(SlotGuard, Arc<TargetIdentity>), GateRefusal> {
+    async fn wait_for_slot(
+        &self,
+        hop: &HopCall,
+        arrival: &GateArrival,
+    ) -> Result<(SlotGuard, Arc<TargetIdentity>), GateRefusal> {
         let shared = &self.shared;
         let now = shared.now();
         self.check_target(hop, now)?;
-        let arrival = arrival(hop);
         let (ticket, receiver) = {
             let mut gate = shared.gate.lock();
             let (admission, evicted) = gate.state.arrive(arrival.clone(), now);
@@ -388,7 +408,7 @@
         if let Some(slowdown) = stated_load.and_then(|load| load.slowdown)
             && verdict != AnswerVerdict::Foreign
         {
-            shared.gate.lock().state.record_slowdown(slowdown);
+            shared.gate.lock().state.record_slowdown(slowdown, shared.now());
         }
         match verdict {
             AnswerVerdict::Ran => {}
@@ -417,6 +437,7 @@
                     RecordedOutcome::Answered
                 };
                 slot.is_successful = !failed;
+                slot.is_failed = failed;
                 let is_streaming = matches!(body, AnswerBody::Streaming { .. });
                 if is_streaming {
                     run.finish();
@@ -473,9 +494,10 @@
     }
 
     /// Adds the gate's load and, during a move, the pool's clearance to an answer, for the proxy that receives it.
-    fn add_load_and_clearance(&self, res: &mut Response, hop: &HopCall) {
+    fn add_load_and_clearance(&self, res: &mut Response, hop: &HopCall, is_nested: bool) {
         let now = self.shared.now();
         let load = self.shared.gate.lock().state.load(&hop.route, hop.priority, now);
+        let load = LoadReport { is_nested, ..load };
         let headers = res.headers_mut();
         headers.insert(header::LOAD, header_value(&load.to_string()));
         let snapshot = self.shared.snapshot.load();
@@ -512,14 +534,14 @@
     run: RunGuard,
 }
 
-fn arrival(hop: &HopCall) -> GateArrival {
+fn arrival(hop: &HopCall, is_nested: bool) -> GateArrival {
     GateArrival {
         route: Arc::clone(&hop.route),
         priority: hop.priority,
         useful_until: hop.useful_until,
         deadline: hop.deadline,
         start_by: hop.start_by,
-        is_nested: hop.is_nested,
+        is_nested,
     }
 }
 
--- a/src/daemon/traffic/inbound/intake.rs
+++ b/src/daemon/traffic/inbound/intake.rs
@@ -61,7 +61,7 @@
     let Some(bytes) = offered_bytes(req) else {
         return Ok(None);
     };
-    let wait_until = arrival(hop).wait_until();
+    let wait_until = arrival(hop, hop.is_nested).wait_until();
     let place = take_turn(shared, hop, bytes, wait_until)
         .await
         .map_err(GateFailure::NotRun)?;
@@ -95,7 +95,11 @@
     wait_until: TimePoint,
 ) -> Result<IntakePlace, GateRefusal> {
     let now = shared.now();
-    let (slot_wait_ms, run_ms) = shared.gate.lock().state.forecast_ms(&arrival(hop), now)?;
+    let (slot_wait_ms, run_ms) = shared
+        .gate
+        .lock()
+        .state
+        .forecast_ms(&arrival(hop, hop.is_nested), now)?;
     let offer = BodyOffer {
         bytes,
         priority: hop.priority,
@@ -131,7 +135,7 @@
                 .gate
                 .lock()
                 .state
-                .forecast_ms(&arrival(hop), shared.now())?;
+                .forecast_ms(&arrival(hop, hop.is_nested), shared.now())?;
             shared.intake.lock().wake(shared.now());
         }
         Ok(())
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -3,16 +3,18 @@
 use {
     super::{
         arrival::GateArrival,
+        brake::RunBrake,
         cold::ColdPacer,
         forecast::{time_left_ms, wait_ms},
-        nested::{NestedRoutes, NestedVerdict},
+        nested::NestedRoutes,
+        outcome::{DequeueOutcome, GateAdmission, TicketId},
+        pace::TargetPace,
         refusal::GateRefusal,
         run_times::RunTimes,
     },
     crate::{
         call::{LoadReport, RankCounts},
         clock::TimePoint,
-        macros::key_type,
     },
     indexmap::IndexMap,
     std::sync::Arc,
@@ -22,31 +24,6 @@
 pub const SLOW_START_MS: u64 = 3_000;
 /// Median run time as a fraction of the mean; below 1, as run times have a long tail.
 const MEDIAN_RUN_FRACTION: f64 = 0.7;
-key_type! {
-    /// Identifies an admitted or queued call.
-    pub struct TicketId(pub u64);
-}
-
-/// Admission decision for an arriving call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum GateAdmission {
-    /// The call has a slot and runs now.
-    Run(TicketId),
-    /// The call is queued for a slot.
-    Wait(TicketId),
-    /// The call is refused.
-    Refuse(GateRefusal),
-}
-
-/// Reason for which a call left the queue.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DequeueOutcome {
-    /// The call has a slot and runs now.
-    Run(TicketId),
-    /// The call is refused.
-    Refuse(TicketId, GateRefusal),
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum GateMode {
     /// The target is not ready yet, or not any more.
@@ -102,8 +79,8 @@
     last_ticket: u64,
     run_times: RunTimes,
     nested_routes: NestedRoutes,
-    /// How long work takes on the VM, relative to its usual time, as the target stated last; 1 if it has not.
-    slowdown: f64,
+    brake: RunBrake,
+    pace: TargetPace,
     cold: ColdPacer,
 }
 
@@ -119,7 +96,8 @@
             last_ticket: 0,
             run_times: RunTimes::default(),
             nested_routes: NestedRoutes::default(),
-            slowdown: 1.0,
+            brake: RunBrake::default(),
+            pace: TargetPace::default(),
             cold: ColdPacer::default(),
         }
     }
@@ -130,8 +108,8 @@
     }
 
     /// Records how long work takes on the VM at this moment, relative to its usual time.
-    pub fn record_slowdown(&mut self, slowdown: f64) {
-        self.slowdown = slowdown;
+    pub fn record_slowdown(&mut self, slowdown: f64, now: TimePoint) {
+        self.pace.record(slowdown, now);
     }
 
     /// Returns the number of calls that the target is running.
@@ -164,7 +142,7 @@
                 self.run_times.mean_ms()
             },
             route_run_ms: self.run_times.of_route(route).unwrap_or_default(),
-            slowdown: self.slowdown,
+            slowdown: self.pace.stated(),
             wait_ms: Some(
                 self.wait_at(
                     self.queue.partition_point(|other| {
@@ -173,6 +151,7 @@
                     now,
                 ),
             ),
+            is_nested: false,
         }
     }
 
@@ -209,7 +188,7 @@
     pub fn reopen(&mut self, slots: u32, now: TimePoint) {
         self.slots = slots;
         self.run_times = RunTimes::default();
-        self.slowdown = 1.0;
+        self.pace = TargetPace::default();
         self.mode = GateMode::Serving {
             since: now.before_ms(SLOW_START_MS),
         };
@@ -249,16 +228,19 @@
             arrival,
             expected_ms,
         };
-        if self.may_start(now) && self.queue.is_empty() {
-            self.start(call, now);
-            return (GateAdmission::Run(ticket), None);
-        }
+        let has_slot = self.may_start(now) && self.queue.is_empty();
         let at = self
             .queue
             .partition_point(|other| other.urgency() > call.urgency());
-        if self.is_too_late(&call, at, now) || (self.queue.len() >= self.queue_limit && at == 0) {
+        let is_hopeless = !has_slot
+            && (self.is_too_late(&call, at, now) || (self.queue.len() >= self.queue_limit && at == 0));
+        if is_hopeless || (!call.arrival.is_nested && !self.brake.admit(&call.arrival.route)) {
             return (GateAdmission::Refuse(GateRefusal::Full), None);
         }
+        if has_slot {
+            self.start(call, now);
+            return (GateAdmission::Run(ticket), None);
+        }
         self.queue.insert(at, call);
         let evicted = (self.queue.len() > self.queue_limit).then(|| self.queue.remove(0));
         let outcome = evicted.map(|call| DequeueOutcome::Refuse(call.ticket, GateRefusal::Full));
@@ -288,23 +270,47 @@
         let ended = self.running.swap_remove(&ticket);
         if let (Some(call), Some(ran_ms)) = (ended, ran_ms) {
             self.run_times.record(&call.route, ran_ms);
+            self.brake.record_end(&call.route, false, call.started_at);
         }
         self.tick(now)
     }
 
+    /// Records that the target failed a call that it is running. [`Self::finish`] follows.
+    pub fn fail(&mut self, ticket: TicketId) {
+        if let Some(call) = self.running.get(&ticket) {
+            self.brake.record_end(&call.route, true, call.started_at);
+        }
+    }
+
+    /// Records that a call was refused which the target made in a run of its own.
+    pub fn record_refused_call(&mut self, now: TimePoint) {
+        self.brake.record_refused_call(now);
+    }
+
+    /// Returns the share of the calls of a route that the gate lets run; below 1 while runs are lost for refused nested
+    /// calls.
+    pub fn run_share(&self, route: &str) -> f64 {
+        self.brake.share(route)
+    }
+
     /// Returns whether a call that takes the place `at` in the queue would be answered after its `useful_until`.
     fn is_too_late(&self, call: &WaitingCall, at: usize, now: TimePoint) -> bool {
         let wait_ms = self.wait_at(at, now);
-        now.after_ms((wait_ms + call.expected_ms) as u64) > call.arrival.answer_by()
+        let run_ms = call.expected_ms * self.pace.factor(now);
+        now.after_ms((wait_ms + run_ms) as u64) > call.arrival.answer_by()
     }
 
     /// Returns the expected wait of a call that takes the place `at` in the queue, in milliseconds.
     fn wait_at(&self, at: usize, now: TimePoint) -> f64 {
+        let pace = self.pace.factor(now);
         let running = self.running.values().map(|running| {
             let ran_ms = now.ms_since(running.started_at) as f64;
-            time_left_ms(running.expected_ms, ran_ms)
+            time_left_ms(running.expected_ms * pace, ran_ms)
         });
-        let ahead = self.queue[at..].iter().rev().map(|ahead| ahead.expected_ms);
+        let ahead = self.queue[at..]
+            .iter()
+            .rev()
+            .map(|ahead| ahead.expected_ms * pace);
         let wait_ms = wait_ms(self.open_slots(now) as usize, running, ahead);
         wait_ms.max(self.cold.wait_ms(self.queue.len() - at, now) as f64)
     }
@@ -322,17 +328,16 @@
         };
         self.running.insert(call.ticket, running);
         self.cold.record_start(now);
-        self.nested_routes.record_start(now);
     }
 
     fn may_start(&self, now: TimePoint) -> bool {
         self.in_flight() < self.open_slots(now) && self.cold.may_start(now)
     }
 
-    /// Records a call that arrived from beside this daemon, and returns whether a run of the target makes it.
-    pub fn record_call(&mut self, route: &Arc<str>, now: TimePoint) -> NestedVerdict {
-        let running = self.in_flight();
-        self.nested_routes.record_call(route, running, now)
+    /// Records a call that came from beside a service, and returns whether targets of it make the calls of this route.
+    /// `came_idle` is set if its target was running nothing.
+    pub fn record_call(&mut self, route: &Arc<str>, service: &Arc<str>, came_idle: bool) -> bool {
+        self.nested_routes.record_call(route, service, came_idle)
     }
 
     /// Removes a queued call whose caller went away. Returns whether it was still queued.
@@ -365,8 +370,9 @@
     /// the median run time of its route. If there is none, removes the most urgent call; late calls come last, as they would delay
     /// others.
     fn dequeue_next(&mut self, now: TimePoint) -> Option<WaitingCall> {
+        let pace = self.pace.factor(now);
         let in_time = |call: &WaitingCall| {
-            let median_ms = call.expected_ms * MEDIAN_RUN_FRACTION;
+            let median_ms = call.expected_ms * pace * MEDIAN_RUN_FRACTION;
             now.after_ms(median_ms as u64) <= call.arrival.answer_by()
         };
         let at = self.queue.iter().rposition(in_time);
