callers' routes are not taken for nested ones where few callers sit beside the calling service

A gate near one daemon of the calling service among twenty took a callers' route for a nested one, as it compared it with the nested route's calls, which all come from that service. Only routes that come from more services are compared with now.

--- a/src/gate/nested.rs
+++ b/src/gate/nested.rs
@@ -27,13 +27,19 @@
 }
 
 impl CallerCounts {
-    fn add(&mut self, service: &Arc<str>, count: f64) {
+    fn add(&mut self, service: &Arc<str>) {
         if let Some(known) = self.by_service.get_mut(service) {
-            *known += count;
+            *known += 1.0;
         } else if self.by_service.len() < MAX_NAMES {
-            self.by_service.insert(Arc::clone(service), count);
+            self.by_service.insert(Arc::clone(service), 1.0);
         }
-        self.total += count;
+        self.total += 1.0;
+    }
+
+    /// Returns the number of services that call the route.
+    fn services(&self) -> usize {
+        let least = self.total * MIN_CALLER_SHARE;
+        self.by_service.values().filter(|count| **count >= least).count()
     }
 
     fn of(&self, service: &str) -> f64 {
@@ -57,7 +63,6 @@
 #[derive(Debug, Clone, Default)]
 pub struct NestedRoutes {
     routes: IndexMap<Arc<str>, RouteCallers>,
-    all: CallerCounts,
 }
 
 impl NestedRoutes {
@@ -68,12 +73,8 @@
             return false;
         }
         let known = self.routes.entry(Arc::clone(route)).or_default();
-        known.counts.add(service, 1.0);
-        self.all.add(service, 1.0);
+        known.counts.add(service);
         if known.counts.total > MAX_COUNT {
-            for (service, count) in &known.counts.by_service {
-                self.all.add(service, -count / 2.0);
-            }
             known.counts.halve();
         }
         known.callers_left = if came_idle {
@@ -81,22 +82,26 @@
         } else {
             known.callers_left.saturating_sub(1)
         };
-        known.callers_left == 0 && missing_score(&known.counts, &self.all) >= NESTED_SCORE
+        let known = &self.routes[route];
+        known.callers_left == 0 && missing_score(&known.counts, &self.routes) >= NESTED_SCORE
     }
 }
 
 /// Returns the log-likelihood ratio of a route's calls coming only from the services that they came from, over them coming
-/// from the services that calls of other routes come from.
-fn missing_score(route: &CallerCounts, all: &CallerCounts) -> f64 {
-    let other_calls = all.total - route.total;
-    if other_calls < MIN_OTHER_CALLS {
+/// from the services that calls of other routes come from. Only routes that come from more services say where callers are.
+fn missing_score(route: &CallerCounts, routes: &IndexMap<Arc<str>, RouteCallers>) -> f64 {
+    let services = route.services();
+    let wider = routes.values().map(|other| &other.counts);
+    let wider = wider.filter(|other| other.services() > services);
+    let (mut calls, mut missing) = (0.0, 0.0);
+    for other in wider {
+        calls += other.total;
+        let is_missing = |service: &str| route.of(service) < route.total * MIN_CALLER_SHARE;
+        let counts = other.by_service.iter().filter(|(service, _)| is_missing(service));
+        missing += counts.map(|(_, count)| count).sum::<f64>();
+    }
+    if calls < MIN_OTHER_CALLS {
         return 0.0;
     }
-    let is_missing = |service: &str| route.of(service) < route.total * MIN_CALLER_SHARE;
-    let missing = all.by_service.iter().filter(|(service, _)| is_missing(service));
-    let missing = missing
-        .map(|(service, count)| count - route.of(service))
-        .sum::<f64>();
-    let missing_share = (missing / other_calls).min(MAX_MISSING_SHARE);
-    -route.total * (1.0 - missing_share).ln()
+    -route.total * (1.0 - (missing / calls).min(MAX_MISSING_SHARE)).ln()
 }
--- a/tests/nested_calls.rs
+++ b/tests/nested_calls.rs
@@ -143,6 +143,25 @@
     }
 }
 
+/// Seen on a deployment: where few callers sit beside the one service that makes nested calls, its calls are no sign of where
+/// callers are.
+#[test]
+fn callers_that_seldom_come_from_the_calling_service_are_callers() {
+    let [often, other, calling]: [Arc<str>; 3] = ["often".into(), "other".into(), "calling".into()];
+    let (mut routes, mut taken) = (NestedRoutes::default(), [0; 2]);
+    for number in 0..2_000 {
+        let service = match number % 40 {
+            39 => &calling,
+            even if even % 2 == 0 => &often,
+            _ => &other,
+        };
+        taken[0] += u32::from(routes.record_call(&"callers".into(), service, false));
+        taken[1] += u32::from(routes.record_call(&"nested".into(), &calling, false));
+    }
+    assert_eq!(taken[0], 0);
+    assert!(taken[1] > 1_900, "{taken:?}");
+}
+
 /// Where callers come only from beside some services, what comes while nothing runs there is theirs.
 #[test]
 fn call_that_comes_while_nothing_runs_is_a_callers() {
