--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -8,6 +8,7 @@
         organisation::{CallQuota, KeyDigest},
         tables::{ANY_VERSION, PoolEntry, RepeatRule, TableFault},
     },
+    crate::evacuation::EvacuationOrders,
     std::{
         collections::{BTreeSet, HashMap},
         sync::Arc,
@@ -147,6 +148,8 @@
     ranks: Vec<(u8, u8)>,
     /// Whether there are organisations, so that callers have to show a key.
     pub needs_keys: bool,
+    /// Data centres whose targets get no calls.
+    pub evacuations: EvacuationOrders,
 }
 
 impl CompiledTable {
@@ -163,6 +166,7 @@
             version: head.version,
             limits: head.limits,
             needs_keys: !head.tail.organisations.is_empty(),
+            evacuations: head.evacuations.clone(),
             ..Self::default()
         };
         for (name, row) in &head.pools {
--- a/src/config/delta.rs
+++ b/src/config/delta.rs
@@ -9,7 +9,7 @@
         organisation::OrganisationEntry,
         tables::{PoolEntry, RouteEntry, TableKind},
     },
-    crate::macros::value_type,
+    crate::{evacuation::EvacuationOrders, macros::value_type},
     indexmap::{IndexMap, IndexSet},
     std::sync::Arc,
     thiserror::Error,
@@ -48,6 +48,9 @@
         /// What not every head has; of organisations, those that are new or changed.
         #[serde(default, rename = "is_behind", skip_serializing_if = "HeadTail::is_empty")]
         pub tail: HeadTail,
+        /// Evacuated data centres of the new head.
+        #[serde(default, skip_serializing_if = "EvacuationOrders::is_empty")]
+        pub evacuations: EvacuationOrders,
     }
 }
 
@@ -161,6 +164,7 @@
                 is_behind: head.tail.is_behind,
                 organisations: rows.organisations,
             },
+            evacuations: head.evacuations.clone(),
         }
     }
 
@@ -196,6 +200,7 @@
         head.changes.drain(..surplus);
         head.digest = self.digest;
         head.tail.is_behind = self.tail.is_behind;
+        head.evacuations.clone_from(&self.evacuations);
         head.check_digest()?;
         Ok(head)
     }
--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -9,6 +9,7 @@
     crate::{
         clock::TimePoint,
         codec::{self, CodecError},
+        evacuation::EvacuationOrders,
         macros::{key_type, value_type},
     },
     indexmap::IndexMap,
@@ -225,6 +226,9 @@
         /// What not every head has. Last and left out if empty: a head without it keeps its encoding and its digest.
         #[serde(default, rename = "is_behind", skip_serializing_if = "HeadTail::is_empty")]
         pub tail: HeadTail,
+        /// Evacuated data centres. Left out if there are none; a head with some is sent with field names.
+        #[serde(default, skip_serializing_if = "EvacuationOrders::is_empty")]
+        pub evacuations: EvacuationOrders,
     }
 }
 
@@ -340,6 +344,7 @@
         content.pools.sort_keys();
         content.moves.sort_keys();
         content.tail.organisations.sort_keys();
+        content.evacuations.sort();
         Ok(xxh3_64(&codec::encode(&content)?))
     }
 
--- a/src/config/organisation.rs
+++ b/src/config/organisation.rs
@@ -7,7 +7,7 @@
     serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _},
     sha2::{Digest as _, Sha256},
     std::{
-        fmt::{Debug, Display, Formatter},
+        fmt::{Debug, Display, Formatter, Write},
         str::FromStr,
         sync::Arc,
     },
@@ -152,5 +152,9 @@
 }
 
 fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        // Writing to a string can't fail.
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
 }
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -126,6 +126,8 @@
     ended_connections: Family<EndLabels, Counter>,
     /// Bodies of requests and answers that were not transferred to their end, by listener and cause.
     broken_transfers: Family<EndLabels, Counter>,
+    /// Large bodies that proxies offered to this gate, by what became of them.
+    offered_bodies: Family<KindLabels, Counter>,
     /// Answers of targets that were passed on to callers, by status.
     answers: Family<StatusLabels, Counter>,
     /// Open connections of calls, by whose they are.
@@ -156,12 +158,20 @@
     pub members: Gauge,
     /// Unannounced ends of the target beside this daemon.
     pub target_ends: Counter,
+    /// Times at which the target beside this daemon turned cold, so that its calls were paced.
+    pub cold_spells: Counter,
+    /// Whether the daemon's data centre is evacuated: 1 if so.
+    pub is_evacuated: Gauge,
     /// Requests that were held back.
     pub held_requests: Counter,
     /// Requests that ran well here after several targets had ended under them.
     pub cleared_requests: Counter,
     /// Retries sent.
     pub retries: Counter,
+    /// Calls that the target beside this daemon made in runs of its own.
+    pub nested_calls: Counter,
+    /// Calls for which no target was expected to answer in time.
+    pub calls_without_room: Counter,
     /// Latency of answered calls by pool, in seconds.
     latency: Family<PoolLabels, Histogram, fn() -> Histogram>,
 }
@@ -177,6 +187,7 @@
             refusals: Family::default(),
             ended_connections: Family::default(),
             broken_transfers: Family::default(),
+            offered_bodies: Family::default(),
             answers: Family::default(),
             open_connections: Family::default(),
             held_connections: Family::default(),
@@ -192,9 +203,13 @@
             version: Gauge::default(),
             members: Gauge::default(),
             target_ends: Counter::default(),
+            cold_spells: Counter::default(),
+            is_evacuated: Gauge::default(),
             held_requests: Counter::default(),
             cleared_requests: Counter::default(),
             retries: Counter::default(),
+            nested_calls: Counter::default(),
+            calls_without_room: Counter::default(),
             latency: Family::new_with_constructor(latency_histogram),
         };
         registry.register(
@@ -212,11 +227,7 @@
             "Connections that this process ended without an answer, by listener and cause",
             metrics.ended_connections.clone(),
         );
-        registry.register(
-            "broken_transfers",
-            "Bodies that were not transferred to their end, by listener and cause",
-            metrics.broken_transfers.clone(),
-        );
+        register_transfers(&mut registry, &metrics);
         registry.register(
             "answers",
             "Answers of targets that were passed on to callers, by status",
@@ -252,7 +263,7 @@
         );
         register_quarantine(&mut registry, &metrics);
         registry.register("members", "Daemons present", metrics.members.clone());
-        registry.register("retries", "Retries sent", metrics.retries.clone());
+        register_load(&mut registry, &metrics);
         registry.register(
             "call_seconds",
             "Time of answered calls by pool",
@@ -263,8 +274,47 @@
     }
 }
 
-/// Registers the metrics of requests that end targets.
+/// Registers the metrics of bodies.
+fn register_transfers(registry: &mut Registry, metrics: &DaemonMetrics) {
+    registry.register(
+        "broken_transfers",
+        "Bodies that were not transferred to their end, by listener and cause",
+        metrics.broken_transfers.clone(),
+    );
+    registry.register(
+        "offered_bodies",
+        "Large bodies offered to this gate: received, refused, expired before their turn, or broken off",
+        metrics.offered_bodies.clone(),
+    );
+}
+
+/// Registers the metrics of calls under load.
+fn register_load(registry: &mut Registry, metrics: &DaemonMetrics) {
+    registry.register("retries", "Retries sent", metrics.retries.clone());
+    registry.register(
+        "nested_calls",
+        "Calls that the target made in runs of its own",
+        metrics.nested_calls.clone(),
+    );
+    registry.register(
+        "calls_without_room",
+        "Calls for which no target was expected to answer in time",
+        metrics.calls_without_room.clone(),
+    );
+}
+
+/// Registers the metrics of the target beside this daemon and of requests that end targets.
 fn register_quarantine(registry: &mut Registry, metrics: &DaemonMetrics) {
+    registry.register(
+        "cold_spells",
+        "Times at which the target beside this daemon turned cold, so that its calls were paced",
+        metrics.cold_spells.clone(),
+    );
+    registry.register(
+        "is_evacuated",
+        "Whether the data centre of this daemon is evacuated",
+        metrics.is_evacuated.clone(),
+    );
     registry.register(
         "target_ends",
         "Unannounced ends of the target beside this daemon",
@@ -363,6 +413,11 @@
             .inc();
     }
 
+    /// Counts a body that was offered to this gate, by what became of it.
+    pub fn count_offered_body(&self, kind: &'static str) {
+        self.offered_bodies.get_or_create(&KindLabels { kind }).inc();
+    }
+
     /// Counts a target's answer that is passed on to the caller.
     pub fn count_status(&self, status: StatusCode) {
         let labels = StatusLabels {
--- a/src/daemon/traffic/hop.rs
+++ b/src/daemon/traffic/hop.rs
@@ -66,6 +66,8 @@
     pub organisation: Option<Arc<str>>,
     /// Digest of that key.
     pub key: Option<KeyDigest>,
+    /// Whether a target makes the call in a run of its own.
+    pub is_nested: bool,
 }
 
 impl HopCall {
@@ -94,6 +96,9 @@
         if let Some(key) = &self.key {
             let _ = write!(text, " key={key}");
         }
+        if self.is_nested {
+            text.push_str(" nested=1");
+        }
         headers.insert(header::HOP, header_value(&text));
     }
 
@@ -116,6 +121,7 @@
             fingerprints: None,
             organisation: None,
             key: None,
+            is_nested: false,
         };
         // Earlier versions send fewer words.
         if let Some(word) = next() {
@@ -125,6 +131,7 @@
             match word.split_once('=') {
                 Some(("organisation", name)) => call.organisation = Some(decode_word(name)?),
                 Some(("key", digest)) => call.key = digest.parse().ok(),
+                Some(("nested", flag)) => call.is_nested = flag == "1",
                 // A word of a later version.
                 Some(_) => {}
                 None => call.fingerprints = word.parse().ok(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -39,7 +39,7 @@
 }
 
 /// Settings of the section `[daemon]`, with those of the target.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct DaemonSettings {
     /// File that the settings were read from; `None` if they were parsed from text.
     pub file: Option<PathBuf>,
@@ -82,10 +82,16 @@
     /// Time from the acceptance of a configuration without a key until no call runs under that key at any daemon, in
     /// milliseconds; 0 for as soon as each daemon has it.
     pub revoke_ms: u64,
+    /// Calls that a cold target may get, in percent of those that it bears; `None` if they are not limited.
+    pub cold_overshoot_percent: Option<u32>,
     /// Time that callers have to move away from a daemon that stops, in milliseconds.
     pub leave_ms: u64,
     /// Maximum time of a drain, in milliseconds; the process exits then even if calls are still in flight.
     pub drain_limit_ms: u64,
+    /// Rate of the VM's link, in megabits per second; `None` if it is not known.
+    pub link_mbps: Option<f64>,
+    /// Memory of the VM, in MiB; `None` if it is not known.
+    pub memory_mb: Option<f64>,
     /// The target beside the daemon.
     pub target: TargetSettings,
 }
@@ -186,8 +192,11 @@
         extra_retries: take_extra_retries(section, faults),
         quarantine_ms: take_number(section, "quarantine_ms", (0, 3_600_000), 30_000, faults),
         revoke_ms: take_number(section, "revoke_ms", (0, 3_600_000), 0, faults),
+        cold_overshoot_percent: take_cold_overshoot(section, faults),
         leave_ms: take_number(section, "leave_ms", (0, 3_600_000), 1_000, faults),
         drain_limit_ms: take_drain_limit(section, faults),
+        link_mbps: take_quantity(section, "link_mbps", faults),
+        memory_mb: take_quantity(section, "memory_mb", faults),
         target,
     }
 }
@@ -215,6 +224,19 @@
     target
 }
 
+/// Reads a property of the VM, which may have a fraction. It is unknown if the key is missing or empty.
+fn take_quantity(section: &mut IniSection, key: &str, faults: &mut Vec<ParseFault>) -> Option<f64> {
+    let remedy = "write a number from 0.001 to 1000000, or nothing if it is not known";
+    let quantity = section.take_parsed(key, remedy, faults, |text| {
+        if text.is_empty() {
+            return Some(None);
+        }
+        let quantity = text.parse().ok()?;
+        (0.001..=1e6).contains(&quantity).then_some(Some(quantity))
+    });
+    quantity.flatten()
+}
+
 fn take_number(
     section: &mut IniSection,
     key: &str,
@@ -243,6 +265,21 @@
     number.unwrap_or(DEFAULT_EXTRA_RETRIES)
 }
 
+/// Reads the `cold_overshoot` key: a factor, or nothing if a deployment sets none.
+fn take_cold_overshoot(section: &mut IniSection, faults: &mut Vec<ParseFault>) -> Option<u32> {
+    let remedy = "write a factor from 0.1 to 100, or nothing";
+    let percent = section.take_parsed("cold_overshoot", remedy, faults, |text| match text {
+        "" => Some(None),
+        text => {
+            let factor: f64 = text.parse().ok()?;
+            (0.1..=100.0)
+                .contains(&factor)
+                .then_some(Some((factor * 100.0) as u32))
+        }
+    });
+    percent.flatten()
+}
+
 /// Reads the time limit of a drain, in milliseconds: from `drain_limit_s`, which may have a fraction, or `drain_limit_ms`.
 fn take_drain_limit(section: &mut IniSection, faults: &mut Vec<ParseFault>) -> u64 {
     if !section.has("drain_limit_s") {
--- a/tests/quota_model.rs
+++ b/tests/quota_model.rs
@@ -91,7 +91,7 @@
 const CUT_MS: Range<u64> = 6_000..10_000;
 
 fn is_far(number: usize) -> bool {
-    number % 3 == 0
+    number.is_multiple_of(3)
 }
 
 fn name(number: usize) -> Arc<str> {
