Quotas are charged at proxies, with tokens that owners grant

Cause: the decisions on quotas were not wired to calls, so an organisation could make any number of calls. Change: organisations fall into eight groups, each with an owner by rank among the daemons that answer. Asks and answers are datagrams between control threads. A call without a token waits for the owner's answer for 250 ms at most; over the quota it gets 429 with the time when there is room, and 503 where no owner answers. A call that did not run gives its token back.

--- a/src/call/outcome.rs
+++ b/src/call/outcome.rs
@@ -80,6 +80,10 @@
         UnknownKey,
         /// Keys may have been removed of which this daemon has not heard.
         KeysUnconfirmed,
+        /// The caller's organisation is over its quota.
+        OverQuota,
+        /// The owner of the organisation's quota has not answered.
+        QuotaUnconfirmed,
     }
 }
 
@@ -104,6 +108,8 @@
             Self::Quarantined => "quarantined",
             Self::UnknownKey => "unknown-key",
             Self::KeysUnconfirmed => "keys-unconfirmed",
+            Self::OverQuota => "over-quota",
+            Self::QuotaUnconfirmed => "quota-unconfirmed",
         }
     }
 
@@ -136,6 +142,12 @@
             Self::KeysUnconfirmed => {
                 "this daemon has not heard for too long which keys are in force; try again or use another daemon"
             }
+            Self::OverQuota => {
+                "the organisation has made as many calls as it may; try again after the time in retry-after"
+            }
+            Self::QuotaUnconfirmed => {
+                "the daemon that grants calls of the organisation has not answered; try again"
+            }
             Self::Quarantined => {
                 "targets ended under this request, so it is held back; don't repeat it before the time in retry-after"
             }
--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -146,6 +146,8 @@
     pub evacuations: EvacuationOrders,
     /// Organisations by the digests of their keys.
     keys: HashMap<KeyDigest, Arc<CompiledOrganisation>>,
+    /// Quotas by organisation.
+    quotas: HashMap<Arc<str>, CallQuota>,
     /// Ranks of organisation and route that occur, most urgent first; empty without organisations.
     ranks: Vec<(u8, u8)>,
     /// Whether there are organisations, so that callers have to show a key.
@@ -183,6 +185,8 @@
                 priority: row.entry.priority,
                 quota: row.entry.quota,
             });
+            let quota = row.entry.quota.map(|quota| (Arc::clone(name), quota));
+            table.quotas.extend(quota);
             let keys = row.entry.keys.iter();
             table
                 .keys
@@ -287,6 +291,16 @@
         self.keys.get(key)
     }
 
+    /// Returns how many calls an organisation may make; `None` for any number.
+    pub fn quota(&self, organisation: &str) -> Option<CallQuota> {
+        self.quotas.get(organisation).copied()
+    }
+
+    /// Returns whether an organisation has a quota.
+    pub fn has_quotas(&self) -> bool {
+        !self.quotas.is_empty()
+    }
+
     /// Returns every route.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<CompiledRoute>> {
         self.hosts.values().flat_map(HashMap::values).flatten()
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod members;
 mod quarantine;
+mod quotas;
 mod reloading;
 mod target;
 
@@ -241,8 +242,11 @@
         match event {
             ControlEvent::Datagram { from, message } => {
                 self.ring.observe(message.stamp, now);
-                if let ProbeKind::Quarantine(notice) = &message.body.kind {
-                    self.receive_notice(from, notice, now);
+                match &message.body.kind {
+                    ProbeKind::Quarantine(notice) => self.receive_notice(from, notice, now),
+                    ProbeKind::QuotaAsk { group, ask } => self.answer_quota_ask(from, *group, ask, now),
+                    ProbeKind::QuotaAnswer { group, answer } => self.take_tokens(*group, answer, now),
+                    _ => {}
                 }
                 self.members.set_newest_version(self.spread.newest_version());
                 let effects = self.members.receive(from, message.body, now);
@@ -297,6 +301,7 @@
                 self.shared.gate.lock().state.cold().record_uncertain(now);
                 self.finish_target_probe(false, now);
             }
+            ControlEvent::Traffic(TrafficEvent::TokensWanted) => self.tick_quotas(now),
             ControlEvent::Query(query) => self.answer_query(query, now),
             ControlEvent::Drain => self.start_drain(now),
             ControlEvent::Reload => self.reload(now),
@@ -329,6 +334,7 @@
         self.tick_target(now);
         self.tick_departures(now);
         self.tick_quarantine(now);
+        self.tick_quotas(now);
         self.moves.tick(MoveContext {
             members: &self.members,
             store: &mut *self.store,
--- a/src/daemon/control/quarantine.rs
+++ b/src/daemon/control/quarantine.rs
@@ -105,7 +105,7 @@
         }
     }
 
-    fn send_plain(&mut self, to: SocketAddr, kind: ProbeKind, now: TimePoint) {
+    pub(super) fn send_plain(&mut self, to: SocketAddr, kind: ProbeKind, now: TimePoint) {
         let message = self.members.message(kind);
         self.send_datagram(to, message, now);
     }
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -172,6 +172,8 @@
     pub nested_calls: Counter,
     /// Calls for which no target was expected to answer in time.
     pub calls_without_room: Counter,
+    /// Calls refused as their organisation was over its quota.
+    pub calls_over_quota: Counter,
     /// Latency of answered calls by pool, in seconds.
     latency: Family<PoolLabels, Histogram, fn() -> Histogram>,
 }
@@ -210,6 +212,7 @@
             retries: Counter::default(),
             nested_calls: Counter::default(),
             calls_without_room: Counter::default(),
+            calls_over_quota: Counter::default(),
             latency: Family::new_with_constructor(latency_histogram),
         };
         registry.register(
@@ -301,6 +304,11 @@
         "Calls for which no target was expected to answer in time",
         metrics.calls_without_room.clone(),
     );
+    registry.register(
+        "calls_over_quota",
+        "Calls refused as their organisation was over its quota",
+        metrics.calls_over_quota.clone(),
+    );
 }
 
 /// Registers the metrics of the target beside this daemon and of requests that end targets.
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -22,6 +22,7 @@
         http::{CLIENT_TIMEOUTS, ClientTimeouts, HeadLimits, REPEATABLE_IDLE_TIMEOUT, bind, serve_within},
         intake::IntakeLimits,
         member::ProbeMessage,
+        organisations::QuotaDesk,
         quarantine::QuarantineState,
         settings::DaemonSettings,
         socket_budget::{SocketBudget, SocketKind, SocketShare},
@@ -193,6 +194,7 @@
     let intake_limits = IntakeLimits::new(settings.link_mbps, settings.memory_mb);
     let started_at = clock.now();
     let quarantine = QuarantineState::new(Arc::clone(&settings.name), started_at.0, settings.quarantine_ms);
+    let quotas = QuotaDesk::new(&settings.name, started_at);
     SharedState {
         settings: Arc::new(settings),
         started_at,
@@ -215,6 +217,8 @@
         sockets: Arc::new(SocketBudget::of_process(metrics.socket_counters())),
         quarantine: Mutex::new(quarantine),
         turn_ended: Notify::new(),
+        quotas: Mutex::new(quotas),
+        tokens_changed: Notify::new(),
         metrics,
         refusal_lines: RefusalLines::default(),
         active_calls: AtomicUsize::new(0),
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -11,6 +11,7 @@
         gate::{DequeueOutcome, GateRefusal, GateState, TicketId},
         intake::{IntakeId, IntakeLimits, IntakeState},
         moves::{Clearance, GateLease},
+        organisations::QuotaDesk,
         quarantine::{QuarantineNotice, QuarantineState},
         settings::DaemonSettings,
         socket_budget::SocketBudget,
@@ -184,6 +185,8 @@
     },
     /// The target beside this daemon refuses connections.
     TargetRefuses,
+    /// A call waits for a token of its organisation.
+    TokensWanted,
     /// There is news about requests that end targets.
     Quarantine(QuarantineNotice),
 }
@@ -238,6 +241,10 @@
     pub quarantine: Mutex<QuarantineState>,
     /// Notified when a suspect may have its turn at this daemon's target.
     pub turn_ended: Notify,
+    /// Quotas of organisations.
+    pub quotas: Mutex<QuotaDesk>,
+    /// Notified when there may be tokens for calls that wait.
+    pub tokens_changed: Notify,
     /// Metrics of the daemon.
     pub metrics: DaemonMetrics,
     /// File descriptors for connections of calls.
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -4,6 +4,7 @@
 mod choosing;
 mod identity;
 mod logging;
+mod quota;
 
 use {
     self::{
@@ -123,6 +124,8 @@
     is_nested: bool,
     /// Whether that target was running nothing when the call came.
     came_idle: bool,
+    /// When the organisation may call again, if it is over its quota.
+    room_at: TimePoint,
 }
 
 /// Answer that may be returned to the caller.
@@ -203,7 +206,7 @@
             progress,
         };
         call.fingerprints = Some(fingerprints(&request, &call.route.name));
-        match self.run_plan(&mut request, &mut call).await {
+        match self.run_charged(&mut request, &mut call).await {
             Ok(answer) => self.respond(answer, &call, (active, end), res),
             Err(refusal) => {
                 let refusal = match request.progress.fault() {
@@ -224,6 +227,22 @@
         }
     }
 
+    /// Runs the attempts of a call that its organisation may make.
+    async fn run_charged(
+        &self,
+        request: &mut ForwardedRequest,
+        call: &mut RoutedCall,
+    ) -> Result<ReceivedAnswer, CallRefusal> {
+        let token = self.charge(call).await?;
+        let result = self.run_plan(request, call).await;
+        if let (Some(token), Err(refusal)) = (&token, &result)
+            && refusal.outcome == CallOutcome::NotRun
+        {
+            self.give_back(token);
+        }
+        result
+    }
+
     fn body_limit(&self, snapshot: &TrafficSnapshot) -> u64 {
         let configured = snapshot.table.as_ref().and_then(|table| table.limits.body_bytes);
         configured.unwrap_or(self.shared.settings.max_body_bytes)
@@ -295,6 +314,7 @@
             is_held_back: false,
             is_nested,
             came_idle,
+            room_at: TimePoint::default(),
         })
     }
 
@@ -547,8 +567,10 @@
             RefusalReason::NoConfiguration
             | RefusalReason::StaleTable
             | RefusalReason::KeysUnconfirmed
+            | RefusalReason::QuotaUnconfirmed
             | RefusalReason::NoTarget
             | RefusalReason::Leaving => RETRY_AFTER_UNREADY_MS,
+            RefusalReason::OverQuota => self.quota_room_ms(call),
             RefusalReason::Quarantined => self.held_ms(call).max(RETRY_AFTER_HELD_MS),
             RefusalReason::Refused => call.map_or(RETRY_AFTER_MS, |call| self.retry_after_ms(call)),
             _ => RETRY_AFTER_MS,
--- a/src/daemon/traffic/relay.rs
+++ b/src/daemon/traffic/relay.rs
@@ -139,6 +139,7 @@
         (_, RefusalReason::NoRoute) => StatusCode::NOT_FOUND,
         (_, RefusalReason::WrongMethod) => StatusCode::METHOD_NOT_ALLOWED,
         (_, RefusalReason::UnknownKey) => StatusCode::UNAUTHORIZED,
+        (_, RefusalReason::OverQuota) => StatusCode::TOO_MANY_REQUESTS,
         (_, RefusalReason::BadRequest) => StatusCode::BAD_REQUEST,
         (_, RefusalReason::UnknownCoding) => StatusCode::NOT_IMPLEMENTED,
         (_, RefusalReason::BodyTooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
--- a/src/member/message.rs
+++ b/src/member/message.rs
@@ -2,7 +2,11 @@
 
 use {
     super::{confirmation::KnownVersion, record::MemberRecord},
-    crate::{macros::value_type, quarantine::QuarantineNotice},
+    crate::{
+        macros::value_type,
+        organisations::{QuotaAnswer, QuotaAsk},
+        quarantine::QuarantineNotice,
+    },
     std::{net::SocketAddr, sync::Arc},
 };
 
@@ -45,6 +49,20 @@
         },
         /// News about requests that end targets; not acknowledged. A process that does not know this kind drops the datagram.
         Quarantine(QuarantineNotice),
+        /// Asks the owner of quotas for tokens. A process that does not know this kind drops the datagram.
+        QuotaAsk {
+            /// Group of organisations.
+            group: u8,
+            /// The ask.
+            ask: QuotaAsk,
+        },
+        /// Answers an ask for tokens.
+        QuotaAnswer {
+            /// Group of organisations.
+            group: u8,
+            /// The answer.
+            answer: QuotaAnswer,
+        },
     }
 }
 
@@ -59,6 +77,8 @@
             Self::Inquiry { .. } => "inquiry",
             Self::Confirmation { .. } => "confirmation",
             Self::Quarantine(_) => "quarantine",
+            Self::QuotaAsk { .. } => "quota-ask",
+            Self::QuotaAnswer { .. } => "quota-answer",
         }
     }
 }
--- a/src/member/state/mod.rs
+++ b/src/member/state/mod.rs
@@ -259,7 +259,10 @@
             ProbeKind::Ping { seq } => self.answer_ping(from, seq),
             ProbeKind::Ack { seq } => self.finish_probe(seq),
             ProbeKind::PingRequest { seq, address, .. } => self.relay_probe(from, seq, address, now),
-            ProbeKind::Notice | ProbeKind::Quarantine(_) => {}
+            ProbeKind::Notice
+            | ProbeKind::Quarantine(_)
+            | ProbeKind::QuotaAsk { .. }
+            | ProbeKind::QuotaAnswer { .. } => {}
             ProbeKind::Inquiry { seq } => self.answer_inquiry(from, seq, now),
             ProbeKind::Confirmation { seq, known } => self.finish_inquiry(from, seq, &known, now),
         }
--- a/src/organisations/mod.rs
+++ b/src/organisations/mod.rs
@@ -1,10 +1,12 @@
 //! Quotas of organisations over all daemons: an owner grants tokens that each daemon spends by itself. Without I/O.
 
+mod desk;
 mod holder;
 mod message;
 mod owner;
 
 pub use {
+    desk::QuotaDesk,
     holder::{QuotaDecision, TokenHolder},
     message::{QuotaAnswer, QuotaAsk, TokenAsk, TokenGrant},
     owner::TokenOwner,
