--- a/src/cmd/evacuate.rs
+++ b/src/cmd/evacuate.rs
@@ -18,7 +18,7 @@
     let data_centre: Arc<str> = name.display().to_string().into();
     let head = read_head(&options.store()?).await?;
     let is_back = options.back;
-    if head.evacuations.contains(&data_centre) != is_back {
+    if head.tail.evacuations.contains(&data_centre) != is_back {
         let state = if is_back {
             "is not evacuated"
         } else {
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -168,7 +168,7 @@
     pub cleared_requests: Counter,
     /// Retries sent.
     pub retries: Counter,
-    /// Calls that the target beside this daemon made in runs of its own.
+    /// Calls at this gate that targets made in runs of theirs.
     pub nested_calls: Counter,
     /// Calls for which no target was expected to answer in time.
     pub calls_without_room: Counter,
@@ -293,7 +293,7 @@
     registry.register("retries", "Retries sent", metrics.retries.clone());
     registry.register(
         "nested_calls",
-        "Calls that the target made in runs of its own",
+        "Calls at this gate that targets made in their runs",
         metrics.nested_calls.clone(),
     );
     registry.register(
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -28,7 +28,7 @@
     },
     envelope::{
         ControlReply, ControlRequest, Envelope, EnvelopeError, PROTOCOL_VERSION, decode_envelope,
-        encode_envelope, encode_reply,
+        encode_envelope,
     },
     freshness::TableFreshness,
     leave_schedule::LeaveSchedule,
@@ -38,6 +38,7 @@
     run::{RunError, run},
     snapshot::TrafficSnapshot,
     traffic::{
-        AnswerVerdict, CallContext, CallDialect, CallOptions, NotANumber, OwnDialect, header, parse_time_left,
+        AnswerVerdict, CallContext, CallDialect, CallOptions, CallerKey, NotANumber, OwnDialect, header,
+        parse_time_left,
     },
 };
--- a/src/daemon/operators.rs
+++ b/src/daemon/operators.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        envelope::{ControlRequest, decode_envelope, encode_reply},
+        envelope::{ControlRequest, decode_envelope, encode_envelope},
         metrics::ControlLabels,
         shared::SharedState,
         tasks::{ControlEvent, OperatorQuery},
@@ -213,7 +213,7 @@
             return;
         };
         let kind = reply.as_str();
-        match encode_reply(&self.shared.settings.mesh, stamp, reply) {
+        match encode_envelope(&self.shared.settings.mesh, stamp, reply) {
             Ok(bytes) => {
                 self.count("sent", kind, bytes.len());
                 answer(res, "application/msgpack", bytes);
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -16,6 +16,7 @@
         socket_budget::SocketBudget,
     },
     arc_swap::ArcSwap,
+    indexmap::IndexSet,
     parking_lot::Mutex,
     salvo::http::StatusCode,
     std::{
@@ -225,6 +226,8 @@
     pub body_room: Arc<Semaphore>,
     /// Load and failures of targets, by which this proxy selects the target of a call.
     pub selector: Mutex<TargetSelector>,
+    /// Routes that targets call in their runs, as gates reported them.
+    pub nested_routes: Mutex<IndexSet<Arc<str>>>,
     /// Retry budgets by pool.
     pub budget: Mutex<PoolBudgets>,
     /// Outcomes of calls at this daemon's gate.
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -1,18 +1,24 @@
 //! The gate beside each target. All calls to the target pass through it, so it has the exact outcome of each.
 
 mod arrival;
+mod brake;
 mod cold;
 mod forecast;
 mod nested;
+mod outcome;
+mod pace;
 mod refusal;
 mod run_times;
 mod state;
 
 pub use {
     arrival::GateArrival,
+    brake::RunBrake,
     cold::ColdPacer,
-    nested::{NestedRoutes, NestedVerdict},
+    nested::NestedRoutes,
+    outcome::{DequeueOutcome, GateAdmission, TicketId},
+    pace::TargetPace,
     refusal::GateRefusal,
     run_times::RunTimes,
-    state::{DequeueOutcome, GateAdmission, GateState, TicketId},
+    state::GateState,
 };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -81,6 +81,9 @@
     pub quarantine_ms: u64,
     /// Calls that a cold target may get, in percent of those that it bears; `None` if they are not limited.
     pub cold_overshoot_percent: Option<u32>,
+    /// Time from the acceptance of a configuration without a key until no call runs under that key at any daemon, in
+    /// milliseconds; 0 for as soon as each daemon has it.
+    pub revoke_ms: u64,
     /// Time that callers have to move away from a daemon that stops, in milliseconds.
     pub leave_ms: u64,
     /// Maximum time of a drain, in milliseconds; the process exits then even if calls are still in flight.
@@ -189,6 +192,7 @@
         extra_retries: take_extra_retries(section, faults),
         quarantine_ms: take_number(section, "quarantine_ms", (0, 3_600_000), 30_000, faults),
         cold_overshoot_percent: take_cold_overshoot(section, faults),
+        revoke_ms: take_number(section, "revoke_ms", (0, 3_600_000), 0, faults),
         leave_ms: take_number(section, "leave_ms", (0, 3_600_000), 1_000, faults),
         drain_limit_ms: take_drain_limit(section, faults),
         link_mbps: take_quantity(section, "link_mbps", faults),
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -5,9 +5,10 @@
         clock::TimePoint,
         codec,
         config::{
-            CompiledTable, ConfigHead, EditError, EditRequest, HeadDelta, HeadEdit, TableEdit, apply_edit,
+            CompiledTable, ConfigHead, EditError, EditRequest, HeadDelta, HeadEdit, HeadTail, TableEdit,
+            apply_edit,
         },
-        daemon::{ControlReply, TrafficSnapshot, decode_envelope, encode_reply},
+        daemon::{ControlReply, TrafficSnapshot, decode_envelope, encode_envelope},
         evacuation::{EvacuationChange, EvacuationEdit, EvacuationOrders},
         gate::{DequeueOutcome, GateArrival, GateRefusal, GateState},
         member::{MemberRecord, MemberStatus, TargetRecord, TargetStatus},
@@ -26,7 +27,10 @@
     }
     let head = ConfigHead {
         version,
-        evacuations,
+        tail: HeadTail {
+            evacuations,
+            ..HeadTail::default()
+        },
         ..ConfigHead::default()
     };
     head.with_digest().unwrap()
@@ -56,7 +60,7 @@
 #[test]
 fn edits_evacuate_and_take_back() {
     let evacuated = edited(&head(1, &[]), &request("fra-2", false));
-    assert!(evacuated.evacuations.contains("fra-2"));
+    assert!(evacuated.tail.evacuations.contains("fra-2"));
     let repeated = EditRequest {
         change_id: "again".into(),
         ..request("fra-2", false)
@@ -66,7 +70,7 @@
         EditError::NothingChanged
     );
     let back = edited(&evacuated, &request("fra-2", true));
-    assert!(back.evacuations.is_empty());
+    assert!(back.tail.evacuations.is_empty());
     assert_eq!((evacuated.version, back.version), (2, 3));
 }
 
@@ -92,7 +96,7 @@
     let mesh = Arc::from("mesh");
     for reply in replies {
         let reply = ControlReply::Config(reply);
-        let bytes = encode_reply(&mesh, HybridStamp::default(), reply.clone()).unwrap();
+        let bytes = encode_envelope(&mesh, HybridStamp::default(), reply.clone()).unwrap();
         assert_eq!(
             decode_envelope::<ControlReply>(&mesh, &bytes).unwrap().body,
             reply
@@ -109,8 +113,8 @@
 
 #[test]
 fn changes_between_two_lists_are_told_apart() {
-    let former = head(1, &["a", "b"]).evacuations;
-    let mut latest = head(1, &["a"]).evacuations;
+    let former = head(1, &["a", "b"]).tail.evacuations;
+    let mut latest = head(1, &["a"]).tail.evacuations;
     latest.order(&Arc::from("c"), 2);
     let changes = latest.changes_since(&former);
     let expected = [
