--- a/src/organisations/owner.rs
+++ b/src/organisations/owner.rs
@@ -195,7 +195,8 @@
             .entry(Arc::clone(&tokens.organisation))
             .or_insert(TokenBucket {
                 level: 0.0,
-                refilled_at: now,
+                // Support counts from when it began, so an organisation's first call finds tokens.
+                refilled_at: self.life,
             });
         let supports = self.sessions.values().filter_map(|session| session.support);
         let (mut supported_ms, mut supporters) = (0, 0);
