--- a/tests/quota_desk.rs
+++ b/tests/quota_desk.rs
@@ -13,12 +13,10 @@
 /// Time between two ticks of the control thread, in milliseconds.
 const TICK_MS: u64 = 50;
 
-fn quota(_: &str) -> Option<CallQuota> {
-    Some(CallQuota {
-        rate_per_s: 50.0,
-        burst: 10.0,
-    })
-}
+const QUOTA: CallQuota = CallQuota {
+    rate_per_s: 50.0,
+    burst: 10.0,
+};
 
 /// Two daemons, of which `alive` answer asks.
 struct DeskPair {
@@ -52,7 +50,8 @@
                 let at = self.desks.iter().position(|(name, _)| *name == owner).unwrap();
                 let is_alive = self.alive.contains(&*owner);
                 asked.insert(owner);
-                let answer = is_alive.then(|| self.desks[at].1.answer(group, &ask, 2, quota, self.now));
+                let answer =
+                    is_alive.then(|| self.desks[at].1.answer(group, &ask, 2, |_| Some(QUOTA), self.now));
                 if let Some(answer) = answer.flatten() {
                     self.desks[from].1.receive(group, &answer, self.now);
                 }
