Nested calls go first only beside targets that state how slow their VM is

Change: a gate calls a route nested only if its target states its speed, so deployments without such targets are served as before.

--- a/src/gate/pace.rs
+++ b/src/gate/pace.rs
@@ -39,6 +39,11 @@
         self.slowdown
     }
 
+    /// Returns whether the target has stated anything, as those do whose VMs are shared with others.
+    pub fn is_stated(&self) -> bool {
+        self.stated_at > TimePoint::default()
+    }
+
     /// Returns the factor by which runs take longer now than they took on average. It fades to 1.
     pub fn factor(&self, now: TimePoint) -> f64 {
         let weight = (1.0 - now.ms_since(self.stated_at) as f64 / SLOWDOWN_TTL_MS).max(0.0);
--- a/src/gate/state.rs
+++ b/src/gate/state.rs
@@ -337,7 +337,8 @@
     /// Records a call that came from beside a service, and returns whether targets of it make the calls of this route.
     /// `came_idle` is set if its target was running nothing.
     pub fn record_call(&mut self, route: &Arc<str>, service: &Arc<str>, came_idle: bool) -> bool {
-        self.nested_routes.record_call(route, service, came_idle)
+        let is_nested = self.nested_routes.record_call(route, service, came_idle);
+        is_nested && self.pace.is_stated()
     }
 
     /// Removes a queued call whose caller went away. Returns whether it was still queued.
