A newer version that is known is told from a table that nothing confirms

Callers were served by an older table, and no log or metric said whether the daemon knew of the newer one. Requests that are answered have no line, and version-overdue tells the start of an episode and not its end.

Each change of what is known of the table has a line, table-standing, so the state at the time of any call can be read from the log. A counter has the calls that were answered meanwhile, a gauge and a row of 'fuchsiashore status' show the state. Decisions are unchanged.

--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -7,7 +7,7 @@
         options::OperatorOptions,
     },
     crate::{
-        daemon::DaemonStatus,
+        daemon::{DaemonStatus, TableStanding},
         quarantine::{RequestFingerprint, SuspectRecord},
     },
     std::collections::BTreeMap,
@@ -48,6 +48,9 @@
             if status.is_store_up { "up" } else { "down" },
         );
     }
+    for line in statuses.iter().filter_map(standing_line) {
+        println!("{line}");
+    }
     for line in evacuation_lines(&statuses) {
         println!("{line}");
     }
@@ -60,6 +63,21 @@
     Ok(())
 }
 
+/// Describes a daemon whose table is not known to be the newest one.
+fn standing_line(status: &DaemonStatus) -> Option<String> {
+    let (name, version, seconds) = (&status.name, status.version, status.standing_ms as f64 / 1e3);
+    match status.standing? {
+        TableStanding::Current => None,
+        TableStanding::NewerKnown => Some(format!(
+            "{name} has version {version} and has known of {} for {seconds:.1} s",
+            status.newest
+        )),
+        TableStanding::Unconfirmed => Some(format!(
+            "{name} has version {version}, which nothing has confirmed for {seconds:.1} s"
+        )),
+    }
+}
+
 /// Describes the evacuated data centres, each once, with the number of daemons that know of it.
 fn evacuation_lines(statuses: &[DaemonStatus]) -> Vec<String> {
     let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -8,6 +8,7 @@
         daemon::{
             edges::StoreReading,
             envelope::{ControlReply, ControlRequest},
+            freshness::TableStanding,
             seeds::select_seeds,
             snapshot::TrafficSnapshot,
             tasks::ControlEvent,
@@ -312,6 +313,32 @@
             .publish(self.spread.newest_version(), confirmed_at, current_until);
     }
 
+    /// Logs when it changes what is known of the table in force.
+    pub(super) fn log_standing(&mut self, now: TimePoint) {
+        let version = self.spread.version();
+        let standing = self.shared.freshness.standing(version, now);
+        if standing == self.standing {
+            return;
+        }
+        let is_newer_known = standing == TableStanding::NewerKnown;
+        self.shared
+            .metrics
+            .is_newer_version_known
+            .set(i64::from(is_newer_known));
+        let (newest, age_ms) = (
+            self.spread.newest_version(),
+            now.ms_since(self.members.confirmed_at()),
+        );
+        log::info!(
+            "event=table-standing standing={} version={version} newest={newest} age_ms={age_ms} before={} lasted_ms={}",
+            standing.as_str(),
+            self.standing.as_str(),
+            now.ms_since(self.standing_since)
+        );
+        self.standing = standing;
+        self.standing_since = now;
+    }
+
     /// Publishes to the traffic threads until when the keys of the table in force may be used: no key can have been removed
     /// before the table was last known to be the newest one. A newer version that is not in force yet changes nothing, as it
     /// was accepted after that.
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -17,6 +17,7 @@
     self::{departures::HeldReply, quarantine::RepeatedNotice},
     super::{
         edges::{DaemonEdges, EdgeContext, StoreEdge},
+        freshness::TableStanding,
         move_runner::{MoveContext, MoveRunner},
         shared::{SharedState, TrafficEvent},
         tasks::{ControlClient, ControlEvent},
@@ -150,6 +151,10 @@
     /// Since when no accepted version may lack from the one in force.
     keys_confirmed_at: TimePoint,
     were_keys_confirmed: bool,
+    /// What was known of the table in force when it was looked at last.
+    standing: TableStanding,
+    /// Since when that has been so.
+    standing_since: TimePoint,
     /// Whether the published snapshot is outdated.
     is_snapshot_stale: bool,
     rng: SmallRng,
@@ -210,6 +215,8 @@
             had_taken_over: false,
             keys_confirmed_at: TimePoint::default(),
             were_keys_confirmed: false,
+            standing: TableStanding::Unconfirmed,
+            standing_since: now,
             is_snapshot_stale: true,
             rng,
             shared,
@@ -235,6 +242,7 @@
             self.publish_snapshot();
             self.publish_freshness();
             self.publish_keys(self.shared.now());
+            self.log_standing(self.shared.now());
         }
     }
 
--- a/src/daemon/freshness.rs
+++ b/src/daemon/freshness.rs
@@ -1,11 +1,34 @@
 //! Whether the table in force is known to be the newest one, so that "no route" can be told from "not here yet".
 
 use {
-    crate::clock::TimePoint,
+    crate::{clock::TimePoint, macros::key_type},
     parking_lot::Mutex,
     std::sync::atomic::{AtomicU64, Ordering},
 };
 
+key_type! {
+    /// What a daemon knows of its table.
+    pub enum TableStanding {
+        /// It was known to be the newest one a moment ago.
+        Current,
+        /// A newer version has been accepted and is not in force here.
+        NewerKnown,
+        /// Neither the store nor another daemon has confirmed it lately, so there may be a newer version.
+        Unconfirmed,
+    }
+}
+
+impl TableStanding {
+    /// Returns the word for logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Current => "current",
+            Self::NewerKnown => "newer-known",
+            Self::Unconfirmed => "unconfirmed",
+        }
+    }
+}
+
 /// Newest version that this daemon has heard of, and until when its knowledge counts as current. The control thread
 /// writes it, the traffic threads read it.
 #[derive(Debug, Default)]
@@ -49,6 +72,17 @@
         now.ms_since(TimePoint(self.confirmed_at.load(Ordering::Relaxed)))
     }
 
+    /// Returns what is known at `now` of the table of `version`.
+    pub fn standing(&self, version: u64, now: TimePoint) -> TableStanding {
+        if self.is_newest(version, now) {
+            TableStanding::Current
+        } else if version < self.newest_version() {
+            TableStanding::NewerKnown
+        } else {
+            TableStanding::Unconfirmed
+        }
+    }
+
     /// Returns whether `version` is the newest one at `now` as far as this daemon can know. If not, the accepted
     /// configuration may have routes and limits that this version lacks.
     pub fn is_newest(&self, version: u64, now: TimePoint) -> bool {
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         call::CallOutcome,
+        daemon::TableStanding,
         socket_budget::{SocketCounters, SocketKind},
     },
     parking_lot::Mutex,
@@ -154,6 +155,10 @@
     refused_values: Family<KindLabels, Counter>,
     /// Configuration version in force.
     pub version: Gauge,
+    /// Whether a newer version is known that is not in force: 1 if so.
+    pub is_newer_version_known: Gauge,
+    /// Calls answered by a table that was not known to be the newest one, by its standing.
+    calls_by_doubtful_table: Family<KindLabels, Counter>,
     /// Number of daemons present in the mesh.
     pub members: Gauge,
     /// Unannounced ends of the target beside this daemon.
@@ -203,6 +208,8 @@
             refused_offers: Counter::default(),
             refused_values: Family::default(),
             version: Gauge::default(),
+            is_newer_version_known: Gauge::default(),
+            calls_by_doubtful_table: Family::default(),
             members: Gauge::default(),
             target_ends: Counter::default(),
             cold_spells: Counter::default(),
@@ -259,11 +266,7 @@
             "Values of the store and announcements that can't be used",
             metrics.refused_values.clone(),
         );
-        registry.register(
-            "config_version",
-            "Configuration version in force",
-            metrics.version.clone(),
-        );
+        register_table(&mut registry, &metrics);
         register_quarantine(&mut registry, &metrics);
         registry.register("members", "Daemons present", metrics.members.clone());
         register_load(&mut registry, &metrics);
@@ -277,6 +280,25 @@
     }
 }
 
+/// Registers the metrics of the table in force.
+fn register_table(registry: &mut Registry, metrics: &DaemonMetrics) {
+    registry.register(
+        "config_version",
+        "Configuration version in force",
+        metrics.version.clone(),
+    );
+    registry.register(
+        "is_newer_version_known",
+        "Whether a newer version is known that is not in force here",
+        metrics.is_newer_version_known.clone(),
+    );
+    registry.register(
+        "calls_by_doubtful_table",
+        "Calls answered by a table that was not known to be the newest one, by what was known of it",
+        metrics.calls_by_doubtful_table.clone(),
+    );
+}
+
 /// Registers the metrics of bodies.
 fn register_transfers(registry: &mut Registry, metrics: &DaemonMetrics) {
     registry.register(
@@ -388,6 +410,16 @@
         self.count(route, pool, version, outcome);
     }
 
+    /// Counts an answered call if the table that it was routed by was not known to be the newest one.
+    pub fn count_standing(&self, standing: TableStanding) {
+        if standing != TableStanding::Current {
+            let kind = standing.as_str();
+            self.calls_by_doubtful_table
+                .get_or_create(&KindLabels { kind })
+                .inc();
+        }
+    }
+
     /// Counts a refused call.
     pub fn count_refusal(&self, route: &str, pool: &str, outcome: CallOutcome) {
         let outcome = match outcome {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -30,7 +30,7 @@
         ControlReply, ControlRequest, Envelope, EnvelopeError, PROTOCOL_VERSION, decode_envelope,
         encode_envelope,
     },
-    freshness::TableFreshness,
+    freshness::{TableFreshness, TableStanding},
     leave_schedule::LeaveSchedule,
     logs::start_logs,
     operators::{DaemonStatus, MoveStatus},
--- a/src/daemon/operators.rs
+++ b/src/daemon/operators.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         envelope::{ControlRequest, decode_envelope, encode_envelope},
+        freshness::TableStanding,
         metrics::ControlLabels,
         shared::SharedState,
         tasks::{ControlEvent, OperatorQuery},
@@ -52,6 +53,15 @@
         pub version: u64,
         /// Lowest version that the daemon may apply.
         pub floor: u64,
+        /// Newest version that the daemon has heard of.
+        #[serde(default)]
+        pub newest: u64,
+        /// What is known of the table in force; `None` from earlier builds.
+        #[serde(default)]
+        pub standing: Option<TableStanding>,
+        /// Time for which that has been so, in milliseconds.
+        #[serde(default)]
+        pub standing_ms: u64,
         /// Whether the store answered the last call.
         pub is_store_up: bool,
         /// Number of calls in flight at the daemon's gate.
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -100,6 +100,8 @@
 struct RoutedCall {
     route: Arc<CompiledRoute>,
     pool: Arc<CompiledPool>,
+    /// Version of the table that they are from.
+    table_version: u64,
     /// Organisation whose key the caller has shown.
     identity: Option<CallerIdentity>,
     /// Rank of the call under load.
@@ -304,6 +306,7 @@
             useful_until: now.after_ms(route.target_latency_ms).min(deadline),
             route,
             pool,
+            table_version: table.version,
             identity,
             priority,
             options,
@@ -510,6 +513,9 @@
         let took_ms = now.ms_since(call.arrived_at);
         shared.metrics.observe_latency(&call.pool.name, took_ms);
         shared.metrics.count_status(answer.status);
+        shared
+            .metrics
+            .count_standing(shared.freshness.standing(call.table_version, now));
         let is_late = now > call.useful_until;
         if let Some(suppressed) = admit_answer(shared, call, &answer, is_late) {
             log_answer(call, &answer, took_ms, suppressed);
--- a/tests/table_freshness.rs
+++ b/tests/table_freshness.rs
@@ -4,7 +4,7 @@
     fuchsiashore::{
         clock::TimePoint,
         config::{ANY_VERSION, ConfigHead, MovePolicy, PoolEntry, PoolShare, RouteEntry, Stamped},
-        daemon::{StoreReading, TableFreshness},
+        daemon::{StoreReading, TableFreshness, TableStanding},
         member::{
             CONFIRMATION_TTL_MS, KnownVersion, MemberEffect, MemberRecord, MemberState, MemberStatus,
             ProbeKind, ProbeMessage, TargetRecord, TargetStatus,
@@ -260,3 +260,22 @@
     });
     assert_eq!(count, 0, "version 5 counted as the newest");
 }
+
+/// Guards against logs and metrics in which a newer version that is known looks like a table that nothing confirms.
+#[test]
+fn standing_tells_a_newer_version_from_a_missing_confirmation() {
+    let freshness = TableFreshness::default();
+    freshness.publish(5, NOW, NOW.after_ms(CONFIRMATION_TTL_MS));
+    let late = NOW.after_ms(CONFIRMATION_TTL_MS + 1);
+    let standings =
+        [(5, NOW), (4, NOW), (5, late), (4, late)].map(|(version, at)| freshness.standing(version, at));
+    assert_eq!(
+        standings,
+        [
+            TableStanding::Current,
+            TableStanding::NewerKnown,
+            TableStanding::Unconfirmed,
+            TableStanding::NewerKnown,
+        ]
+    );
+}
