A version that no peer sends is read from the store in time

Callers were served by an older table for over 7 s although their daemon knew of the newer version: its peers announced it and did not answer pulls. The store was read 7 s after a version was heard of, whether a reply was arriving or not, and then the attempts of all daemons were spread over a time that grows with the fleet.

Now a pull that has begun to arrive is told from one that has not. If a peer has the version and none has begun to send it 0.7 s later, the store is read within 0.3 s. A version that no peer has keeps the old limit and pace, so that one which nobody can use does not bring the whole fleet to the store at once.

--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -37,8 +37,9 @@
         // A daemon that lists no others selects itself. It leaves the watch to daemons with a full member list until a
         // peer has answered or joining times out; without configured peers it watches at once.
         let may_watch = self.join.has_synced || now >= self.join.deadline || settings.peers.is_empty();
-        let read_due_at = self.spread.read_due_at(now);
-        self.members.set_read_due_at(read_due_at);
+        let read_due = self.spread.read_due(now);
+        self.members
+            .set_read_due_at(read_due.at, read_due.is_in_force_elsewhere);
         if let Some(overdue) = self.spread.take_overdue(now) {
             self.log_overdue(overdue, now);
         }
@@ -128,6 +129,7 @@
                 self.control_peer(peer),
                 self.ring.stamp(now),
                 ControlRequest::Config(source.request),
+                Some(ControlEvent::PullBegun { peer }),
                 move |reply| {
                     let reply = match reply {
                         Some(ControlReply::Config(reply)) => Some(reply),
--- a/src/daemon/control/members.rs
+++ b/src/daemon/control/members.rs
@@ -126,7 +126,7 @@
         let request = ControlRequest::Sync(Box::new(self.members.sync_request(records)));
         let to = self.control_peer(peer);
         self.client
-            .request(to, self.ring.stamp(now), request, move |reply| {
+            .request(to, self.ring.stamp(now), request, None, move |reply| {
                 let reply = match reply {
                     Some(ControlReply::Sync(reply)) => Some(reply),
                     _ => None,
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -266,6 +266,7 @@
                 let _ = reply.send((self.ring.stamp(now), answer));
             }
             ControlEvent::SyncDone { peer, reply } => self.finish_sync(peer, reply, now),
+            ControlEvent::PullBegun { peer } => self.spread.begin_reply(peer),
             ControlEvent::PullDone { peer, reply } => self.finish_pull(peer, reply, now),
             ControlEvent::PollDone {
                 pool,
--- a/src/daemon/move_runner.rs
+++ b/src/daemon/move_runner.rs
@@ -336,7 +336,7 @@
             let with_clearance = clearance.is_some();
             let request = ControlRequest::Poll(request.clone());
             self.client
-                .request(*gate, ring.stamp(now), request, move |reply| {
+                .request(*gate, ring.stamp(now), request, None, move |reply| {
                     let reply = match reply {
                         Some(ControlReply::Poll(reply)) => Some(*reply),
                         _ => None,
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -54,6 +54,11 @@
         /// Its reply, if any.
         reply: Option<SyncReply>,
     },
+    /// The reply to a pull of the configuration has begun.
+    PullBegun {
+        /// Control address of the peer.
+        peer: SocketAddr,
+    },
     /// A pull of the configuration ended.
     PullDone {
         /// Control address of the peer.
@@ -166,17 +171,18 @@
     }
 
     /// Sends a request in the background, and sends the event that `report` makes from the reply to the control thread;
-    /// `None` stands for a failure.
+    /// `None` stands for a failure. `begun` is sent before, once a reply begins.
     pub fn request(
         &self,
         to: ControlPeer,
         stamp: HybridStamp,
         request: ControlRequest,
+        begun: Option<ControlEvent>,
         report: impl FnOnce(Option<ControlReply>) -> ControlEvent + Send + 'static,
     ) {
         let this = self.clone();
         tokio::spawn(async move {
-            let reply = this.exchange(to, stamp, request).await;
+            let reply = this.exchange(to, stamp, request, begun).await;
             let _ = this.events.send(report(reply)).await;
         });
     }
@@ -188,6 +194,7 @@
         to: ControlPeer,
         stamp: HybridStamp,
         request: ControlRequest,
+        begun: Option<ControlEvent>,
     ) -> Option<ControlReply> {
         let ControlPeer { address: to, reach } = to;
         let count = |direction: &'static str, kind: &'static str, bytes: usize| {
@@ -211,6 +218,9 @@
         if !response.status().is_success() {
             return None;
         }
+        if let Some(event) = begun {
+            let _ = self.events.send(event).await;
+        }
         let reading = timeout(REPLY_TIMEOUT, read_body(response, MAX_MESSAGE_BYTES)).await;
         let bytes = reading
             .inspect_err(|_| log::warn!("event=reply-unread peer={to} error=\"not complete in time\""))
--- a/src/member/confirmation.rs
+++ b/src/member/confirmation.rs
@@ -38,6 +38,9 @@
 const WATCHER_TAKEOVER_INTERVAL_MS: u64 = 200;
 /// Time by which each of the daemons that rank next waits for the one before it, in milliseconds.
 const REPLACEMENT_STAGGER_MS: u64 = 100;
+/// Time over which daemons spread reads of a version that is in force elsewhere and that no peer sends them, in milliseconds:
+/// few at a time lack it, and all of it is late soon.
+const AWAITED_READ_SPREAD_MS: u64 = 300;
 /// Time for which other daemons leave it to these, in milliseconds.
 const FIRST_TAKEOVER_DELAY_MS: u64 = 300;
 /// Rate of the first attempts of all daemons together, one of each, in calls per second.
@@ -127,6 +130,8 @@
     first_takeover_at: TimePoint,
     /// When this daemon takes over although others confirm.
     read_due_at: TimePoint,
+    /// Whether that is for a version that is in force elsewhere.
+    is_read_urgent: bool,
     /// When this process started or continued after a suspension; others had no time to confirm before.
     resumed_at: TimePoint,
     mode: WatchMode,
@@ -151,6 +156,7 @@
             takeover: TakeoverPhase::Idle,
             first_takeover_at: now,
             read_due_at: TimePoint::FAR_FUTURE,
+            is_read_urgent: false,
             resumed_at: now,
             mode: WatchMode::Off,
         }
@@ -212,9 +218,10 @@
         self.newest_version = self.newest_version.max(version);
     }
 
-    /// Sets when this daemon takes over although others confirm.
-    pub(super) fn set_read_due_at(&mut self, due_at: TimePoint) {
+    /// Sets when this daemon takes over although others confirm, and whether it then does so without regard to the pace.
+    pub(super) fn set_read_due_at(&mut self, due_at: TimePoint, is_urgent: bool) {
         self.read_due_at = due_at;
+        self.is_read_urgent = is_urgent;
     }
 
     /// Returns what this daemon can tell others; `None` before its first confirmation.
@@ -352,7 +359,11 @@
             _ if is_confirmed => TakeoverPhase::Idle,
             TakeoverPhase::Idle => {
                 let is_first_attempt = now >= self.first_takeover_at;
-                let (delay_ms, spread_ms) = pace.first_delay_ms(role, is_first_attempt);
+                let (delay_ms, spread_ms) = if self.is_read_urgent && now >= self.read_due_at {
+                    (0, AWAITED_READ_SPREAD_MS)
+                } else {
+                    pace.first_delay_ms(role, is_first_attempt)
+                };
                 TakeoverPhase::DueAt(now.after_ms(delay_ms + rng.random_range(0..=spread_ms)))
             }
             TakeoverPhase::DueAt(due_at) if now >= due_at => {
--- a/src/member/state/confirming.rs
+++ b/src/member/state/confirming.rs
@@ -63,8 +63,9 @@
     }
 
     /// Sets when this daemon reads the store although its confirmation lasts, as no peer delivers what it knows of.
-    pub fn set_read_due_at(&mut self, due_at: TimePoint) {
-        self.confirmation.set_read_due_at(due_at);
+    /// `is_urgent` tells that it is in force elsewhere.
+    pub fn set_read_due_at(&mut self, due_at: TimePoint, is_urgent: bool) {
+        self.confirmation.set_read_due_at(due_at, is_urgent);
     }
 
     /// Returns how this daemon watches the store from `now` on: `watchers` daemons of each data centre do, of which the
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -7,5 +7,5 @@
 
 pub use {
     message::{ConfigReply, ConfigRequest},
-    state::{OfferRefusal, OverdueVersion, PullSource, SpreadState},
+    state::{OfferRefusal, OverdueVersion, PullSource, ReadDue, SpreadState},
 };
--- a/src/spread/state.rs
+++ b/src/spread/state.rs
@@ -10,15 +10,19 @@
         clock::TimePoint,
         config::{CompileError, CompiledTable, ConfigHead, DeltaError, HeadDelta, HeadError, VersionRank},
     },
-    indexmap::{IndexMap, IndexSet},
+    indexmap::IndexMap,
     std::{net::SocketAddr, sync::Arc},
     thiserror::Error,
 };
 
 /// Time after which a pull without an answer is followed by one from another peer, in milliseconds.
 const PULL_TIMEOUT_MS: u64 = 1_000;
-/// Time in which peers deliver a newer version, in milliseconds: more than a whole configuration takes over a slow link.
-/// The store, which may share that link, is read after it.
+/// Time in which a peer that has a newer version begins to send it, in milliseconds. The store is read after it.
+const SILENCE_LIMIT_MS: u64 = 700;
+/// Time that a peer has for it at least, from the earliest time of a pull, in milliseconds.
+const MIN_SILENCE_MS: u64 = 300;
+/// Time in which peers deliver a newer version that one of them is sending, or that none says to have, in milliseconds: more
+/// than a whole configuration takes over a slow link. The store, which may share that link, is read after it.
 const DELIVERY_LIMIT_MS: u64 = 7_000;
 /// Time after which a newer version is overdue, in milliseconds: operators are promised that a change is in force within it.
 const OVERDUE_MS: u64 = 2_000;
@@ -95,12 +99,32 @@
 struct AwaitedVersion {
     version: u64,
     heard_at: TimePoint,
-    /// When it is read from the store.
+    /// When it is read from the store if no peer is sending it; [`TimePoint::FAR_FUTURE`] while none has said to have it.
+    silent_until: TimePoint,
+    /// When it is read from the store in any case.
     read_at: TimePoint,
     /// Whether [`SpreadState::take_overdue`] has returned it.
     is_reported: bool,
 }
 
+/// How far a pull is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PullPhase {
+    /// The peer has not answered.
+    Asked,
+    /// Its reply has begun.
+    Arriving,
+}
+
+/// When this daemon reads the store for a newer version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadDue {
+    /// The time; [`TimePoint::FAR_FUTURE`] if no newer version is known.
+    pub at: TimePoint,
+    /// Whether a peer said to have the version, so that it is in force elsewhere.
+    pub is_in_force_elsewhere: bool,
+}
+
 /// Newer version that is not in force in time, and what this daemon does to get it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OverdueVersion {
@@ -126,8 +150,8 @@
     /// Newest head that was offered before the daemon had joined.
     pending_head: Option<ConfigHead>,
     sources: IndexMap<SocketAddr, PullOffer>,
-    /// Peers whose reply to a pull is on its way. A second copy would share a slow link with the first.
-    pulling: IndexSet<SocketAddr>,
+    /// Peers that were asked and have not sent their whole reply. A second copy would share a slow link with the first.
+    pulling: IndexMap<SocketAddr, PullPhase>,
     pull_deadline: Option<TimePoint>,
     needs_whole: bool,
     awaited: Option<AwaitedVersion>,
@@ -198,21 +222,41 @@
         }
     }
 
-    /// Returns when this daemon reads the store itself, as no peer delivers a newer version that it knows of;
-    /// [`TimePoint::FAR_FUTURE`] if there is none.
-    pub fn read_due_at(&mut self, now: TimePoint) -> TimePoint {
-        let newest = self.newest_version();
-        if newest <= self.version().max(self.read_version) {
+    /// Returns when this daemon reads the store itself, as no peer delivers a newer version that it knows of.
+    pub fn read_due(&mut self, now: TimePoint) -> ReadDue {
+        let (present, newest) = (self.version(), self.newest_version());
+        if newest <= present.max(self.read_version) {
             self.awaited = None;
-            return TimePoint::FAR_FUTURE;
+            return ReadDue {
+                at: TimePoint::FAR_FUTURE,
+                is_in_force_elsewhere: false,
+            };
         }
+        let offers = self.sources.values().filter(|offer| offer.version > present);
+        let pull_at = offers.map(|offer| offer.not_before).min();
         let awaited = self.awaited.get_or_insert(AwaitedVersion {
             version: newest,
             heard_at: now,
+            silent_until: TimePoint::FAR_FUTURE,
             read_at: now.after_ms(DELIVERY_LIMIT_MS),
             is_reported: false,
         });
-        awaited.read_at
+        if let Some(pull_at) = pull_at
+            && awaited.silent_until == TimePoint::FAR_FUTURE
+        {
+            let answered_by = pull_at.after_ms(MIN_SILENCE_MS);
+            awaited.silent_until = now.after_ms(SILENCE_LIMIT_MS).max(answered_by);
+        }
+        let is_arriving = self.pulling.values().any(|phase| *phase == PullPhase::Arriving);
+        let silent_until = if is_arriving {
+            TimePoint::FAR_FUTURE
+        } else {
+            awaited.silent_until
+        };
+        ReadDue {
+            at: awaited.read_at.min(silent_until),
+            is_in_force_elsewhere: awaited.silent_until != TimePoint::FAR_FUTURE,
+        }
     }
 
     /// Returns when this daemon heard that the version in force, or a later one, exists; `None` if it was offered at once.
@@ -341,6 +385,13 @@
         }
     }
 
+    /// Records that the reply to a pull has begun.
+    pub fn begin_reply(&mut self, from: SocketAddr) {
+        if let Some(phase) = self.pulling.get_mut(&from) {
+            *phase = PullPhase::Arriving;
+        }
+    }
+
     /// Ends a failed pull and drops its peer from the sources.
     pub fn fail_pull(&mut self, from: SocketAddr) {
         self.end_pull(from);
@@ -373,10 +424,10 @@
         let version = self.version();
         self.sources.retain(|_, offer| offer.version > version);
         let due = self.sources.iter();
-        let due = due.filter(|(from, offer)| offer.not_before <= now && !self.pulling.contains(*from));
+        let due = due.filter(|(from, offer)| offer.not_before <= now && !self.pulling.contains_key(*from));
         let (from, _) = due.max_by_key(|(_, offer)| offer.version)?;
         let from = *from;
-        self.pulling.insert(from);
+        self.pulling.insert(from, PullPhase::Asked);
         self.pull_deadline = Some(now.after_ms(PULL_TIMEOUT_MS));
         let digest = self.head.as_ref().map_or(0, |head| head.digest);
         Some(PullSource {
--- a/tests/delivery_budget.rs
+++ b/tests/delivery_budget.rs
@@ -109,7 +109,9 @@
                 self.members.receive(to, answer, self.now);
             }
         }
-        self.members.set_read_due_at(self.spread.read_due_at(self.now));
+        let read_due = self.spread.read_due(self.now);
+        self.members
+            .set_read_due_at(read_due.at, read_due.is_in_force_elsewhere);
         self.members.watch_mode(WATCHERS, self.now)
     }
 
--- a/tests/spread_overdue.rs
+++ b/tests/spread_overdue.rs
@@ -30,7 +30,7 @@
     state.offer_stored(head(5)).unwrap();
     state.add_source(peer(1), 7, START);
     state.add_source(peer(2), 7, START);
-    state.read_due_at(START);
+    state.read_due(START);
     assert!(state.next_pull(START).is_some());
     assert_eq!(state.take_overdue(START.after_ms(1_999)), None);
     let overdue = OverdueVersion {
@@ -50,10 +50,34 @@
     state.offer_stored(head(5)).unwrap();
     assert_eq!(state.heard_at(), None);
     state.add_announced(7);
-    state.read_due_at(START);
-    state.read_due_at(START.after_ms(50));
+    state.read_due(START);
+    state.read_due(START.after_ms(50));
     state.offer(head(7)).unwrap();
     assert_eq!(state.heard_at(), Some(START));
     state.offer(head(8)).unwrap();
     assert_eq!(state.heard_at(), None);
 }
+
+/// Guards against reads of the store that share a slow link with a reply which is arriving, and against a whole fleet that
+/// reads it at once for a version that no daemon can use.
+#[test]
+fn store_is_left_alone_while_a_peer_sends_the_version_or_none_has_it() {
+    let mut state = SpreadState::default();
+    state.offer_stored(head(5)).unwrap();
+    let due_after_ms =
+        |state: &mut SpreadState, at_ms| state.read_due(START.after_ms(at_ms)).at.ms_since(START);
+    state.add_announced(7);
+    let mut seen = vec![("no peer has it", due_after_ms(&mut state, 0))];
+    state.add_source(peer(1), 7, START);
+    seen.push(("a peer has it", due_after_ms(&mut state, 100)));
+    assert!(state.next_pull(START.after_ms(100)).is_some());
+    seen.push(("asked", due_after_ms(&mut state, 200)));
+    state.begin_reply(peer(1));
+    seen.push(("its reply has begun", due_after_ms(&mut state, 300)));
+    state.fail_pull(peer(1));
+    seen.push(("its reply broke off", due_after_ms(&mut state, 900)));
+    state.finish_read(START.after_ms(1_000));
+    let is_due = state.read_due(START.after_ms(1_100)).at != TimePoint::FAR_FUTURE;
+    seen.push(("the store was read: 1 if due again", u64::from(is_due)));
+    insta::assert_debug_snapshot!(seen);
+}
