A gate refuses calls that only an older table than its own admits

Callers were served on a dropped route, by a gate whose own table no longer had it: the proxy was late, its call was run all the same, as a gate asked its table for the pool's version, the keys and evacuations, and not for the route. So one late daemon of the two on the way of a call was enough, for as long as it was late.

The hop now states the version of the proxy's table. A gate with a newer one refuses the call, as not run, if that lacks the route, or has led it elsewhere for 1.5 s; in which time proxies get a version one after the other. The caller gets 503 stale-table at once, as a second target with an older table might run the call. The refusal names the gate's version, and the proxy pulls that from the gate's daemon, so one that hears of no change in another way learns of it from its calls. Daemons of earlier builds ignore the word in the hop and state none, and are served as before.

--- a/src/call/outcome.rs
+++ b/src/call/outcome.rs
@@ -50,7 +50,8 @@
         NoConfiguration,
         /// No route matches the host and path.
         NoRoute,
-        /// The table in force does not admit the request, but it may not be the newest one.
+        /// The table in force does not admit the request, but it may not be the newest one; or it admits the request, and the
+        /// newer one of a gate does not.
         StaleTable,
         /// Routes match the host and path, but none accepts the method.
         WrongMethod,
@@ -120,7 +121,7 @@
                 "no configuration has reached this daemon yet; try again in a few seconds"
             }
             Self::StaleTable => {
-                "this daemon may lack the newest configuration, and the one it has does not admit the request; try again"
+                "this daemon may lack the newest configuration, by which the request has to be decided; try again"
             }
             Self::NoRoute => "no route takes this path; check the path or add a route",
             Self::WrongMethod => "the route does not take this method; check the methods of the route",
--- a/src/call/plan.rs
+++ b/src/call/plan.rs
@@ -153,12 +153,13 @@
         }
     }
 
-    /// Records the end of an attempt of a request that is held back, and returns the next step. No retry follows.
-    pub fn after_quarantined(&mut self, outcome: AttemptOutcome) -> CallStep {
+    /// Records the end of an attempt of a request that no other target may get either, for `reason`, and returns the next
+    /// step. No retry follows.
+    pub fn after_last_attempt(&mut self, outcome: AttemptOutcome, reason: RefusalReason) -> CallStep {
         self.record_outcome(outcome);
         match outcome {
             AttemptOutcome::Answered => CallStep::Answer,
-            _ => self.without_send(RefusalReason::Quarantined, outcome == AttemptOutcome::Failed),
+            _ => self.without_send(reason, outcome == AttemptOutcome::Failed),
         }
     }
 
@@ -217,7 +218,10 @@
         };
         let reason = match reason {
             // What matters to the caller is that an earlier attempt may have run, not that the later ones were refused.
-            RefusalReason::Refused | RefusalReason::Leaving | RefusalReason::Quarantined
+            RefusalReason::Refused
+            | RefusalReason::Leaving
+            | RefusalReason::Quarantined
+            | RefusalReason::StaleTable
                 if self.may_have_run =>
             {
                 RefusalReason::Broken
--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -101,6 +101,12 @@
         &drawn.unwrap_or(last).1
     }
 
+    /// Returns whether calls of the route may go to a pool, and that is one of a service.
+    pub fn leads_to(&self, pool: &str, service: &str) -> bool {
+        let mut pools = self.pools.iter().map(|(_, pool)| pool);
+        pools.any(|own| *own.name == *pool && *own.entry.service == *service)
+    }
+
     fn accepts_method(&self, method: &str) -> bool {
         self.methods.is_empty() || self.methods.iter().any(|own| &**own == method)
     }
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -253,6 +253,7 @@
         };
         self.shared.moves.lock().retain(is_open, now);
         self.table = Some(table);
+        self.table_since = now;
         self.is_snapshot_stale = true;
         // First, as the table may be behind a version that the one before was not behind.
         self.publish_freshness();
@@ -377,8 +378,8 @@
             return;
         }
         let settings = &self.shared.settings;
-        let snapshot =
-            TrafficSnapshot::new(self.table.clone(), self.members.present(), &settings.data_centre);
+        let table = (self.table.clone(), self.table_since);
+        let snapshot = TrafficSnapshot::new(table, self.members.present(), &settings.data_centre);
         let daemons = self.members.present().count();
         self.shared.metrics.members.set(daemons as i64);
         {
--- a/src/daemon/control/members.rs
+++ b/src/daemon/control/members.rs
@@ -69,6 +69,16 @@
         self.spread.add_source(peer, version, now.after_ms(wait_ms));
     }
 
+    /// Schedules a pull from a daemon whose gate has told of its newer version.
+    pub(super) fn schedule_pull_from(&mut self, daemon: &str, version: u64, now: TimePoint) {
+        let record = self.members.others().find(|record| *record.name == *daemon);
+        if let Some(peer) = record.map(|record| record.control)
+            && version > self.spread.version()
+        {
+            self.schedule_pull(peer, version, now);
+        }
+    }
+
     /// Sends a datagram without blocking.
     pub(super) fn send_datagram(&mut self, to: SocketAddr, message: ProbeMessage, now: TimePoint) {
         let (stamp, kind) = (self.ring.stamp(now), message.kind.as_str());
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -110,6 +110,8 @@
     members: MemberState,
     spread: SpreadState,
     table: Option<Arc<CompiledTable>>,
+    /// Since when it has been in force.
+    table_since: TimePoint,
     ring: EventRing,
     moves: MoveRunner,
     join: JoinProgress,
@@ -185,6 +187,7 @@
             members: MemberState::new(own_record(&shared, now), rng.random(), now),
             spread: SpreadState::default(),
             table: None,
+            table_since: now,
             ring,
             moves: MoveRunner::new(Arc::clone(&shared), client.clone()),
             join: JoinProgress::new(settings.peers.clone(), now),
@@ -310,6 +313,9 @@
                 self.shared.gate.lock().state.cold().record_uncertain(now);
                 self.finish_target_probe(false, now);
             }
+            ControlEvent::Traffic(TrafficEvent::NewerTable { daemon, version }) => {
+                self.schedule_pull_from(&daemon, version, now);
+            }
             ControlEvent::Traffic(TrafficEvent::TokensWanted) => self.tick_quotas(now),
             ControlEvent::Query(query) => self.answer_query(query, now),
             ControlEvent::Drain => self.start_drain(now),
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -185,6 +185,13 @@
     },
     /// The target beside this daemon refuses connections.
     TargetRefuses,
+    /// A gate has refused a call by a table that is newer than the one here.
+    NewerTable {
+        /// Name of the gate's daemon.
+        daemon: Arc<str>,
+        /// Version of its table.
+        version: u64,
+    },
     /// A call waits for a token of its organisation.
     TokensWanted,
     /// There is news about requests that end targets.
--- a/src/daemon/snapshot.rs
+++ b/src/daemon/snapshot.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        clock::TimePoint,
         config::{CompiledTable, matches_version},
         member::{MemberRecord, MemberStatus, TargetStatus},
     },
@@ -32,6 +33,8 @@
 pub struct TrafficSnapshot {
     /// The configuration; `None` before the first one.
     pub table: Option<Arc<CompiledTable>>,
+    /// Since when it has been in force.
+    pub table_since: TimePoint,
     /// Targets that accept calls, by service.
     pub targets: HashMap<Arc<str>, Vec<ServingTarget>>,
 }
@@ -40,7 +43,7 @@
     /// Creates a snapshot from the configuration and the members that are present and whose target is serving, outside
     /// evacuated data centres.
     pub fn new<'a>(
-        table: Option<Arc<CompiledTable>>,
+        (table, table_since): (Option<Arc<CompiledTable>>, TimePoint),
         members: impl Iterator<Item = &'a MemberRecord>,
         data_centre: &str,
     ) -> Self {
@@ -68,7 +71,11 @@
                     is_suspect: record.status == MemberStatus::Suspect,
                 });
         }
-        Self { table, targets }
+        Self {
+            table,
+            table_since,
+            targets,
+        }
     }
 
     /// Returns the targets of a service with this version. The wildcard version matches every version except
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -301,6 +301,12 @@
                 .lock()
                 .record_stop(&self.pool.name, &self.target.version, now);
         }
+        if let Some(version) = newer_table(refusal, headers) {
+            shared.report_event(TrafficEvent::NewerTable {
+                daemon: Arc::clone(&self.target.name),
+                version,
+            });
+        }
         let mut selector = shared.selector.lock();
         match refusal {
             Some(GateRefusal::Full | GateRefusal::Expired) => {
@@ -310,7 +316,12 @@
                     self.record_route_run(&mut selector, load);
                 }
             }
-            Some(GateRefusal::Stopped | GateRefusal::Quarantined | GateRefusal::UnknownKey) => {}
+            Some(
+                GateRefusal::Stopped
+                | GateRefusal::Quarantined
+                | GateRefusal::UnknownKey
+                | GateRefusal::OlderTable,
+            ) => {}
             // The target has not seen the request.
             None if reason == BODY_INCOMPLETE => {}
             Some(GateRefusal::Shed) => selector.record_shed(&self.target.name),
@@ -430,6 +441,12 @@
     }
 }
 
+/// Returns the version of the gate's table if it has refused the call by that.
+fn newer_table(refusal: Option<GateRefusal>, headers: &HeaderMap) -> Option<u64> {
+    let version = text_header(headers, header::TABLE).filter(|_| refusal == Some(GateRefusal::OlderTable))?;
+    version.parse().ok()
+}
+
 fn parse_load(headers: &HeaderMap) -> Option<LoadReport> {
     text_header(headers, header::LOAD)?.parse().ok()
 }
--- a/src/daemon/traffic/hop.rs
+++ b/src/daemon/traffic/hop.rs
@@ -21,6 +21,8 @@
     pub const HOP: &str = "fuchsiashore-hop";
     /// Load of a target, on its gate's answers: [`crate::call::LoadReport`].
     pub const LOAD: &str = "fuchsiashore-load";
+    /// Version of a gate's table, on refusals of calls that an older one admitted.
+    pub const TABLE: &str = "fuchsiashore-table";
     /// Clearance of the pool's open move, on a gate's answers.
     pub const CLEARANCE: &str = "fuchsiashore-clearance";
     /// Key of the caller's organisation.
@@ -66,6 +68,8 @@
     pub organisation: Option<Arc<str>>,
     /// Digest of that key.
     pub key: Option<KeyDigest>,
+    /// Version of the proxy's table; 0 if the proxy is of an earlier version.
+    pub table_version: u64,
     /// Whether gates know the route as one that targets call in their runs.
     pub is_nested: bool,
     /// Whether the target beside the proxy was running nothing when the call came, so that it can't have made it.
@@ -98,6 +102,8 @@
         if let Some(key) = &self.key {
             let _ = write!(text, " key={key}");
         }
+        // Writing to a string can't fail.
+        let _ = write!(text, " table={}", self.table_version);
         if self.is_nested {
             text.push_str(" nested=1");
         }
@@ -126,6 +132,7 @@
             fingerprints: None,
             organisation: None,
             key: None,
+            table_version: 0,
             is_nested: false,
             came_idle: false,
         };
@@ -137,6 +144,7 @@
             match word.split_once('=') {
                 Some(("organisation", name)) => call.organisation = Some(decode_word(name)?),
                 Some(("key", digest)) => call.key = digest.parse().ok(),
+                Some(("table", version)) => call.table_version = version.parse().unwrap_or_default(),
                 Some(("nested", flag)) => call.is_nested = flag == "1",
                 Some(("idle", flag)) => call.came_idle = flag == "1",
                 // A word of a later version.
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -19,13 +19,14 @@
         peer_client::{ConnectionReuse, PeerClients, SendFault, retire_connection},
         relay::{
             add_close_header, end_to_end_headers, header_value, is_defined_status, keep_connection_if,
-            write_answer, write_refusal,
+            request_host, write_answer, write_refusal,
         },
         transfer_report::TransferReport,
     },
     crate::{
         call::{CallOutcome, LoadReport},
         clock::TimePoint,
+        config::RouteMatch,
         daemon::{
             listeners::report_refusal,
             refusals::{RequestFields, log_word},
@@ -48,6 +49,10 @@
 /// time; in milliseconds.
 const DEADLINE_MARGIN_MS: u64 = 50;
 
+/// Time for which a gate still takes calls on a route that leads elsewhere by its newer table, in milliseconds: proxies get a
+/// version within this time of each other, unless they are late.
+const REDIRECT_GRACE_MS: u64 = 1_500;
+
 /// Handler of the gate's listener on one traffic thread.
 #[derive(Debug)]
 pub struct InboundHandler {
@@ -167,7 +172,7 @@
         hop: &HopCall,
         is_nested: bool,
     ) -> Result<(), GateFailure> {
-        let received = match self.check_target(hop, self.shared.now()) {
+        let received = match self.check_call(req, hop, self.shared.now()) {
             Ok(()) => receive(&self.shared, req, hop).await,
             Err(refusal) => Err(GateFailure::NotRun(refusal)),
         };
@@ -217,7 +222,7 @@
         let wait_until = arrival.wait_until();
         loop {
             let turn = wait_for_turn(&self.shared, hop, wait_until).await?;
-            let (slot, identity) = self.wait_for_slot(hop, &arrival).await?;
+            let (slot, identity) = self.wait_for_slot(req, hop, &arrival).await?;
             if let Some(run) = RunGuard::start(&self.shared, req, hop, &identity.version, turn)? {
                 return Ok(AdmittedRun { slot, identity, run });
             }
@@ -228,12 +233,13 @@
     /// checked again, as it or the move may have changed.
     async fn wait_for_slot(
         &self,
+        req: &Request,
         hop: &HopCall,
         arrival: &GateArrival,
     ) -> Result<(SlotGuard, Arc<TargetIdentity>), GateRefusal> {
         let shared = &self.shared;
         let now = shared.now();
-        self.check_target(hop, now)?;
+        self.check_call(req, hop, now)?;
         let (ticket, receiver) = {
             let mut gate = shared.gate.lock();
             let (admission, evicted) = gate.state.arrive(arrival.clone(), now);
@@ -262,10 +268,39 @@
         let granted = timeout(arrival.wait_until().remaining_from(now), waiter.wait()).await;
         drop(queue_guard);
         let slot = granted.unwrap_or(Err(GateRefusal::Expired))?;
-        self.check_target(hop, shared.now())?;
+        self.check_call(req, hop, shared.now())?;
         Ok((slot, shared.target.load_full()))
     }
 
+    /// Checks that the call may run here: its target, and its route.
+    fn check_call(&self, req: &Request, hop: &HopCall, now: TimePoint) -> Result<(), GateRefusal> {
+        self.check_target(hop, now)?;
+        self.check_route(&self.shared.snapshot.load(), req, hop, now)
+    }
+
+    /// Refuses a call that a table older than this daemon's has admitted, if its route was dropped since, or leads elsewhere
+    /// for long.
+    fn check_route(
+        &self,
+        snapshot: &TrafficSnapshot,
+        req: &Request,
+        hop: &HopCall,
+        now: TimePoint,
+    ) -> Result<(), GateRefusal> {
+        let Some(table) = &snapshot.table else {
+            return Ok(());
+        };
+        if hop.table_version == 0 || hop.table_version >= table.version {
+            return Ok(());
+        }
+        let is_new = now < snapshot.table_since.after_ms(REDIRECT_GRACE_MS);
+        let service = &self.shared.settings.target.service;
+        match table.find(request_host(req), req.method().as_str(), req.uri().path()) {
+            RouteMatch::Found(route) if is_new || route.leads_to(&hop.pool, service) => Ok(()),
+            _ => Err(GateRefusal::OlderTable),
+        }
+    }
+
     /// Checks that the request names this daemon's target, that its data centre is not evacuated and that its version may
     /// serve the pool. The new
     /// version of a move is refused without a valid lease of a controller or after the move was stopped, and so is a
@@ -363,7 +398,9 @@
             .request_to(identity.address)
             .ok_or(GateFailure::BadRequest)?;
         // The body may have taken long.
-        if let Err(refusal) = self.check_key(&shared.snapshot.load(), hop, shared.now()) {
+        let (snapshot, now) = (shared.snapshot.load_full(), shared.now());
+        let check = self.check_key(&snapshot, hop, now);
+        if let Err(refusal) = check.and_then(|()| self.check_route(&snapshot, req, hop, now)) {
             run.finish();
             return Err(GateFailure::NotRun(refusal));
         }
@@ -649,4 +686,14 @@
     }
     write_refusal(res, status, outcome, reason, text);
     add_outcome_headers(res, outcome, reason);
+    if matches!(failure, GateFailure::NotRun(GateRefusal::OlderTable)) {
+        let version = shared
+            .snapshot
+            .load()
+            .table
+            .as_ref()
+            .map_or(0, |table| table.version);
+        res.headers_mut()
+            .insert(header::TABLE, header_value(&version.to_string()));
+    }
 }
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -122,6 +122,8 @@
     is_suspect: bool,
     /// Whether a gate holds it back, of which this daemon may not have heard.
     is_held_back: bool,
+    /// Whether the newer table of a gate does not admit it.
+    is_table_older: bool,
     /// Whether the target beside this daemon makes it in a run of its own.
     is_nested: bool,
     /// Whether that target was running nothing when the call came.
@@ -315,6 +317,7 @@
             ends: 0,
             is_suspect: false,
             is_held_back: false,
+            is_table_older: false,
             is_nested,
             came_idle,
             room_at: TimePoint::default(),
@@ -419,13 +422,16 @@
                                     need.record_failure(&reason);
                                     call.ends += u32::from(&*reason == TARGET_ENDED);
                                     call.is_held_back |= &*reason == GateRefusal::Quarantined.as_str();
+                                    call.is_table_older |= &*reason == GateRefusal::OlderTable.as_str();
                                     detail = reason;
                                 }
                             }
                             plan.set_resendable(request.body.is_whole());
                             let max_ends = if call.is_suspect { 1 } else { MAX_ENDS_OF_CALL };
-                            if call.ends >= max_ends || call.is_held_back {
-                                plan.after_quarantined(outcome)
+                            if call.is_table_older {
+                                plan.after_last_attempt(outcome, RefusalReason::StaleTable)
+                            } else if call.ends >= max_ends || call.is_held_back {
+                                plan.after_last_attempt(outcome, RefusalReason::Quarantined)
                             } else {
                                 plan.after_attempt(
                                     outcome,
@@ -490,6 +496,7 @@
                 fingerprints: call.fingerprints,
                 organisation: identity.map(|identity| Arc::clone(&identity.organisation.name)),
                 key: identity.map(|identity| identity.key),
+                table_version: call.table_version,
                 is_nested: call.is_nested,
                 came_idle: call.came_idle,
             },
--- a/src/gate/refusal.rs
+++ b/src/gate/refusal.rs
@@ -27,11 +27,13 @@
         UnknownKey,
         /// Keys may have been removed of which this daemon has not heard.
         KeysUnconfirmed,
+        /// The proxy's table is older than the gate's, which does not admit the call.
+        OlderTable,
     }
 }
 
 impl GateRefusal {
-    const ALL: [Self; 11] = [
+    const ALL: [Self; 12] = [
         Self::Full,
         Self::Leaving,
         Self::Starting,
@@ -43,6 +45,7 @@
         Self::Evacuated,
         Self::UnknownKey,
         Self::KeysUnconfirmed,
+        Self::OlderTable,
     ];
 
     /// Returns the reason as written to the `fuchsiashore-reason` header.
@@ -59,6 +62,7 @@
             Self::Evacuated => "data-centre-evacuated",
             Self::UnknownKey => "unknown-key",
             Self::KeysUnconfirmed => "keys-unconfirmed",
+            Self::OlderTable => "older-table",
         }
     }
 
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -153,7 +153,8 @@
     let members = [member("one", "a"), member("two", "b"), member("three", "b")];
     let targets = |evacuated: &[&str]| {
         let table = CompiledTable::compile(&head(1, evacuated)).unwrap();
-        let snapshot = TrafficSnapshot::new(Some(Arc::new(table)), members.iter(), "b");
+        let snapshot =
+            TrafficSnapshot::new((Some(Arc::new(table)), TimePoint::default()), members.iter(), "b");
         let targets = snapshot.targets_of("stock", "v1", "");
         targets.map(|target| target.name.to_string()).collect::<Vec<_>>()
     };
