Programs that fill the shared template start daemons again

The platform has a template of its own now, deploy/platform-daemon.ini, equal to what daemon.ini was; daemon.ini is the part without those lines. Weighed: settings that the adapter takes from elsewhere, which would hide six settings from those who read the deploy folder.

--- a/tests/settings_and_tables.rs
+++ b/tests/settings_and_tables.rs
@@ -10,6 +10,11 @@
     std::{fs, path::Path, sync::Arc},
 };
 
+/// Template of the settings on the users' platform.
+const PLATFORM_TEMPLATE: &str = include_str!("../deploy/platform-daemon.ini");
+/// Template of the settings that every deployment shares.
+const LEAST_TEMPLATE: &str = include_str!("../deploy/daemon.ini");
+
 fn example(name: &str) -> String {
     fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("examples").join(name)).unwrap()
 }
@@ -106,9 +111,24 @@
     for seconds in ["0", "0.0001", "-1", "3601", "NaN", "inf", "6s", "6,5", ""] {
         assert!(read(seconds).is_err(), "{seconds}");
     }
-    let template = include_str!("../deploy/daemon.ini");
-    let line = template.lines().find(|line| line.contains("bounds.grace_s"));
-    assert_eq!(line, Some("drain_limit_s = {{bounds.grace_s}}"));
+    for template in [PLATFORM_TEMPLATE, LEAST_TEMPLATE] {
+        let line = template.lines().find(|line| line.contains("bounds.grace_s"));
+        assert_eq!(line, Some("drain_limit_s = {{bounds.grace_s}}"));
+    }
+}
+
+/// Guards against templates that drift apart: the platform's has what is shared, line by line, and what only it fills.
+#[test]
+fn template_of_the_platform_adds_to_the_shared_one_only() {
+    let mut shared = LEAST_TEMPLATE.lines().peekable();
+    let lines = PLATFORM_TEMPLATE.lines();
+    let added: Vec<&str> = lines.filter(|line| shared.next_if_eq(line).is_none()).collect();
+    assert_eq!(
+        shared.next(),
+        None,
+        "this line is missing from the platform's template"
+    );
+    insta::assert_debug_snapshot!(added);
 }
 
 #[test]
