--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -26,14 +26,13 @@
     crate::{
         call::{CallOutcome, LoadReport},
         clock::TimePoint,
-        config::RouteMatch,
         daemon::{
             listeners::report_refusal,
             refusals::{RequestFields, log_word},
             shared::{SharedState, TargetIdentity, TrafficEvent},
             snapshot::TrafficSnapshot,
         },
-        gate::{GateAdmission, GateArrival, GateRefusal},
+        gate::{GateAdmission, GateArrival, GateRefusal, GateTable, RoutedCall},
         http::ConnectionCloser,
     },
     hyper::{Response as Answer, body::Incoming, header::HOST, http::uri::PathAndQuery},
@@ -49,10 +48,6 @@
 /// time; in milliseconds.
 const DEADLINE_MARGIN_MS: u64 = 50;
 
-/// Time for which a gate still takes calls on a route that leads elsewhere by its newer table, in milliseconds: proxies get a
-/// version within this time of each other, unless they are late.
-const REDIRECT_GRACE_MS: u64 = 1_500;
-
 /// Handler of the gate's listener on one traffic thread.
 #[derive(Debug)]
 pub struct InboundHandler {
@@ -278,8 +273,7 @@
         self.check_route(&self.shared.snapshot.load(), req, hop, now)
     }
 
-    /// Refuses a call that a table older than this daemon's has admitted, if its route was dropped since, or leads elsewhere
-    /// for long.
+    /// Refuses a call that this daemon's table no longer admits, if the proxy's was older.
     fn check_route(
         &self,
         snapshot: &TrafficSnapshot,
@@ -290,15 +284,19 @@
         let Some(table) = &snapshot.table else {
             return Ok(());
         };
-        if hop.table_version == 0 || hop.table_version >= table.version {
-            return Ok(());
-        }
-        let is_new = now < snapshot.table_since.after_ms(REDIRECT_GRACE_MS);
-        let service = &self.shared.settings.target.service;
-        match table.find(request_host(req), req.method().as_str(), req.uri().path()) {
-            RouteMatch::Found(route) if is_new || route.leads_to(&hop.pool, service) => Ok(()),
-            _ => Err(GateRefusal::OlderTable),
-        }
+        let call = RoutedCall {
+            table_version: hop.table_version,
+            pool: &hop.pool,
+            host: request_host(req),
+            method: req.method().as_str(),
+            path: req.uri().path(),
+        };
+        let table = GateTable {
+            table,
+            since: snapshot.table_since,
+            service: &self.shared.settings.target.service,
+        };
+        table.check_route(&call, now)
     }
 
     /// Checks that the request names this daemon's target, that its data centre is not evacuated and that its version may
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -8,6 +8,7 @@
 mod outcome;
 mod pace;
 mod refusal;
+mod route_check;
 mod run_times;
 mod state;
 
@@ -19,6 +20,7 @@
     outcome::{DequeueOutcome, GateAdmission, TicketId},
     pace::TargetPace,
     refusal::GateRefusal,
+    route_check::{GateTable, REDIRECT_GRACE_MS, RoutedCall},
     run_times::RunTimes,
     state::GateState,
 };
--- a/tests/older_table.rs
+++ b/tests/older_table.rs
@@ -3,7 +3,8 @@
 use fuchsiashore::{
     call::{AttemptOutcome, CallOutcome, CallPlan, CallRules, CallStep, RefusalReason},
     clock::TimePoint,
-    config::{CompiledTable, ConfigHead, RouteMatch, Stamped, parse_tables},
+    config::{CompiledTable, ConfigHead, Stamped, parse_tables},
+    gate::{GateTable, REDIRECT_GRACE_MS, RoutedCall},
 };
 
 const NOW: TimePoint = TimePoint(1_000_000);
@@ -12,6 +13,11 @@
 path = /stock/
 pool = desk:90 trial:10
 
+[route order]
+path = /order/
+methods = POST
+pool = desk
+
 [pool desk]
 service = desk
 version = v1
@@ -58,12 +64,10 @@
     assert_eq!(second, refusal);
 }
 
-/// Guards against a gate that takes a call for a pool which is one of another service by its table.
-#[test]
-fn route_leads_to_its_pools_at_their_services_only() {
-    let tables = parse_tables(&[("tables.ini".into(), TABLES.to_owned())]).unwrap();
+fn compile(version: u64, text: &str) -> CompiledTable {
+    let tables = parse_tables(&[("tables.ini".into(), text.to_owned())]).unwrap();
     let mut head = ConfigHead {
-        version: 1,
+        version,
         ..ConfigHead::default()
     };
     let stamp = 1;
@@ -73,16 +77,53 @@
     for (name, entry) in tables.pools {
         head.pools.insert(name, Stamped { stamp, entry });
     }
-    let table = CompiledTable::compile(&head).unwrap();
-    let RouteMatch::Found(route) = table.find("", "GET", "/stock/x") else {
-        panic!("the route was not found");
-    };
-    let cases = [
-        ("desk", "desk"),
-        ("trial", "trial"),
-        ("desk", "trial"),
-        ("absent", "desk"),
+    CompiledTable::compile(&head).unwrap()
+}
+
+/// Guards against a gate that runs a call of an older table on a route which its own lacks, and against one that refuses what
+/// the proxy knows better, or what changes everywhere within a moment.
+#[test]
+fn gate_refuses_only_what_its_newer_table_does_not_admit() {
+    let table = compile(7, TABLES);
+    let calls = [
+        ("kept", 6, "desk", "/stock/x"),
+        ("kept, the other pool", 6, "trial", "/stock/x"),
+        ("to a pool that the route has no more", 6, "gone", "/stock/x"),
+        ("method that the route has no more", 6, "desk", "/order/x"),
+        ("dropped", 6, "desk", "/dropped/x"),
+        ("dropped, the same table", 7, "desk", "/dropped/x"),
+        ("dropped, a newer table", 8, "desk", "/dropped/x"),
+        ("dropped, an earlier build", 0, "desk", "/dropped/x"),
     ];
-    let led = cases.map(|(pool, service)| route.leads_to(pool, service));
-    assert_eq!(led, [true, true, false, false]);
+    let mut seen = Vec::new();
+    for (name, table_version, pool, path) in calls {
+        let call = RoutedCall {
+            table_version,
+            pool,
+            host: "",
+            method: "GET",
+            path,
+        };
+        let check = |service, now| {
+            let table = GateTable {
+                table: &table,
+                since: NOW,
+                service,
+            };
+            match table.check_route(&call, now) {
+                Ok(()) => "runs",
+                Err(refusal) => refusal.as_str(),
+            }
+        };
+        let last_moment = NOW.after_ms(REDIRECT_GRACE_MS - 1);
+        let end = NOW.after_ms(REDIRECT_GRACE_MS);
+        let service = if pool == "trial" { "trial" } else { "desk" };
+        seen.push((
+            name,
+            check(service, last_moment),
+            check(service, end),
+            check("other", end),
+        ));
+    }
+    insta::assert_debug_snapshot!(seen);
 }
