A move goes on if every target of the old version is lost

Only daemons beside a target of another version than the new one may control a move, so none did: nobody renewed the lease without which the gates of the new version refuse, and nobody decided at the deadline.

If no such target serves, the daemons beside the new version are candidates.

--- a/src/daemon/move_runner.rs
+++ b/src/daemon/move_runner.rs
@@ -11,7 +11,7 @@
     crate::{
         clock::TimePoint,
         config::{CompiledPool, CompiledTable, MoveOrder},
-        member::{MemberState, TargetStatus, best_ranked},
+        member::{MemberRecord, MemberState, TargetStatus, best_ranked},
         moves::{
             Clearance, GateReport, MoveController, MoveEffect, PollReply, PollRequest, TakeoverState,
             may_check_takeover,
@@ -167,12 +167,8 @@
         }
         let service = &open_move.service;
         let order = &open_move.order;
-        let gates = context.members.present().filter(|record| {
-            record.target.service == *service
-                && record.target.version != order.to
-                && record.target.status == TargetStatus::Serving
-        });
-        let ranked = best_ranked(pool, gates.map(|record| &*record.name), MAX_TAKEOVER_CANDIDATES);
+        let candidates = controller_candidates(context.members, service, order);
+        let ranked = best_ranked(pool, candidates.into_iter(), MAX_TAKEOVER_CANDIDATES);
         let Some(rank) = ranked
             .iter()
             .position(|name| *name == &*context.members.own().name)
@@ -501,3 +497,19 @@
         },
     }
 }
+
+/// Returns the daemons that may control a move: those beside serving targets that the move leaves. If all of these are lost,
+/// those beside targets of the new version, as otherwise nobody would clear or judge it.
+fn controller_candidates<'a>(members: &'a MemberState, service: &str, order: &MoveOrder) -> Vec<&'a str> {
+    let serving = members
+        .present()
+        .filter(|record| *record.target.service == *service && record.target.status == TargetStatus::Serving);
+    let (beside_new, beside_old): (Vec<&MemberRecord>, Vec<&MemberRecord>) =
+        serving.partition(|record| record.target.version == order.to);
+    let candidates = if beside_old.is_empty() {
+        beside_new
+    } else {
+        beside_old
+    };
+    candidates.into_iter().map(|record| &*record.name).collect()
+}
--- a/tests/short_moves.rs
+++ b/tests/short_moves.rs
@@ -272,3 +272,47 @@
         );
     }
 }
+
+/// Runs a move whose targets of the old version are all lost, and whose controller with them, until its verdict. All calls
+/// go to the new version from the takeover on, of which a fraction fails.
+fn run_without_old_targets(new_failing: f64) -> Pool {
+    let taken_over_at = START.after_ms(10_000);
+    let mut pool = Pool::new(Some(&held(0.04)), taken_over_at);
+    for (_, now) in windows().filter(|(_, now)| *now >= taken_over_at) {
+        if pool.verdict.is_some() {
+            break;
+        }
+        let admits = pool.controller.clearance().usable_share() > 0.0;
+        add_calls(
+            &mut pool.new,
+            if admits { CALLS_PER_WINDOW } else { 0.0 },
+            new_failing,
+        );
+        pool.controller.on_poll(now);
+        pool.controller.add_report(report("new", "v2", &pool.new), now);
+        for effect in pool.controller.tick(now.after_ms(WINDOW_MS / 2)) {
+            if let MoveEffect::Decide { verdict, .. } = effect {
+                pool.verdict = Some(verdict);
+            }
+        }
+    }
+    pool
+}
+
+/// Guards against a service that is refused for good, as a move is taken back to a version of which no target is left.
+#[test]
+fn sound_version_is_done_if_no_target_of_the_old_one_is_left() {
+    let pool = run_without_old_targets(0.01);
+    assert_eq!(pool.verdict, Some(MoveVerdict::Done), "{} calls", pool.new.calls);
+}
+
+#[test]
+fn failing_version_is_taken_back_also_if_no_target_of_the_old_one_is_left() {
+    let pool = run_without_old_targets(0.6);
+    assert_eq!(
+        pool.verdict,
+        Some(MoveVerdict::TakenBack),
+        "{} calls",
+        pool.new.calls
+    );
+}
