A move without an old version ends by the new one's own calls

And at the top of its share a version that failed 60 % of its calls was done, as it was before: nothing is found by comparison with no calls.

If no gate of the old version reports, the move is now done if at most 5 % of the new version's calls failed, or one, and no evidence from before stands against it, whatever its share is; else it is taken back.

--- a/src/moves/controller/ending.rs
+++ b/src/moves/controller/ending.rs
@@ -1,7 +1,10 @@
 //! The end of a move: stopped, taken back at the deadline, or done.
 
 use {
-    super::{MAX_REPORT_AGE_MS, MIN_EVIDENCE_CALLS, MoveController, MoveEffect, MovePhase, PROPAGATION_MS},
+    super::{
+        MAX_REPORT_AGE_MS, MIN_EVIDENCE_CALLS, MoveController, MoveEffect, MovePhase, PROPAGATION_MS,
+        RESUME_FACTOR,
+    },
     crate::{
         clock::TimePoint,
         config::MoveVerdict,
@@ -9,7 +12,8 @@
     },
 };
 
-/// Highest share of failed calls with which a version is done that can't be compared, as no target of the old one is left.
+/// Highest share of failed calls, besides a single one, with which a version is done that can't be compared, as no target of
+/// the old one is left.
 const MAX_FAILING_WITHOUT_OLD: f64 = 0.05;
 
 impl MoveController {
@@ -31,11 +35,16 @@
         ]
     }
 
-    /// Decides the verdict after the drain or at the deadline: done if the share is at its top and not paused, or if there is
-    /// nothing to go back to and the version has run enough calls without a pause; else taken back.
+    /// Decides the verdict after the drain or at the deadline: done if the share is at its top and not paused, or if no target
+    /// of the old version is left and the new one is sound; else taken back.
     pub(super) fn finish(&mut self, now: TimePoint) -> Vec<MoveEffect> {
         let calls: u64 = self.tests.values().map(|tests| tests.new_total.calls).sum();
-        if !self.is_at_top() && !self.is_sound_without_old(calls, now) {
+        let is_sound = if self.are_old_gates_silent(now) {
+            self.is_sound_without_old(calls)
+        } else {
+            self.is_at_top()
+        };
+        if !is_sound {
             let share = self.clearance.share * 100.0;
             self.clearance.stopped = true;
             self.clearance.seq += 1;
@@ -69,14 +78,13 @@
         self.clearance.share >= TOP_SHARE && self.phase != MovePhase::Paused
     }
 
-    /// Returns whether no target of the old version is left to go back to, and the new one has run enough calls, of which few
-    /// failed: without the old one's calls there is no evidence by comparison.
-    fn is_sound_without_old(&self, calls: u64, now: TimePoint) -> bool {
+    /// Returns whether nothing speaks against the new version, and few of its calls failed: if no target of the old one is
+    /// left, there is no evidence by comparison, and nothing to go back to.
+    fn is_sound_without_old(&self, calls: u64) -> bool {
         let failed: u64 = self.tests.values().map(|tests| tests.new_total.failed).sum();
-        self.phase != MovePhase::Paused
-            && self.are_old_gates_silent(now)
-            && calls >= MIN_EVIDENCE_CALLS
-            && failed as f64 <= calls as f64 * MAX_FAILING_WITHOUT_OLD
+        // A pause may stand for a takeover only.
+        let has_evidence = self.strongest_finding().evidence >= self.thresholds.weak * RESUME_FACTOR;
+        !has_evidence && failed as f64 <= 1.0 + calls as f64 * MAX_FAILING_WITHOUT_OLD
     }
 
     /// Returns whether no gate of the old version has reported lately.
