--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -316,7 +316,7 @@
             .publish(self.spread.newest_version(), confirmed_at, current_until);
     }
 
-    /// Logs when it changes what is known of the table in force.
+    /// Logs each change of what is known of the table in force, and sets the gauge.
     pub(super) fn log_standing(&mut self, now: TimePoint) {
         let version = self.spread.version();
         let standing = self.shared.freshness.standing(version, now);
@@ -328,10 +328,8 @@
             .metrics
             .is_newer_version_known
             .set(i64::from(is_newer_known));
-        let (newest, age_ms) = (
-            self.spread.newest_version(),
-            now.ms_since(self.members.confirmed_at()),
-        );
+        let newest = self.spread.newest_version();
+        let age_ms = now.ms_since(self.members.confirmed_at());
         log::info!(
             "event=table-standing standing={} version={version} newest={newest} age_ms={age_ms} before={} lasted_ms={}",
             standing.as_str(),
--- a/src/daemon/traffic/inbound.rs
+++ b/src/daemon/traffic/inbound.rs
@@ -32,7 +32,7 @@
             shared::{SharedState, TargetIdentity, TrafficEvent},
             snapshot::TrafficSnapshot,
         },
-        gate::{GateAdmission, GateArrival, GateRefusal, GateTable, RoutedCall},
+        gate::{GateAdmission, GateArrival, GateRefusal, GateTable, ProxyCall},
         http::ConnectionCloser,
     },
     hyper::{Response as Answer, body::Incoming, header::HOST, http::uri::PathAndQuery},
@@ -284,7 +284,7 @@
         let Some(table) = &snapshot.table else {
             return Ok(());
         };
-        let call = RoutedCall {
+        let call = ProxyCall {
             table_version: hop.table_version,
             pool: &hop.pool,
             host: request_host(req),
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -122,7 +122,7 @@
     is_suspect: bool,
     /// Whether a gate holds it back, of which this daemon may not have heard.
     is_held_back: bool,
-    /// Whether the newer table of a gate does not admit it.
+    /// Whether a gate has refused it, as its newer table does not admit it.
     is_table_older: bool,
     /// Whether the target beside this daemon makes it in a run of its own.
     is_nested: bool,
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -20,7 +20,7 @@
     outcome::{DequeueOutcome, GateAdmission, TicketId},
     pace::TargetPace,
     refusal::GateRefusal,
-    route_check::{GateTable, REDIRECT_GRACE_MS, RoutedCall},
+    route_check::{GateTable, ProxyCall, REDIRECT_GRACE_MS},
     run_times::RunTimes,
     state::GateState,
 };
--- a/src/gate/route_check.rs
+++ b/src/gate/route_check.rs
@@ -14,7 +14,7 @@
 
 /// Call as a proxy has routed it.
 #[derive(Debug, Clone, Copy)]
-pub struct RoutedCall<'a> {
+pub struct ProxyCall<'a> {
     /// Version of the proxy's table; 0 if the proxy is of an earlier build.
     pub table_version: u64,
     /// Name of the pool that the proxy's table led to.
@@ -41,7 +41,7 @@
 impl GateTable<'_> {
     /// Refuses a call that an older table has admitted, if its route was dropped since, or has led elsewhere for long. A
     /// proxy with the same table or a newer one has decided better than this gate could.
-    pub fn check_route(&self, call: &RoutedCall<'_>, now: TimePoint) -> Result<(), GateRefusal> {
+    pub fn check_route(&self, call: &ProxyCall<'_>, now: TimePoint) -> Result<(), GateRefusal> {
         if call.table_version == 0 || call.table_version >= self.table.version {
             return Ok(());
         }
--- a/tests/older_table.rs
+++ b/tests/older_table.rs
@@ -4,7 +4,7 @@
     call::{AttemptOutcome, CallOutcome, CallPlan, CallRules, CallStep, RefusalReason},
     clock::TimePoint,
     config::{CompiledTable, ConfigHead, Stamped, parse_tables},
-    gate::{GateTable, REDIRECT_GRACE_MS, RoutedCall},
+    gate::{GateTable, ProxyCall, REDIRECT_GRACE_MS},
 };
 
 const NOW: TimePoint = TimePoint(1_000_000);
@@ -97,7 +97,7 @@
     ];
     let mut seen = Vec::new();
     for (name, table_version, pool, path) in calls {
-        let call = RoutedCall {
+        let call = ProxyCall {
             table_version,
             pool,
             host: "",
