--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,24 +1,35 @@
-"""A heartbeat of another writer, with a field of another type, that hides a departure."""
+"""Many routes with short runs are added to a service whose first route has long ones."""
 
-import http.client
 import os
+import random
 import sys
+import threading
 import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standin-2"))
 
-import codec  # noqa: E402
 from deployment import Endpoint, Machine, Record, Store, config, wait_for  # noqa: E402
 
-DRAIN_S = 2.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+ADDED_ROUTES = 100 if TROUBLE else 1
+LONG_RUN_S, SHORT_RUN_S = 0.88, 0.055
+REQUESTS = 300
+INTERVAL_S = 0.1
+
+
+class MixedEndpoint(Endpoint):
+    """Runs `/preview/` for longer than the rest."""
+
+    def _handle(self, request):
+        self.work_s = LONG_RUN_S if request.path.startswith("/preview/") else SHORT_RUN_S
+        super()._handle(request)
 
 
 def play(record):
     store = Store(record)
-    machines = [Machine(record, store, f"machine-{n}", f"127.0.0.{20 + n}", "stock") for n in (1, 2)]
+    machines = [Machine(record, store, f"machine-{n}", f"127.0.0.{20 + n}", "scan") for n in (1, 2, 3)]
     try:
         return judge(record, store, machines)
     finally:
@@ -27,61 +38,59 @@
 
 
 def judge(record, store, machines):
-    store.put("op/config", config(3, [("r-stock", "/stock/", "idempotent", "stock", {})], ["stock"]))
+    first = ("r-preview", "/preview/", "idempotent", "scan", {"target_latency_ms": 4000, "timeout_ms": 6000})
+    times = {"target_latency_ms": 200, "timeout_ms": 600}
+    added = [(f"r-probe-{n}", f"/probe-{n}/", "idempotent", "scan", times) for n in range(ADDED_ROUTES)]
+    store.put("op/config", config(3, [first], ["scan"]))
     for machine in machines:
         machine.start()
-    first = Endpoint(record, machines[0], "i-first")
-    other = Endpoint(record, machines[1], "i-other")
+    endpoints = [MixedEndpoint(record, machine, f"i-{machine.node}") for machine in machines]
     for machine in machines:
         wait_for("readiness", machine.is_ready)
-    for endpoint in (first, other):
+    for endpoint in endpoints:
         endpoint.keep_beating()
 
-    numbers = iter(range(1_000_000))
-
-    def call():
-        number = next(numbers)
-        return machines[number % 2].send("GET", f"/stock/{number}", f"a-{number}")[0]
-
-    def is_served():
-        call()
-        return first.arrivals and other.arrivals
-
-    wait_for("both endpoints to serve", is_served)
-    time.sleep(4)
-    if TROUBLE:
-        forge_heartbeat(record, first)
-    first.is_ended = True
-    time.sleep(1.5)
-    status = first.say("PUT", "draining")
-    if status is None or not 200 <= status < 300:
-        record.line(f"the departure was not acknowledged: {status}")
-        return 0
-    bound_until = time.monotonic() + DRAIN_S
-    served_until = time.monotonic() + 12
-    next_heartbeat_at = time.monotonic() + first.beat_s
-    while time.monotonic() < served_until:
-        call()
-        time.sleep(0.03)
-        if time.monotonic() >= next_heartbeat_at:
-            next_heartbeat_at += first.beat_s
-            first.say("PUT", "draining")
-    too_late = [attempt for at, attempt in first.arrivals if at > bound_until]
-    record.line(f"requests that reached i-first over {DRAIN_S} s after the acknowledgement: {len(too_late)}")
-    return 1 if too_late else 0
-
-
-def forge_heartbeat(record, endpoint):
-    """Sends a heartbeat of another writer, whose `cold_ms` is no number."""
-    machine = endpoint.machine
-    message = {"service": machine.service, "address": f"{machine.ip}:{machine.app_port}", "zone": machine.zone,
-               "version": endpoint.version, "slots": endpoint.slots, "state": "ready", "cold_ms": "soon",
-               "sequence": 1_000, "born": endpoint.born}
-    connection = http.client.HTTPConnection(machine.ip, machine.control_port, timeout=1)
-    connection.request("PUT", f"/fuchsiashore/instances/{endpoint.name}", codec.encode(message),
-                       {"Content-Type": "application/msgpack"})
-    record.line(f"another writer says PUT sequence 1000 ready, cold_ms \"soon\": {connection.getresponse().status}")
-    connection.close()
+    served, sent, lock = {"first": 0, "added": 0}, {"first": 0, "added": 0}, threading.Lock()
+    is_over = threading.Event()
+
+    def call(kind, machine, path, number, deadline_ms):
+        status, _, _ = machine.send("GET", path, f"{kind}-{number}", deadline_ms=deadline_ms)
+        with lock:
+            sent[kind] += 1
+            served[kind] += status == 200
+
+    def call_first():
+        number = 0
+        while not is_over.is_set():
+            arguments = ("first", machines[number % 3], f"/preview/{number}", number, 6000)
+            threading.Thread(target=call, args=arguments).start()
+            number += 1
+            is_over.wait(0.15)
+
+    caller = threading.Thread(target=call_first)
+    caller.start()
+    try:
+        time.sleep(10)
+        store.put("op/config", config(5, [first, *added], ["scan"]))
+        # In steady state: longer than `configApply` and `contact` after the change.
+        time.sleep(6)
+        chance = random.Random(1)
+        calls = []
+        for number in range(REQUESTS):
+            path = f"/probe-{chance.randrange(ADDED_ROUTES)}/{number}"
+            arguments = ("added", machines[chance.randrange(3)], path, number, 600)
+            calls.append(threading.Thread(target=call, args=arguments))
+            calls[-1].start()
+            time.sleep(INTERVAL_S)
+        for one in calls:
+            one.join()
+    finally:
+        is_over.set()
+        caller.join()
+    time.sleep(2)
+    record.line(f"sent {sent}, served {served}")
+    shares = {kind: served[kind] / sent[kind] for kind in sent}
+    return 1 if shares["added"] * 4 < shares["first"] else 0
 
 
 def main():
