Departures of targets are logged with what is kept of them

A line for each departure names the target, the start that the daemon knew, and whether it was kept.

--- a/src/daemon/control/members.rs
+++ b/src/daemon/control/members.rs
@@ -39,7 +39,7 @@
                 MemberEffect::Newer { from, version } => self.schedule_pull(from, version, now),
                 MemberEffect::Announced { version } => self.spread.add_announced(version),
                 MemberEffect::Floor { version } => self.spread.raise_floor(version),
-                MemberEffect::DepartedTarget { target } => self.restore_departed_target(target, now),
+                MemberEffect::DepartedTarget { target } => self.restore_departed_target(&target, now),
                 MemberEffect::NameTaken { by } => {
                     let detail = format!("by={by}; give every daemon a unique name");
                     self.ring.record(EventKind::NameTaken, detail, now);
--- a/src/daemon/control/target.rs
+++ b/src/daemon/control/target.rs
@@ -72,16 +72,16 @@
             TargetMessage::Leave { id, born } => {
                 // A message without a start time ends every start up to now.
                 let born = born.unwrap_or(now.0);
-                self.record_target_departed(id, born, "the target announced that it stops", now);
+                self.record_target_departed(&id, born, "the target announced that it stops", now);
                 true
             }
         }
     }
 
     /// Marks a target as departed, as a peer's record shows that it departed beside an earlier process of this name.
-    pub(super) fn restore_departed_target(&mut self, target: TargetRecord, now: TimePoint) {
+    pub(super) fn restore_departed_target(&mut self, target: &TargetRecord, now: TimePoint) {
         self.record_target_departed(
-            target.id,
+            &target.id,
             target.born,
             "a peer reports that the target departed",
             now,
@@ -89,8 +89,16 @@
     }
 
     /// Marks a target as departed, and records it in the store.
-    fn record_target_departed(&mut self, id: Arc<str>, born: u64, reason: &str, now: TimePoint) {
-        if let Some(departure) = self.mark_target_departed(id, born, reason, now) {
+    fn record_target_departed(&mut self, id: &Arc<str>, born: u64, reason: &str, now: TimePoint) {
+        let departure = self.mark_target_departed(Arc::clone(id), born, reason, now);
+        let current = self.announced.as_ref();
+        log::info!(
+            "event=target-departed target={id} born={born} current={} current_born={} is_kept={}",
+            current.map_or("", |current| &current.id),
+            current.map_or(0, |current| current.born),
+            departure.is_some()
+        );
+        if let Some(departure) = departure {
             self.departures.add(departure, now);
         }
     }
@@ -149,7 +157,7 @@
                 was_heard = true;
                 self.record_cold(cold_until, now);
                 if is_leaving {
-                    self.record_target_departed(id, born, "the target drains", now);
+                    self.record_target_departed(&id, born, "the target drains", now);
                     return true;
                 }
                 if self.members.own().target.status == TargetStatus::Serving {
@@ -188,7 +196,7 @@
         record.status = TargetStatus::Starting;
         self.set_target(record, now);
         if is_leaving {
-            self.record_target_departed(id, born, "the target drains", now);
+            self.record_target_departed(&id, born, "the target drains", now);
         } else {
             self.shared.gate.lock().state.close();
             log::info!("event=target-held target={id} born={born} reason=departures-not-read");
