Calls that no target gets are logged with what was expected of their targets

The log had reason=refused only. event=no-room names the limit, the run time, whether a gate has reported that run time, and the wait.

--- a/src/call/expectation.rs
+++ b/src/call/expectation.rs
@@ -23,6 +23,19 @@
     }
 }
 
+/// Earliest answer that is expected of a call's targets, as it is logged where none is sent.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AnswerForecast {
+    /// Expected time of the run, in milliseconds.
+    pub run_ms: f64,
+    /// Whether a gate has reported a run of the call's route.
+    pub is_run_known: bool,
+    /// Expected wait for a slot, in milliseconds.
+    pub wait_ms: f64,
+    /// Calls a slot that precede the call.
+    pub load: f64,
+}
+
 /// What is expected of a target for one call.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct TargetLook<'a> {
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -13,6 +13,7 @@
 
 pub use {
     budget::{DEFAULT_EXTRA_RETRIES, PoolBudgets, RetryBudget},
+    expectation::AnswerForecast,
     load::{LoadReport, RankCounts, TargetLoad},
     outcome::{AttemptOutcome, CallOutcome, RefusalReason},
     plan::{CallPlan, CallRules, CallStep},
--- a/src/call/selector.rs
+++ b/src/call/selector.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{
-        expectation::{ExpectedAnswer, TargetBaseline, TargetLook, first_in_turn, mean, weighted_mean},
+        expectation::{
+            AnswerForecast, ExpectedAnswer, TargetBaseline, TargetLook, first_in_turn, mean, weighted_mean,
+        },
         load::LoadReport,
         target_stats::TargetStats,
     },
@@ -173,6 +175,26 @@
         (times.fold(f64::INFINITY, f64::min) - limit_ms).max(0.0)
     }
 
+    /// Returns the earliest answer that is expected of the targets; `None` without any.
+    pub fn forecast(
+        &self,
+        candidates: &[CandidateTarget],
+        criteria: TargetCriteria<'_>,
+        now: TimePoint,
+    ) -> Option<AnswerForecast> {
+        let baseline = self.compute_baseline(candidates, criteria, now);
+        let answers = candidates
+            .iter()
+            .map(|target| self.expected_answer(target, criteria, baseline, now));
+        let earliest = answers.min_by(|a, b| a.time_ms().total_cmp(&b.time_ms()))?;
+        Some(AnswerForecast {
+            run_ms: earliest.run_ms,
+            is_run_known: baseline.route_run_ms.is_some(),
+            wait_ms: earliest.wait_ms,
+            load: earliest.load,
+        })
+    }
+
     /// Estimates the answer of a target, and draws its turn.
     fn look<'a>(
         &self,
--- a/src/daemon/traffic/outbound/choosing.rs
+++ b/src/daemon/traffic/outbound/choosing.rs
@@ -3,10 +3,10 @@
 use {
     super::{super::attempt::queue_rank, OutboundHandler, RoutedCall},
     crate::{
-        call::{CandidateTarget, MissingTarget, TargetCriteria, TargetNeed, choose_version},
+        call::{AnswerForecast, CandidateTarget, MissingTarget, TargetCriteria, TargetNeed, choose_version},
         clock::TimePoint,
         config::CompiledPool,
-        daemon::snapshot::ServingTarget,
+        daemon::{refusals::log_word, snapshot::ServingTarget},
         gate::GateRefusal,
         member::best_ranked,
         quarantine::RequestStanding,
@@ -117,6 +117,9 @@
                     ..criteria(call, now)
                 };
                 let chosen = selector.choose(&candidates, tried, criteria, &mut rng, now);
+                if chosen == Err(MissingTarget::NoRoom) {
+                    self.log_no_room(call, selector.forecast(&candidates, criteria, now), criteria);
+                }
                 chosen.map(|chosen| Arc::clone(&chosen.name))
             };
             match chosen {
@@ -139,6 +142,30 @@
         }
     }
 
+    /// Logs what was expected of the targets of a call that none of them gets.
+    fn log_no_room(&self, call: &RoutedCall, forecast: Option<AnswerForecast>, criteria: TargetCriteria<'_>) {
+        let (shared, route) = (&self.shared, &call.route.name);
+        let now = shared.now();
+        let (Some(forecast), Some(suppressed)) = (
+            forecast,
+            shared.refusal_lines.admit("targets", None, "no-room", route, now),
+        ) else {
+            return;
+        };
+        log::info!(
+            target: "calls",
+            "event=no-room id={} route={} limit_ms={:.0} run_ms={:.0} is_run_known={} wait_ms={:.0} load={:.2} \
+             suppressed={suppressed}",
+            log_word(call.options.id.as_deref().unwrap_or("")),
+            log_word(route),
+            criteria.limit_ms.unwrap_or(f64::INFINITY),
+            forecast.run_ms,
+            forecast.is_run_known,
+            forecast.wait_ms,
+            forecast.load
+        );
+    }
+
     /// Returns the time after which a caller that was refused for want of room may try again, in milliseconds: once a
     /// target is expected to answer in the useful time, drawn from up to twice that, so that callers that were refused
     /// together don't return together. At most the part of the caller's time that callers wait.
