An acknowledged departure binds for each start of a target

Cause: the daemon remembered one start, the one that it had heard of last. A departure of any other start was answered 200 and kept nowhere, neither here nor in the store, whose key holds one departure for each daemon. Evidence: with the log line of, target-departed target=i-second current=i-first is_kept=false, then target-ready target=i-second; no key departures/ is written.

A daemon keeps the departures of 32 targets, each with the latest start that it ends, and checks every announcement against them. A start that isn't the current target is known to no peer, so its departure is acknowledged only once it is recorded. A departure of another start no longer takes the place of a target that is present, neither by draining nor by a late heartbeat, and one of a later start under the same id counts for that start.

--- a/src/daemon/control/departures.rs
+++ b/src/daemon/control/departures.rs
@@ -1,4 +1,4 @@
-//! Departures of the target beside this daemon: recorded in the store before they are acknowledged, and read from it at the
+//! Departures of the targets beside this daemon: recorded in the store before they are acknowledged, and read from it at the
 //! start of the process.
 
 use {
@@ -58,7 +58,7 @@
         }
         for step in self.departures.tick(now) {
             match step {
-                DepartureStep::Read => self.store.read_departure(),
+                DepartureStep::Read => self.store.read_departures(),
                 DepartureStep::Record(departure) => self.store.record_departure(&departure),
             }
         }
@@ -85,22 +85,21 @@
         }
     }
 
-    /// Handles the result of reading the departure that an earlier process recorded.
-    pub(super) fn finish_departure_read(
+    /// Handles the result of reading the departures that earlier processes recorded.
+    pub(super) fn finish_departures_read(
         &mut self,
-        result: Result<Option<TargetDeparture>, StoreError>,
+        result: Result<Vec<TargetDeparture>, StoreError>,
         now: TimePoint,
     ) {
         self.departures.finish_read(result.is_ok(), now);
         match result {
-            Ok(departure) => {
-                if let Some(TargetDeparture { id, born }) = departure {
-                    let reason = "the store reports that the target departed";
-                    self.mark_target_departed(id, born, reason, now);
+            Ok(departures) => {
+                for departure in departures {
+                    self.mark_departed(&departure, "the store reports that the target departed", now);
                 }
                 self.open_held_target(now);
             }
-            Err(error) => log::warn!("event=departure-not-read error={error:?}"),
+            Err(error) => log::warn!("event=departures-not-read error={error:?}"),
         }
     }
 
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -27,8 +27,8 @@
         config::CompiledTable,
         file_watch::FileWatch,
         member::{
-            DepartureLog, JoinProgress, MemberRecord, MemberState, MemberStatus, ProbeKind, TargetRecord,
-            TargetStatus,
+            DepartedTargets, DepartureLog, JoinProgress, MemberRecord, MemberState, MemberStatus, ProbeKind,
+            TargetDeparture, TargetRecord, TargetStatus,
         },
         moves::WINDOW_MS,
         spread::SpreadState,
@@ -101,6 +101,19 @@
     has_departed: bool,
 }
 
+impl AnnouncedTarget {
+    /// Returns whether a departure ends this target. One of another target doesn't, also if that started later.
+    fn is_ended_by(&self, departure: &TargetDeparture) -> bool {
+        !self.has_departed && self.id == departure.id && self.born <= departure.born
+    }
+
+    /// Returns whether a start began before this one, which has taken its place. That is not known of a target of which
+    /// only the departure is.
+    fn has_replaced(&self, born: u64) -> bool {
+        self.seq > 0 && born < self.born
+    }
+}
+
 /// All control state of a daemon.
 #[derive(Debug)]
 pub struct ControlState {
@@ -135,8 +148,9 @@
     /// Failed readiness probes of the target in a row.
     target_failures: u32,
     announced: Option<AnnouncedTarget>,
+    departed: DepartedTargets,
     departures: DepartureLog,
-    /// Replies to a target that leaves, until its departure is recorded.
+    /// Replies to targets that leave, until their departures are recorded.
     held_replies: Vec<HeldReply>,
     repeated_notices: Vec<RepeatedNotice>,
     next_suspects_expiry_at: TimePoint,
@@ -207,6 +221,7 @@
             next_target_probe_at: now,
             target_failures: 0,
             announced: None,
+            departed: DepartedTargets::default(),
             departures: DepartureLog::new(now),
             held_replies: Vec::new(),
             repeated_notices: Vec::new(),
@@ -299,7 +314,7 @@
             ControlEvent::TargetReported { message, reply } => {
                 self.receive_target_message(message, reply, now);
             }
-            ControlEvent::DepartureRead(result) => self.finish_departure_read(result, now),
+            ControlEvent::DeparturesRead(result) => self.finish_departures_read(result, now),
             ControlEvent::DepartureRecorded { departure, result } => {
                 self.finish_departure_record(&departure, result, now);
             }
--- a/src/daemon/control/target.rs
+++ b/src/daemon/control/target.rs
@@ -23,6 +23,17 @@
 /// Number of failed probes in a row after which a target is no longer ready.
 const TARGET_FAILURE_THRESHOLD: u32 = 3;
 
+/// What a departure changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum DepartureEffect {
+    /// Nothing: it was known.
+    Known,
+    /// The current target has departed, which this daemon's record tells its peers.
+    OfCurrent,
+    /// A start has departed that is not the current target, as it has not been heard of or was replaced.
+    OfOther,
+}
+
 impl ControlState {
     /// Starts a readiness probe when it is due, unless the target announces itself.
     pub(super) fn tick_target(&mut self, now: TimePoint) {
@@ -70,65 +81,77 @@
         match message {
             TargetMessage::Announce(announcement) => self.handle_announcement(announcement, now),
             TargetMessage::Leave { id, born } => {
-                // A message without a start time ends every start up to now.
-                let born = born.unwrap_or(now.0);
-                self.record_target_departed(&id, born, "the target announced that it stops", now);
+                let born = born.unwrap_or_else(|| self.latest_start_of(&id, now));
+                let departure = TargetDeparture { id, born };
+                self.record_departed(&departure, "the target announced that it stops", now);
                 true
             }
         }
     }
 
+    /// Returns the start that a message without a start time is about, which ends every start up to now.
+    fn latest_start_of(&self, id: &str, now: TimePoint) -> u64 {
+        let current = self.announced.as_ref().filter(|current| *current.id == *id);
+        current.map_or(now.0, |current| current.born)
+    }
+
     /// Marks a target as departed, as a peer's record shows that it departed beside an earlier process of this name.
     pub(super) fn restore_departed_target(&mut self, target: &TargetRecord, now: TimePoint) {
-        self.record_target_departed(
-            &target.id,
-            target.born,
-            "a peer reports that the target departed",
-            now,
-        );
+        let departure = TargetDeparture {
+            id: Arc::clone(&target.id),
+            born: target.born,
+        };
+        self.record_departed(&departure, "a peer reports that the target departed", now);
     }
 
-    /// Marks a target as departed, and records it in the store.
-    fn record_target_departed(&mut self, id: &Arc<str>, born: u64, reason: &str, now: TimePoint) {
-        let departure = self.mark_target_departed(Arc::clone(id), born, reason, now);
-        let current = self.announced.as_ref();
-        log::info!(
-            "event=target-departed target={id} born={born} current={} current_born={} is_kept={}",
-            current.map_or("", |current| &current.id),
-            current.map_or(0, |current| current.born),
-            departure.is_some()
-        );
-        if let Some(departure) = departure {
-            self.departures.add(departure, now);
+    /// Marks a start of a target as departed, and records that in the store if it was not known. What is accepted from a
+    /// target that leaves must bind, whether it has been heard of or not: its heartbeats may arrive later.
+    fn record_departed(&mut self, departure: &TargetDeparture, reason: &str, now: TimePoint) {
+        match self.mark_departed(departure, reason, now) {
+            DepartureEffect::Known => {}
+            DepartureEffect::OfCurrent => self.departures.add(departure.clone(), now),
+            DepartureEffect::OfOther => self.departures.add_unshared(departure.clone(), now),
         }
     }
 
-    /// Marks the starts of a target up to `born` as departed, so that late announcements of them are ignored. Returns the
-    /// departure, or `None` if the current target is another one, a later start or departed already.
-    pub(super) fn mark_target_departed(
+    /// Marks the starts of a target up to the one of a departure as departed, so that late announcements of them are
+    /// ignored. Closes the gate if that ends the current target.
+    pub(super) fn mark_departed(
         &mut self,
-        id: Arc<str>,
-        born: u64,
+        departure: &TargetDeparture,
         reason: &str,
         now: TimePoint,
-    ) -> Option<TargetDeparture> {
-        let current = self.announced.get_or_insert_with(|| AnnouncedTarget {
-            id: Arc::clone(&id),
-            born,
-            seq: 0,
-            has_departed: false,
-        });
-        if current.id != id || current.born > born || current.has_departed {
-            return None;
+    ) -> DepartureEffect {
+        let is_new = self.departed.add(departure);
+        let current = self.announced.as_ref();
+        let ends_current = current.is_none_or(|current| current.is_ended_by(departure));
+        let TargetDeparture { id, born } = departure;
+        log::info!(
+            "event=target-departed target={id} born={born} current={} current_born={} is_new={is_new} \
+             ends_current={ends_current}",
+            current.map_or("", |current| &current.id),
+            current.map_or(0, |current| current.born),
+        );
+        if !ends_current {
+            return if is_new {
+                DepartureEffect::OfOther
+            } else {
+                DepartureEffect::Known
+            };
         }
-        current.has_departed = true;
-        let born = current.born;
+        let seq = current.map_or(0, |current| current.seq);
+        self.announced = Some(AnnouncedTarget {
+            id: Arc::clone(id),
+            born: *born,
+            seq,
+            has_departed: true,
+        });
         let mut record = self.members.own().target.clone();
-        (record.id, record.born, record.status) = (Arc::clone(&id), born, TargetStatus::Departed);
+        (record.id, record.born, record.status) = (Arc::clone(id), *born, TargetStatus::Departed);
         self.shared.gate.lock().drain(now);
         self.set_target(record, now);
         self.ring.record(EventKind::TargetLost, reason, now);
-        Some(TargetDeparture { id, born })
+        DepartureEffect::OfCurrent
     }
 
     /// Updates the target from its announcement. Returns false if it comes from an earlier start than the current one.
@@ -144,10 +167,18 @@
             cold_until,
         } = announcement;
         let mut was_heard = false;
+        let has_departed = self.departed.has_departed(&id, born);
         if let Some(current) = &mut self.announced {
             let is_same = current.id == id && current.born == born;
-            let is_late = born < current.born || (is_same && (seq <= current.seq || current.has_departed));
-            if is_late {
+            let is_repeated = is_same && seq <= current.seq;
+            if is_leaving && !is_repeated {
+                let departure = TargetDeparture { id, born };
+                // The gate stays open for a later start of the same target.
+                let is_superseded = current.id == departure.id && born < current.born;
+                self.record_departed(&departure, "the target drains", now);
+                return !is_superseded;
+            }
+            if has_departed || current.has_replaced(born) || is_repeated {
                 log::info!("event=announcement-late target={id} born={born} seq={seq}");
                 // A repeated announcement of the current start is acknowledged again, also after its departure.
                 return is_same;
@@ -156,10 +187,6 @@
                 current.seq = seq;
                 was_heard = true;
                 self.record_cold(cold_until, now);
-                if is_leaving {
-                    self.record_target_departed(&id, born, "the target drains", now);
-                    return true;
-                }
                 if self.members.own().target.status == TargetStatus::Serving {
                     return true;
                 }
@@ -196,7 +223,7 @@
         record.status = TargetStatus::Starting;
         self.set_target(record, now);
         if is_leaving {
-            self.record_target_departed(&id, born, "the target drains", now);
+            self.record_departed(&TargetDeparture { id, born }, "the target drains", now);
         } else {
             self.shared.gate.lock().state.close();
             log::info!("event=target-held target={id} born={born} reason=departures-not-read");
--- a/src/daemon/edges.rs
+++ b/src/daemon/edges.rs
@@ -98,11 +98,11 @@
     /// that of the pool in the configuration in force.
     fn restore_version(&mut self, pool: &Arc<str>, version: &Arc<str>, stamp: MoveStamp);
 
-    /// Reads the departure of the target beside this daemon that an earlier process of its name has recorded.
-    fn read_departure(&mut self);
+    /// Reads the departures of targets beside this daemon that earlier processes of its name have recorded.
+    fn read_departures(&mut self);
 
-    /// Records the departure of the target beside this daemon for as long as a late announcement of it may arrive, in place
-    /// of an earlier one.
+    /// Records the departure of a target beside this daemon for as long as a late announcement of it may arrive, beside
+    /// earlier ones.
     fn record_departure(&mut self, departure: &TargetDeparture);
 }
 
@@ -205,9 +205,9 @@
         .await;
     }
 
-    /// Reports the departure that is recorded for this daemon's target, or why it could not be read.
-    pub async fn departure_read(&self, result: Result<Option<TargetDeparture>, StoreError>) {
-        self.send(ControlEvent::DepartureRead(result)).await;
+    /// Reports the departures that are recorded for targets beside this daemon, or why they could not be read.
+    pub async fn departures_read(&self, result: Result<Vec<TargetDeparture>, StoreError>) {
+        self.send(ControlEvent::DeparturesRead(result)).await;
     }
 
     /// Reports the result of recording a departure.
--- a/src/daemon/kv_store_edge.rs
+++ b/src/daemon/kv_store_edge.rs
@@ -131,9 +131,9 @@
         // Not needed: the head of this store has the versions of pools and the moves in one value.
     }
 
-    fn read_departure(&mut self) {
+    fn read_departures(&mut self) {
         let inbox = self.context.inbox.clone();
-        tokio::spawn(async move { inbox.departure_read(Ok(None)).await });
+        tokio::spawn(async move { inbox.departures_read(Ok(Vec::new())).await });
     }
 
     fn record_departure(&mut self, departure: &TargetDeparture) {
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -113,8 +113,8 @@
         /// Receives what became of the message.
         reply: oneshot::Sender<MessageOutcome>,
     },
-    /// A read of the departure that an earlier process recorded ended.
-    DepartureRead(Result<Option<TargetDeparture>, StoreError>),
+    /// A read of the departures that earlier processes recorded ended.
+    DeparturesRead(Result<Vec<TargetDeparture>, StoreError>),
     /// An attempt to record a departure ended.
     DepartureRecorded {
         /// The departure.
--- a/src/member/departure.rs
+++ b/src/member/departure.rs
@@ -1,12 +1,18 @@
-//! The departure of the target beside a daemon: when it is recorded in the store, and when it may be acknowledged.
+//! Departures of the targets beside a daemon: which starts they end, when they are recorded in the store, and when they may be
+//! acknowledged.
 //!
-//! Peers give a departure back to a daemon that is restarted alone. After the loss of every daemon only the store has it.
+//! Peers give the departure of the target in a daemon's record back to a daemon that is restarted alone. After the loss of
+//! every daemon only the store has it, and only the store has those of other starts.
 
 use {
     crate::{clock::TimePoint, macros::value_type},
+    indexmap::IndexMap,
     std::sync::Arc,
 };
 
+/// Number of targets whose departures are kept for one daemon; the one that came first makes room.
+pub const MAX_DEPARTURES: usize = 32;
+
 /// Time within which a target gets a reply to the message that it leaves, in milliseconds. It waits for a second.
 pub const DEPARTURE_REPLY_MS: u64 = 700;
 /// Time after the first message that a target leaves from which it is acknowledged without a record, in milliseconds: a
@@ -27,10 +33,47 @@
     }
 }
 
+/// Departures of the targets beside one daemon, in the order in which they came. The daemon need not have heard of a target
+/// before: a heartbeat may arrive after the message that its sender leaves.
+#[derive(Debug, Clone, Default)]
+pub struct DepartedTargets {
+    /// Latest start that has departed, by the identity of the target.
+    latest_starts: IndexMap<Arc<str>, u64>,
+}
+
+impl DepartedTargets {
+    /// Adds a departure. Returns false if a departure of this start or a later one is known.
+    pub fn add(&mut self, departure: &TargetDeparture) -> bool {
+        if self.has_departed(&departure.id, departure.born) {
+            return false;
+        }
+        self.latest_starts.shift_remove(&departure.id);
+        if self.latest_starts.len() >= MAX_DEPARTURES {
+            self.latest_starts.shift_remove_index(0);
+        }
+        self.latest_starts
+            .insert(Arc::clone(&departure.id), departure.born);
+        true
+    }
+
+    /// Returns whether a start of a target has departed.
+    pub fn has_departed(&self, id: &str, born: u64) -> bool {
+        self.latest_starts.get(id).is_some_and(|latest| born <= *latest)
+    }
+
+    /// Returns the departures, the latest one last.
+    pub fn iter(&self) -> impl Iterator<Item = TargetDeparture> {
+        self.latest_starts.iter().map(|(id, born)| TargetDeparture {
+            id: Arc::clone(id),
+            born: *born,
+        })
+    }
+}
+
 /// Call to the store that is due.
 #[derive(Debug, Clone, PartialEq)]
 pub enum DepartureStep {
-    /// Read the departure that an earlier process of this daemon recorded.
+    /// Read the departures that earlier processes of this daemon recorded.
     Read,
     /// Record a departure.
     Record(TargetDeparture),
@@ -41,13 +84,13 @@
     departure: TargetDeparture,
     /// When it is recorded next; [`TimePoint::FAR_FUTURE`] while a call is in flight.
     record_at: TimePoint,
-    /// From when on it is acknowledged without a record.
+    /// From when on it is acknowledged without a record; [`TimePoint::FAR_FUTURE`] if only the store would keep it.
     acknowledge_at: TimePoint,
     /// Failed attempts to record it.
     failures: u32,
 }
 
-/// What the store has of the departures of one daemon's target.
+/// What the store has of the departures of the targets beside one daemon.
 #[derive(Debug, Clone)]
 pub struct DepartureLog {
     /// Whether the store was read since the start of the process.
@@ -56,7 +99,8 @@
     read_at: TimePoint,
     /// Failed reads.
     read_failures: u32,
-    unrecorded: Option<UnrecordedDeparture>,
+    /// At most [`MAX_DEPARTURES`], in the order in which they came.
+    unrecorded: Vec<UnrecordedDeparture>,
 }
 
 impl DepartureLog {
@@ -66,7 +110,7 @@
             is_restored: false,
             read_at: now,
             read_failures: 0,
-            unrecorded: None,
+            unrecorded: Vec::new(),
         }
     }
 
@@ -82,9 +126,7 @@
             self.read_at = TimePoint::FAR_FUTURE;
             steps.push(DepartureStep::Read);
         }
-        if let Some(unrecorded) = &mut self.unrecorded
-            && unrecorded.record_at <= now
-        {
+        for unrecorded in self.unrecorded.iter_mut().filter(|one| one.record_at <= now) {
             unrecorded.record_at = TimePoint::FAR_FUTURE;
             steps.push(DepartureStep::Record(unrecorded.departure.clone()));
         }
@@ -101,40 +143,56 @@
         }
     }
 
-    /// Adds a departure that has to be recorded, in place of an earlier one.
+    /// Adds the departure of the target in this daemon's record. It has to be recorded, but peers know it as well.
     pub fn add(&mut self, departure: TargetDeparture, now: TimePoint) {
-        self.unrecorded = Some(UnrecordedDeparture {
+        self.add_until(departure, now.after_ms(ACKNOWLEDGE_MS), now);
+    }
+
+    /// Adds the departure of another start. It is not acknowledged without a record, as the end of the process would be the
+    /// end of it.
+    pub fn add_unshared(&mut self, departure: TargetDeparture, now: TimePoint) {
+        self.add_until(departure, TimePoint::FAR_FUTURE, now);
+    }
+
+    fn add_until(&mut self, departure: TargetDeparture, acknowledge_at: TimePoint, now: TimePoint) {
+        self.unrecorded.retain(|other| other.departure.id != departure.id);
+        if self.unrecorded.len() >= MAX_DEPARTURES {
+            self.unrecorded.remove(0);
+        }
+        self.unrecorded.push(UnrecordedDeparture {
             departure,
             record_at: now,
-            acknowledge_at: now.after_ms(ACKNOWLEDGE_MS),
+            acknowledge_at,
             failures: 0,
         });
     }
 
     /// Records the end of an attempt to record a departure.
     pub fn finish_record(&mut self, departure: &TargetDeparture, is_recorded: bool, now: TimePoint) {
-        let current = self.unrecorded.as_mut();
-        let Some(current) = current.filter(|current| current.departure == *departure) else {
-            return;
-        };
+        let recorded = self.unrecorded.iter().position(|one| one.departure == *departure);
+        let Some(at) = recorded else { return };
         if is_recorded {
-            self.unrecorded = None;
+            self.unrecorded.remove(at);
         } else {
-            current.record_at = now.after_ms(pause_ms(current.failures));
-            current.failures += 1;
+            let unrecorded = &mut self.unrecorded[at];
+            unrecorded.record_at = now.after_ms(pause_ms(unrecorded.failures));
+            unrecorded.failures += 1;
         }
     }
 
     /// Returns whether the departure of a target is still to be recorded.
     pub fn is_unrecorded(&self, id: &str) -> bool {
-        let current = self.unrecorded.as_ref();
-        current.is_some_and(|current| *current.departure.id == *id)
+        self.unrecorded_of(id).is_some()
     }
 
     /// Returns whether the departure of a target may be acknowledged: it is recorded, or the target can't wait any longer.
     pub fn may_acknowledge(&self, id: &str, now: TimePoint) -> bool {
-        let current = self.unrecorded.as_ref();
-        current.is_none_or(|current| *current.departure.id != *id || current.acknowledge_at <= now)
+        self.unrecorded_of(id)
+            .is_none_or(|unrecorded| unrecorded.acknowledge_at <= now)
+    }
+
+    fn unrecorded_of(&self, id: &str) -> Option<&UnrecordedDeparture> {
+        self.unrecorded.iter().find(|one| *one.departure.id == *id)
     }
 }
 
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -14,7 +14,9 @@
 
 pub use {
     confirmation::{CONFIRMATION_TTL_MS, KnownVersion, LEAD_WAIT_MS, WatchMode},
-    departure::{DEPARTURE_REPLY_MS, DepartureLog, DepartureStep, TargetDeparture},
+    departure::{
+        DEPARTURE_REPLY_MS, DepartedTargets, DepartureLog, DepartureStep, MAX_DEPARTURES, TargetDeparture,
+    },
     digest::{BUCKETS, bucket_digests, bucket_of},
     join::{JOIN_TIMEOUT_MS, JoinContacts, JoinProgress},
     message::{ProbeKind, ProbeMessage, SyncReply, SyncRequest},
--- a/tests/departure_log.rs
+++ b/tests/departure_log.rs
@@ -2,7 +2,7 @@
 
 use fuchsiashore::{
     clock::TimePoint,
-    member::{DepartureLog, DepartureStep, TargetDeparture},
+    member::{DepartedTargets, DepartureLog, DepartureStep, MAX_DEPARTURES, TargetDeparture},
 };
 
 const NOW: TimePoint = TimePoint(1_000_000);
@@ -64,3 +64,42 @@
     log.finish_read(true, now);
     assert!(log.is_restored());
 }
+
+/// Guards against a departure that takes the place of another one before that is recorded.
+#[test]
+fn departures_of_several_targets_are_recorded_and_acknowledged_each_for_itself() {
+    let mut log = DepartureLog::new(NOW);
+    log.tick(NOW);
+    let (first, second) = (departure("i-0"), departure("i-1"));
+    log.add(first.clone(), NOW);
+    log.add_unshared(second.clone(), NOW);
+    let steps = [&first, &second].map(|one| DepartureStep::Record(one.clone()));
+    assert_eq!(log.tick(NOW), steps);
+    let much_later = NOW.after_ms(60_000);
+    assert!(log.may_acknowledge("i-0", much_later));
+    assert!(
+        !log.may_acknowledge("i-1", much_later),
+        "only the store would keep it"
+    );
+    log.finish_record(&second, true, NOW);
+    assert!(log.may_acknowledge("i-1", NOW));
+    assert!(log.is_unrecorded("i-0"));
+}
+
+/// Guards against an acknowledged departure that is forgotten for a later one, and against a list without a bound.
+#[test]
+fn departures_end_each_start_up_to_theirs_and_are_kept_up_to_a_number() {
+    let mut departed = DepartedTargets::default();
+    assert!(departed.add(&departure("i-0")));
+    assert!(!departed.add(&departure("i-0")), "known");
+    let starts = [999, 1_000, 1_001].map(|born| departed.has_departed("i-0", born));
+    assert_eq!(starts, [true, true, false]);
+    assert!(!departed.has_departed("i-1", 1));
+    for number in 1..MAX_DEPARTURES {
+        departed.add(&departure(&format!("i-{number}")));
+    }
+    assert!(departed.has_departed("i-0", 1_000));
+    departed.add(&departure("i-last"));
+    assert!(!departed.has_departed("i-0", 1_000));
+    assert_eq!(departed.iter().count(), MAX_DEPARTURES);
+}
