A run that is long or not known is no reason to refuse a call

Cause: a call counted as hopeless if its expected answer, run included, took over 1.5 times the time left. A daemon took the run of a route that no gate had reported yet to last as long as the mean of the service, without a bound, and learnt better only from one call in ten. Of the 64 routes that it kept for each target it dropped new ones.

What calls before it cause can be refused away, its own run can't. A call is hopeless only if the targets' queues make its answer take 1.5 times what it takes without a wait. Proxies and gates assume the same of an unknown run (call/run_estimate.rs): not more than a third of the useful time. The useful time of a call, by which proxies choose and gates admit, queue and tell refused callers when to return, is at least 1.5 runs of its route. Run times are kept for the routes that were used last, at gates and at proxies, where a mean over all targets stands in for those that have reported none.

--- a/src/call/expectation.rs
+++ b/src/call/expectation.rs
@@ -1,6 +1,6 @@
 //! What is expected of targets for one call.
 
-use super::selector::CandidateTarget;
+use super::candidate::CandidateTarget;
 
 /// Smallest weight of a report in the mean load of targets.
 const MIN_REPORT_WEIGHT: f64 = 0.3;
@@ -19,7 +19,17 @@
 
 impl ExpectedAnswer {
     pub(super) fn time_ms(self) -> f64 {
-        self.run_ms + self.wait_ms + self.distance_ms
+        self.unqueued_ms() + self.wait_ms
+    }
+
+    /// Returns whether the answer takes more than a multiple of its time without a wait. Only then do other calls delay it, so
+    /// that refusing it helps anybody.
+    pub(super) fn is_queued(self, factor: f64) -> bool {
+        self.time_ms() > self.unqueued_ms() * factor
+    }
+
+    fn unqueued_ms(self) -> f64 {
+        self.run_ms + self.distance_ms
     }
 }
 
@@ -44,7 +54,7 @@
     pub(super) load: f64,
     /// Whether the target is full for the call's rank, or not expected to answer within the limit.
     pub(super) is_late: bool,
-    /// Whether it is late by so much that its gate would hardly admit the call.
+    /// Whether it is late by so much, for the calls before this one, that its gate would hardly admit the call.
     pub(super) is_hopeless: bool,
     pub(super) cost_ms: f64,
     /// Drawn, lower for targets with more weight.
@@ -57,7 +67,7 @@
     /// Mean time of a run, in milliseconds. Targets without statistics are assumed to take as long, otherwise they
     /// would appear to be free of cost.
     pub(super) run_ms: f64,
-    /// The same for runs of the call's route; `None` if no candidate has reported one.
+    /// The same for runs of the call's route; `None` if no target has reported one.
     pub(super) route_run_ms: Option<f64>,
     /// Lowest failure share.
     pub(super) failure_share: f64,
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -2,10 +2,13 @@
 //! caller.
 
 mod budget;
+mod candidate;
 mod expectation;
 mod load;
 mod outcome;
 mod plan;
+mod recent_routes;
+mod run_estimate;
 mod selector;
 mod split;
 mod target_stats;
@@ -13,11 +16,14 @@
 
 pub use {
     budget::{DEFAULT_EXTRA_RETRIES, PoolBudgets, RetryBudget},
+    candidate::{CandidateTarget, MissingTarget, TargetCriteria, TargetNeed},
     expectation::AnswerForecast,
     load::{LoadReport, RankCounts, TargetLoad},
     outcome::{AttemptOutcome, CallOutcome, RefusalReason},
     plan::{CallPlan, CallRules, CallStep},
-    selector::{CandidateTarget, MissingTarget, TargetCriteria, TargetNeed, TargetSelector},
+    recent_routes::RecentRoutes,
+    run_estimate::{TargetRoutes, assumed_run_ms},
+    selector::TargetSelector,
     split::SplitSequence,
     target_stats::TargetStats,
     version::{VersionChoice, choose_version},
--- a/src/call/selector.rs
+++ b/src/call/selector.rs
@@ -2,10 +2,13 @@
 
 use {
     super::{
+        candidate::{CandidateTarget, MissingTarget, TargetCriteria, TargetNeed},
         expectation::{
             AnswerForecast, ExpectedAnswer, TargetBaseline, TargetLook, first_in_turn, mean, weighted_mean,
         },
         load::LoadReport,
+        recent_routes::RecentRoutes,
+        run_estimate::{assumed_run_ms, useful_ms},
         target_stats::TargetStats,
     },
     crate::clock::TimePoint,
@@ -22,17 +25,17 @@
 const CROSS_DC_COST_MS_PER_KIB: f64 = 300.0;
 /// Size of the request and response heads between two daemons together, in bytes.
 const HEAD_BYTES: f64 = 700.0;
-/// Weight of a new sample in the moving average of a route's answer sizes.
-const ANSWER_SIZE_EWMA_WEIGHT: f64 = 0.1;
-/// Maximum number of routes whose answer sizes are tracked; the answers of further routes count as empty.
+/// Weight of a new sample in the moving averages of a route.
+const ROUTE_EWMA_WEIGHT: f64 = 0.1;
+/// Number of routes with averages over all targets.
 const MAX_TRACKED_ROUTES: usize = 4_000;
 /// Fraction by which a run is expected to take longer at a target whose slots are all in use, before any call queues.
 const FULL_LOAD_SLOWDOWN: f64 = 0.5;
 /// Power by which a target's share of the calls falls with its expected wait. With figures as old as a queue lives, a
 /// higher one sends all daemons to the same targets; a lower one makes less of fresh figures.
 const ROOM_EXPONENT: i32 = 3;
-/// Multiple of the time left for a useful answer over which the expected answer makes an attempt hopeless: estimates by
-/// old figures are hardly better.
+/// Multiple of the time left for a useful answer, and of the time without a wait, over which the expected answer makes an
+/// attempt hopeless: estimates by old figures are hardly better.
 const HOPELESS_FACTOR: f64 = 1.5;
 /// Share of the calls that are sent though all targets are hopeless, which keeps their figures new.
 const PROBE_SHARE: f64 = 0.1;
@@ -47,61 +50,14 @@
 /// value is three standard deviations of the moving average.
 const EJECTION_EXCESS_SHARE: f64 = 0.3;
 
-/// Target that could serve a call.
-#[derive(Debug, Clone, PartialEq)]
-pub struct CandidateTarget {
-    /// Name of its daemon.
-    pub name: Arc<str>,
-    /// Number of calls that it serves concurrently.
-    pub slots: u32,
-    /// Whether it is in this daemon's data centre.
-    pub is_near: bool,
-    /// Whether the membership protocol suspects its daemon of having failed.
-    pub is_suspect: bool,
-}
-
-/// Which targets are eligible for an attempt.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum TargetNeed {
-    /// Also late ones, if none is expected to answer in time.
-    #[default]
-    Any,
-    /// Those expected to answer in time, as after the refusal of a full gate.
-    Room,
-    /// The same, and with a load below `MAX_IDLE_LOAD`, as for a hedged attempt.
-    Idle,
-}
-
-/// Reason for which no target is chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum MissingTarget {
-    /// There is none that has not been tried.
-    None,
-    /// None is expected to answer in time.
-    NoRoom,
-}
-
-/// Selection criteria of a call.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct TargetCriteria<'a> {
-    /// Name of the route.
-    pub route: &'a str,
-    /// Cost of sending the call to another data centre, in milliseconds.
-    pub cross_dc_cost_ms: f64,
-    /// Time within which the answer is needed, in milliseconds; `None` if there is no limit.
-    pub limit_ms: Option<f64>,
-    /// Which targets are eligible.
-    pub need: TargetNeed,
-    /// Rank of the route; 0 is the most urgent.
-    pub priority: u8,
-}
-
 /// Records per-target statistics, by daemon name, and selects targets by them.
 #[derive(Debug, Default)]
 pub struct TargetSelector {
     stats: HashMap<Arc<str>, TargetStats>,
-    /// Moving average of answer sizes per route, in bytes.
-    answer_bytes: HashMap<Arc<str>, f64>,
+    /// Moving averages of answer sizes, in bytes.
+    answer_bytes: RecentRoutes<f64, MAX_TRACKED_ROUTES>,
+    /// Moving averages of run times over all targets, in milliseconds.
+    route_runs: RecentRoutes<f64, MAX_TRACKED_ROUTES>,
 }
 
 impl TargetSelector {
@@ -217,7 +173,7 @@
             target,
             load: answer.load,
             is_late: is_full || is_over(time_ms),
-            is_hopeless: is_full || is_over(time_ms / HOPELESS_FACTOR),
+            is_hopeless: is_full || (is_over(time_ms / HOPELESS_FACTOR) && answer.is_queued(HOPELESS_FACTOR)),
             cost_ms: time_ms * answer.failure_factor + distance_cost_ms,
             // The least of exponential draws is distributed by their rates.
             turn: -(1.0 - rng.random::<f64>()).ln() / weight,
@@ -227,17 +183,14 @@
     /// Returns the cost of sending a call to another data centre, in milliseconds: the size of its body, its heads and
     /// the route's mean answer, times the cost of a KiB.
     pub fn cross_dc_cost_ms(&self, route: &str, request_bytes: usize) -> f64 {
-        let answer_bytes = self.answer_bytes.get(route).copied().unwrap_or_default();
+        let answer_bytes = self.answer_bytes.get(route).unwrap_or_default();
         (request_bytes as f64 + answer_bytes + HEAD_BYTES) / 1_024.0 * CROSS_DC_COST_MS_PER_KIB
     }
 
     /// Records the size of an answer in the route's moving average.
     pub fn record_answer_size(&mut self, route: &Arc<str>, bytes: usize) {
-        if let Some(mean) = self.answer_bytes.get_mut(route) {
-            *mean += (bytes as f64 - *mean) * ANSWER_SIZE_EWMA_WEIGHT;
-        } else if self.answer_bytes.len() < MAX_TRACKED_ROUTES {
-            self.answer_bytes.insert(Arc::clone(route), bytes as f64);
-        }
+        self.answer_bytes
+            .update(route, |mean| moving_average(mean, bytes as f64));
     }
 
     /// Counts a call of a rank as in flight at a target.
@@ -258,11 +211,18 @@
     /// Records the mean run time of a route at a target, in milliseconds, which its gate reported.
     pub fn record_route_run(&mut self, name: &Arc<str>, route: &Arc<str>, run_ms: f64) {
         self.stats_of(name).record_route_run(route, run_ms);
+        self.route_runs.update(route, |mean| moving_average(mean, run_ms));
     }
 
     /// Returns the mean run time of a route at a target, in milliseconds; `None` if its gate has not reported it.
     pub fn route_run_ms(&self, name: &str, route: &str) -> Option<f64> {
-        self.stats.get(name)?.route_run_ms.get(route).copied()
+        self.stats.get(name)?.route_run_ms.get(route)
+    }
+
+    /// Returns the time within which an answer is useful to a caller, in milliseconds: the stated latency of the route, but no
+    /// less than its runs take.
+    pub fn useful_ms(&self, route: &str, target_latency_ms: u64) -> u64 {
+        useful_ms(target_latency_ms, self.route_runs.get(route))
     }
 
     /// Records that a gate refused a call of a rank as full, or that the call expired in its queue.
@@ -344,7 +304,7 @@
         let shares = known().map(|(_, stats)| stats.failure_share);
         TargetBaseline {
             run_ms,
-            route_run_ms: mean(of_route.copied()),
+            route_run_ms: mean(of_route).or_else(|| self.route_runs.get(criteria.route)),
             failure_share: shares.reduce(f64::min).unwrap_or_default(),
             near_load: mean_load(true),
             far_load: mean_load(false),
@@ -373,8 +333,9 @@
         }
         // The call waits for runs of all kinds, but its own takes as long as those of its route.
         let ahead_ms = stats.run_ms().unwrap_or(baseline.run_ms);
-        let known_ms = stats.route_run_ms.get(criteria.route).copied();
-        let run_ms = known_ms.or(baseline.route_run_ms).unwrap_or(ahead_ms);
+        let known_ms = stats.route_run_ms.get(criteria.route);
+        let assumed_ms = assumed_run_ms(ahead_ms, criteria.limit_ms.unwrap_or(f64::INFINITY));
+        let run_ms = known_ms.or(baseline.route_run_ms).unwrap_or(assumed_ms);
         let slowdown = stats.slowdown(now);
         let computed_ms = ahead_ms.max(BASE_LATENCY_MS) * load.queued(target.slots) * slowdown;
         let stated_ms = stats.stated_wait_ms(criteria.priority).unwrap_or(computed_ms);
@@ -389,6 +350,11 @@
     }
 }
 
+/// Returns a moving average after a new sample; that is the sample if there was none before.
+fn moving_average(mean: Option<f64>, sample: f64) -> f64 {
+    mean.map_or(sample, |mean| mean + (sample - mean) * ROUTE_EWMA_WEIGHT)
+}
+
 /// Returns the targets that satisfy a condition, or all if none does.
 fn prefer(
     targets: Vec<&CandidateTarget>,
--- a/src/call/target_stats.rs
+++ b/src/call/target_stats.rs
@@ -1,9 +1,11 @@
 //! What this daemon knows of one target, and the load and time to an answer that it expects there.
 
 use {
-    super::load::{LoadReport, RankCounts},
+    super::{
+        load::{LoadReport, RankCounts},
+        run_estimate::TargetRoutes,
+    },
     crate::clock::TimePoint,
-    indexmap::IndexMap,
     std::sync::Arc,
 };
 
@@ -15,8 +17,6 @@
 const MAX_EJECTION_MS: u64 = 30_000;
 /// Weight of a new sample in the moving average of latencies.
 const LATENCY_EWMA_WEIGHT: f64 = 0.2;
-/// Maximum number of routes of which a target's run times are kept; further ones count with its mean.
-const MAX_ROUTES_PER_TARGET: usize = 64;
 /// Weight of a new outcome in the moving average of the failure share.
 const FAILURE_EWMA_WEIGHT: f64 = 0.1;
 /// Time for which a target counts as full after it refused a call as full, in milliseconds.
@@ -55,7 +55,7 @@
     /// Calls from here that were in flight at the last report, without the one that it was sent with.
     in_flight_at_report: RankCounts,
     /// Mean run time of each route at this target, in milliseconds, as its gate reported it.
-    pub(super) route_run_ms: IndexMap<Arc<str>, f64>,
+    pub(super) route_run_ms: TargetRoutes<f64>,
     full_until: TimePoint,
     /// Most urgent rank that was refused as full until `full_until`.
     full_rank: u8,
@@ -83,9 +83,7 @@
     }
 
     pub(super) fn record_route_run(&mut self, route: &Arc<str>, run_ms: f64) {
-        if self.route_run_ms.contains_key(route) || self.route_run_ms.len() < MAX_ROUTES_PER_TARGET {
-            self.route_run_ms.insert(Arc::clone(route), run_ms);
-        }
+        self.route_run_ms.update(route, |_| run_ms);
     }
 
     pub(super) fn record_full(&mut self, priority: u8, now: TimePoint) {
--- a/src/daemon/traffic/outbound.rs
+++ b/src/daemon/traffic/outbound.rs
@@ -302,10 +302,14 @@
         let pool = Arc::clone(route.pool(draw));
         let came_idle = shared.gate.lock().state.in_flight() == 0;
         let is_nested = !came_idle && shared.nested_routes.lock().contains(&route.name);
+        let useful_ms = shared
+            .selector
+            .lock()
+            .useful_ms(&route.name, route.target_latency_ms);
         Ok(RoutedCall {
             repeatable: route.is_repeatable(req.method().as_str()),
             arrived_at: now,
-            useful_until: now.after_ms(route.target_latency_ms).min(deadline),
+            useful_until: now.after_ms(useful_ms).min(deadline),
             route,
             pool,
             table_version: table.version,
--- a/src/gate/run_times.rs
+++ b/src/gate/run_times.rs
@@ -1,16 +1,14 @@
 //! Expected run times of calls at one target, by route: kinds of calls at one target differ by an order of magnitude, so
 //! a mean over all of them would refuse short calls that stand beside long ones.
 
-use {indexmap::IndexMap, std::sync::Arc};
+use {
+    crate::call::{TargetRoutes, assumed_run_ms},
+    std::sync::Arc,
+};
 
 /// Run time assumed before any run has ended, in milliseconds: that of a common service, so that a new target is not
 /// overloaded.
 const DEFAULT_RUN_MS: f64 = 200.0;
-/// Number of routes with a mean of their own; the one that was used least recently makes room.
-const MAX_ROUTES: usize = 64;
-/// Assumed run time of a route without runs, as a fraction of the time within which its answer is useful. Operators
-/// state latencies of two and a half to four runs.
-const USEFUL_RUN_FRACTION: f64 = 1.0 / 3.0;
 /// Weight of a new sample in the moving average over all routes.
 const MEAN_WEIGHT: f64 = 0.05;
 /// Smallest weight of a new sample in the moving average of a route; the first ones weigh more.
@@ -20,14 +18,28 @@
 const MAX_SAMPLE_MEANS: f64 = 4.0;
 
 /// Run times of one route.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 struct RouteRuns {
     /// Moving average, in milliseconds.
     mean_ms: f64,
     /// Number of runs.
     count: u32,
-    /// Number of the latest run of all routes that was of this route.
-    last_run: u64,
+}
+
+impl RouteRuns {
+    fn after(self, ran_ms: f64) -> Self {
+        let count = self.count.saturating_add(1);
+        let sample_ms = if self.count == 0 {
+            ran_ms
+        } else {
+            ran_ms.min(self.mean_ms * MAX_SAMPLE_MEANS)
+        };
+        let weight = (1.0 / f64::from(count)).max(ROUTE_WEIGHT);
+        Self {
+            mean_ms: self.mean_ms + (sample_ms - self.mean_ms) * weight,
+            count,
+        }
+    }
 }
 
 /// Moving averages of the run times at one target.
@@ -35,35 +47,18 @@
 pub struct RunTimes {
     /// Moving average over all routes, in milliseconds; 0 before the first run.
     mean_ms: f64,
-    runs: u64,
-    routes: IndexMap<Arc<str>, RouteRuns>,
+    routes: TargetRoutes<RouteRuns>,
 }
 
 impl RunTimes {
     /// Records a run, in milliseconds.
     pub fn record(&mut self, route: &Arc<str>, ran_ms: f64) {
-        self.runs += 1;
         self.mean_ms = match self.mean_ms {
             0.0 => ran_ms,
             mean_ms => mean_ms + (ran_ms.min(mean_ms * MAX_SAMPLE_MEANS) - mean_ms) * MEAN_WEIGHT,
         };
-        if let Some(known) = self.routes.get_mut(route) {
-            known.count = known.count.saturating_add(1);
-            known.last_run = self.runs;
-            let sample_ms = ran_ms.min(known.mean_ms * MAX_SAMPLE_MEANS);
-            known.mean_ms += (sample_ms - known.mean_ms) * (1.0 / f64::from(known.count)).max(ROUTE_WEIGHT);
-            return;
-        }
-        if self.routes.len() >= MAX_ROUTES {
-            let oldest = (0..self.routes.len()).min_by_key(|at| self.routes[*at].last_run);
-            oldest.and_then(|at| self.routes.swap_remove_index(at));
-        }
-        let first = RouteRuns {
-            mean_ms: ran_ms,
-            count: 1,
-            last_run: self.runs,
-        };
-        self.routes.insert(Arc::clone(route), first);
+        self.routes
+            .update(route, |known| known.unwrap_or_default().after(ran_ms));
     }
 
     /// Returns the mean over all routes, in milliseconds; 0 before the first run.
@@ -87,6 +82,6 @@
         } else {
             DEFAULT_RUN_MS
         };
-        usual_ms.min(useful_ms as f64 * USEFUL_RUN_FRACTION)
+        assumed_run_ms(usual_ms, useful_ms as f64)
     }
 }
--- a/tests/target_choice.rs
+++ b/tests/target_choice.rs
@@ -258,3 +258,90 @@
     selector.record_load(&"far".into(), load(40, RANK), RANK, NOW);
     assert!(room_in_ms(&selector, RANK) < full_ms);
 }
+
+/// Returns how many of 1,000 calls of a route are sent to targets that run two calls each.
+fn sent_of_idle(selector: &TargetSelector, route: &str, limit_ms: f64) -> usize {
+    let candidates = candidates();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let criteria = TargetCriteria {
+        route,
+        ..criteria(limit_ms)
+    };
+    let chosen = (0..1_000).map(|_| selector.choose(&candidates, &[], criteria, &mut rng, NOW));
+    chosen.flatten().count()
+}
+
+/// Returns a selector whose targets are idle and run calls of the mean run time given, in milliseconds.
+fn idle_selector(run_ms: f64, slowdown: f64) -> TargetSelector {
+    let mut selector = selector(2, 2);
+    for name in ["near", "far"] {
+        let report = LoadReport {
+            run_ms,
+            slowdown,
+            ..load(2, RANK)
+        };
+        selector.record_load(&name.into(), report, RANK, NOW);
+    }
+    selector
+}
+
+/// Guards against calls that are refused beside idle targets: no refusal shortens a run, whether it is only assumed, takes longer
+/// than its route's latency, or is slow at this moment.
+#[test]
+fn calls_are_sent_to_idle_targets_however_long_their_runs_take() {
+    let mut known = idle_selector(400.0, 1.0);
+    for name in ["near", "far"] {
+        known.record_route_run(&name.into(), &"known".into(), 400.0);
+    }
+    let sent = [
+        sent_of_idle(&idle_selector(880.0, 1.0), "unknown", 200.0),
+        sent_of_idle(&known, "known", 200.0),
+        sent_of_idle(&known, "unknown", 60.0),
+        sent_of_idle(&idle_selector(60.0, 8.0), "unknown", 200.0),
+    ];
+    assert_eq!(sent, [1_000; 4]);
+}
+
+/// Guards against a queue that grows with calls whose runs alone take longer than their latency: a wait still counts.
+#[test]
+fn calls_with_long_runs_are_refused_where_they_would_wait_long() {
+    let mut selector = selector(60, 60);
+    for name in ["near", "far"] {
+        selector.record_route_run(&name.into(), &"long".into(), 250.0);
+    }
+    let sent = sent_of_idle(&selector, "long", 200.0);
+    assert!((60..140).contains(&sent), "{sent}");
+}
+
+/// Guards against calls that wait for nothing to be told, or sent elsewhere, as their runs are taken to be those of other routes.
+#[test]
+fn useful_time_covers_the_runs_of_a_route_and_not_those_of_others() {
+    let mut selector = idle_selector(880.0, 1.0);
+    let room_in_ms = |selector: &TargetSelector, route| {
+        let criteria = TargetCriteria {
+            route,
+            ..criteria(200.0)
+        };
+        selector.room_in_ms(&candidates(), criteria, NOW)
+    };
+    assert!(room_in_ms(&selector, "unknown") <= 0.0);
+    selector.record_route_run(&"far".into(), &"long".into(), 400.0);
+    let useful_ms = ["long", "unknown"].map(|route| selector.useful_ms(route, 200));
+    assert_eq!(useful_ms, [600, 200]);
+    assert_eq!(selector.useful_ms("long", 4_000), 4_000);
+}
+
+/// Guards against routes whose run times are never known, as others were there before them.
+#[test]
+fn run_times_of_the_latest_routes_are_kept() {
+    let mut selector = TargetSelector::default();
+    for number in 0..1_400 {
+        let route = format!("route-{number}");
+        selector.record_route_run(&"near".into(), &route.into(), 55.0);
+    }
+    let known = (0..1_400).filter(|number| {
+        let route = format!("route-{number}");
+        selector.route_run_ms("near", &route).is_some()
+    });
+    assert_eq!(known.collect::<Vec<_>>(), (1_336..1_400).collect::<Vec<_>>());
+}
