A target that drains gets no calls, whatever came with a higher sequence

Cause: an announcement of the current start with a sequence that is not higher was acknowledged whatever it said. That it leaves is final for a start, so its order among other announcements doesn't matter; it now counts whenever it comes.

--- a/src/daemon/control/target.rs
+++ b/src/daemon/control/target.rs
@@ -171,7 +171,8 @@
         if let Some(current) = &mut self.announced {
             let is_same = current.id == id && current.born == born;
             let is_repeated = is_same && seq <= current.seq;
-            if is_leaving && !is_repeated {
+            // A target that leaves doesn't come back, whatever its other announcements say and when they come.
+            if is_leaving {
                 let departure = TargetDeparture { id, born };
                 // The gate stays open for a later start of the same target.
                 let is_superseded = current.id == departure.id && born < current.born;
