Departures are written back to a store that has lost them

Cause: a departure counted as recorded for good once the store had acknowledged it; nothing wrote it again in a later generation of the store, as seeds and ends of moves are. The answer that states a new generation, which each daemon gets in its next call or watch, now makes the daemon record the departures of the last minute again. Older ones can't be undone by a heartbeat that is seconds late, and are not written.

--- a/src/daemon/control/departures.rs
+++ b/src/daemon/control/departures.rs
@@ -103,6 +103,20 @@
         }
     }
 
+    /// Records the latest departures again, as the store came back from a copy that may lack them. They are acknowledged, and
+    /// after the loss of every daemon only the store has them.
+    pub(super) fn restore_departures(&mut self, now: TimePoint) {
+        for departure in self.departed.to_restore(now) {
+            log::info!(
+                "event=departure-restored target={} born={}",
+                departure.id,
+                departure.born
+            );
+            self.departures.restore(departure, now);
+        }
+        self.tick_departures(now);
+    }
+
     /// Handles the result of an attempt to record a departure.
     pub(super) fn finish_departure_record(
         &mut self,
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -318,6 +318,7 @@
             ControlEvent::DepartureRecorded { departure, result } => {
                 self.finish_departure_record(&departure, result, now);
             }
+            ControlEvent::StoreReturned => self.restore_departures(now),
             ControlEvent::TargetProbed(is_ready) => self.finish_target_probe(is_ready, now),
             ControlEvent::Traffic(TrafficEvent::Ejected { target }) => {
                 self.ring
--- a/src/daemon/control/target.rs
+++ b/src/daemon/control/target.rs
@@ -122,7 +122,7 @@
         reason: &str,
         now: TimePoint,
     ) -> DepartureEffect {
-        let is_new = self.departed.add(departure);
+        let is_new = self.departed.add(departure, now);
         let current = self.announced.as_ref();
         let ends_current = current.is_none_or(|current| current.is_ended_by(departure));
         let TargetDeparture { id, born } = departure;
--- a/src/daemon/edges.rs
+++ b/src/daemon/edges.rs
@@ -278,6 +278,8 @@
             GenerationChange::Returned { former } => {
                 log::warn!("event=store-returned generation={generation} former={former}");
                 metrics.store_returns.inc();
+                let inbox = self.inbox.clone();
+                tokio::spawn(async move { inbox.send(ControlEvent::StoreReturned).await });
             }
             GenerationChange::Outdated { latest } => {
                 log::info!("event=store-answer-outdated generation={generation} latest={latest}");
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -115,6 +115,8 @@
     },
     /// A read of the departures that earlier processes recorded ended.
     DeparturesRead(Result<Vec<TargetDeparture>, StoreError>),
+    /// The store has come back from an older copy.
+    StoreReturned,
     /// An attempt to record a departure ended.
     DepartureRecorded {
         /// The departure.
--- a/src/member/departure.rs
+++ b/src/member/departure.rs
@@ -12,6 +12,9 @@
 
 /// Number of targets whose departures are kept for one daemon; the one that came first makes room.
 pub const MAX_DEPARTURES: usize = 32;
+/// Time for which a departure is written back to a store that has lost it, in milliseconds: a target serves for some seconds
+/// after it, and its heartbeats come seconds late.
+const RESTORE_MS: u64 = 60_000;
 
 /// Time within which a target gets a reply to the message that it leaves, in milliseconds. It waits for a second.
 pub const DEPARTURE_REPLY_MS: u64 = 700;
@@ -37,37 +40,58 @@
 /// before: a heartbeat may arrive after the message that its sender leaves.
 #[derive(Debug, Clone, Default)]
 pub struct DepartedTargets {
-    /// Latest start that has departed, by the identity of the target.
-    latest_starts: IndexMap<Arc<str>, u64>,
+    /// By the identity of the target.
+    latest: IndexMap<Arc<str>, DepartedStart>,
+}
+
+/// Latest start of a target that has departed.
+#[derive(Debug, Clone, Copy)]
+struct DepartedStart {
+    born: u64,
+    /// Until when a store that has lost it gets it back.
+    restore_until: TimePoint,
 }
 
 impl DepartedTargets {
-    /// Adds a departure. Returns false if a departure of this start or a later one is known.
-    pub fn add(&mut self, departure: &TargetDeparture) -> bool {
+    /// Adds a departure that is heard of at `now`. Returns false if a departure of this start or a later one is known.
+    pub fn add(&mut self, departure: &TargetDeparture, now: TimePoint) -> bool {
         if self.has_departed(&departure.id, departure.born) {
             return false;
         }
-        self.latest_starts.shift_remove(&departure.id);
-        if self.latest_starts.len() >= MAX_DEPARTURES {
-            self.latest_starts.shift_remove_index(0);
+        self.latest.shift_remove(&departure.id);
+        if self.latest.len() >= MAX_DEPARTURES {
+            self.latest.shift_remove_index(0);
         }
-        self.latest_starts
-            .insert(Arc::clone(&departure.id), departure.born);
+        let start = DepartedStart {
+            born: departure.born,
+            restore_until: now.after_ms(RESTORE_MS),
+        };
+        self.latest.insert(Arc::clone(&departure.id), start);
         true
     }
 
     /// Returns whether a start of a target has departed.
     pub fn has_departed(&self, id: &str, born: u64) -> bool {
-        self.latest_starts.get(id).is_some_and(|latest| born <= *latest)
+        self.latest.get(id).is_some_and(|start| born <= start.born)
     }
 
     /// Returns the departures, the latest one last.
     pub fn iter(&self) -> impl Iterator<Item = TargetDeparture> {
-        self.latest_starts.iter().map(|(id, born)| TargetDeparture {
+        self.latest.iter().map(|(id, start)| TargetDeparture {
             id: Arc::clone(id),
-            born: *born,
+            born: start.born,
         })
     }
+
+    /// Returns the departures that a store that has lost them gets back.
+    pub fn to_restore(&self, now: TimePoint) -> Vec<TargetDeparture> {
+        let starts = self.latest.values();
+        let departures = self.iter().zip(starts);
+        departures
+            .filter(|(_, start)| start.restore_until > now)
+            .map(|(departure, _)| departure)
+            .collect()
+    }
 }
 
 /// Call to the store that is due.
@@ -154,6 +178,13 @@
         self.add_until(departure, TimePoint::FAR_FUTURE, now);
     }
 
+    /// Adds a departure that was recorded in an earlier generation of the store. One that is still unrecorded stays as it is.
+    pub fn restore(&mut self, departure: TargetDeparture, now: TimePoint) {
+        if !self.is_unrecorded(&departure.id) {
+            self.add_until(departure, now, now);
+        }
+    }
+
     fn add_until(&mut self, departure: TargetDeparture, acknowledge_at: TimePoint, now: TimePoint) {
         self.unrecorded.retain(|other| other.departure.id != departure.id);
         if self.unrecorded.len() >= MAX_DEPARTURES {
--- a/tests/departure_log.rs
+++ b/tests/departure_log.rs
@@ -90,16 +90,34 @@
 #[test]
 fn departures_end_each_start_up_to_theirs_and_are_kept_up_to_a_number() {
     let mut departed = DepartedTargets::default();
-    assert!(departed.add(&departure("i-0")));
-    assert!(!departed.add(&departure("i-0")), "known");
+    assert!(departed.add(&departure("i-0"), NOW));
+    assert!(!departed.add(&departure("i-0"), NOW), "known");
     let starts = [999, 1_000, 1_001].map(|born| departed.has_departed("i-0", born));
     assert_eq!(starts, [true, true, false]);
     assert!(!departed.has_departed("i-1", 1));
     for number in 1..MAX_DEPARTURES {
-        departed.add(&departure(&format!("i-{number}")));
+        departed.add(&departure(&format!("i-{number}")), NOW);
     }
     assert!(departed.has_departed("i-0", 1_000));
-    departed.add(&departure("i-last"));
+    departed.add(&departure("i-last"), NOW);
     assert!(!departed.has_departed("i-0", 1_000));
     assert_eq!(departed.iter().count(), MAX_DEPARTURES);
 }
+
+/// Guards against a departure that a store has lost for good, and against writing back what no heartbeat can undo any more.
+#[test]
+fn latest_departures_are_recorded_again_once_and_without_a_further_acknowledgement() {
+    let mut departed = DepartedTargets::default();
+    departed.add(&departure("i-old"), NOW);
+    let later = NOW.after_ms(60_000);
+    departed.add(&departure("i-new"), later);
+    assert_eq!(departed.to_restore(later), [departure("i-new")]);
+    let mut log = DepartureLog::new(later);
+    log.finish_read(true, later);
+    log.tick(later);
+    log.restore(departure("i-new"), later);
+    assert_eq!(log.tick(later), [DepartureStep::Record(departure("i-new"))]);
+    log.restore(departure("i-new"), later);
+    assert_eq!(log.tick(later), [], "in flight");
+    assert!(log.may_acknowledge("i-new", later));
+}
