A start is passed over only by one that was heard of

An earlier start of another target is refused as outdated only if the daemon has heard of the later one. That was read from the sequence, which may begin at 0; it is a field now. Repeated departures are no longer logged.

--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -97,6 +97,8 @@
     born: u64,
     /// Sequence number of the latest announcement, 0 if there was none.
     seq: u64,
+    /// Whether there was an announcement, rather than a departure only.
+    was_heard: bool,
     /// Whether the target has departed.
     has_departed: bool,
 }
@@ -110,7 +112,7 @@
     /// Returns whether a start began before this one, which has taken its place. That is not known of a target of which
     /// only the departure is.
     fn has_replaced(&self, born: u64) -> bool {
-        self.seq > 0 && born < self.born
+        self.was_heard && born < self.born
     }
 }
 
--- a/src/daemon/control/target.rs
+++ b/src/daemon/control/target.rs
@@ -126,24 +126,22 @@
         let current = self.announced.as_ref();
         let ends_current = current.is_none_or(|current| current.is_ended_by(departure));
         let TargetDeparture { id, born } = departure;
+        if !is_new && !ends_current {
+            return DepartureEffect::Known;
+        }
         log::info!(
-            "event=target-departed target={id} born={born} current={} current_born={} is_new={is_new} \
-             ends_current={ends_current}",
+            "event=target-departed target={id} born={born} current={} current_born={} ends_current={ends_current}",
             current.map_or("", |current| &current.id),
             current.map_or(0, |current| current.born),
         );
         if !ends_current {
-            return if is_new {
-                DepartureEffect::OfOther
-            } else {
-                DepartureEffect::Known
-            };
+            return DepartureEffect::OfOther;
         }
-        let seq = current.map_or(0, |current| current.seq);
         self.announced = Some(AnnouncedTarget {
             id: Arc::clone(id),
             born: *born,
-            seq,
+            seq: current.map_or(0, |current| current.seq),
+            was_heard: current.is_some_and(|current| current.was_heard),
             has_departed: true,
         });
         let mut record = self.members.own().target.clone();
@@ -200,6 +198,7 @@
             id: Arc::clone(&id),
             born,
             seq,
+            was_heard: true,
             has_departed: false,
         });
         let identity = TargetIdentity {
