--- a/review/standin-3/endpoint.py
+++ b/review/standin-3/endpoint.py
@@ -38,8 +38,12 @@
 
     async def announce(self):
         """Sends one heartbeat; returns whether it was acknowledged."""
+        return await self.send_held(self.hold_beat())
+
+    def hold_beat(self):
+        """Returns a heartbeat, to be sent later as one that the network has delayed."""
         self.sequence += 1
-        beat = {
+        return {
             "service": self.machine.service,
             "address": f"{self.machine.ip}:{self.machine.app_port}",
             "zone": self.machine.zone,
@@ -50,6 +54,8 @@
             "sequence": self.sequence,
             "born": self.born,
         }
+
+    async def send_held(self, beat):
         return await self._call("PUT", beat)
 
     async def drain(self):
@@ -59,10 +65,12 @@
             await asyncio.sleep(0.2)
         return time.monotonic()
 
-    async def leave(self):
-        """Deregisters and ends."""
-        await self._call("DELETE", {"born": self.born})
-        await self.stop()
+    async def deregister(self):
+        """Deregisters until that is acknowledged, and returns the time of the acknowledgement. No heartbeat follows."""
+        self.beats.cancel()
+        while not await self._call("DELETE", {"born": self.born}):
+            await asyncio.sleep(0.2)
+        return time.monotonic()
 
     async def stop(self):
         if self.beats:
