--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,9 +1,8 @@
-"""A version that fails under load is brought in, and the machine that controls the move freezes as the share reaches its top."""
+"""An endpoint leaves while the store is down; then all daemons are killed, and a heartbeat of the endpoint arrives late."""
 
 import asyncio
 import itertools
 import os
-import signal
 import sys
 import time
 from pathlib import Path
@@ -23,15 +22,16 @@
 BOUNDS = {"extra_retries": 60, "grace_s": 6, "drain_ms": 2000}
 LIMITS = {"linkMbps": 1000.0, "memoryMb": 260}
 CONTACT_S = 3.0
-EXPOSURE_SHARE = 0.1
-EXPOSURE_SLACK = 50
-DURATION_S = 16
-# Share of the bad version's answers that are failures while it gets more requests in a second than this.
-FAILING_SHARE = 0.5
-FAILS_ABOVE_PER_S = 60
-TOP_SHARE = 0.95
-FREEZE_S = 4.0
-REQUEST_INTERVAL_S = 0.05
+DRAIN_S = 2.0
+# Time after the acknowledgement at which the daemons are killed, and after that until they start again.
+KILL_AFTER_S = 0.3
+DOWN_S = 0.5
+# Time after the acknowledgement at which the store is back, and at which the late heartbeat arrives.
+STORE_BACK_AFTER_S = 1.2
+LATE_BEAT_AFTER_S = 2.5
+# Time after its acknowledgement for which the endpoint serves.
+SERVES_S = 9.0
+REQUEST_INTERVAL_S = 0.1
 DEADLINE_MS = 2500
 
 CONFIG = {
@@ -47,33 +47,17 @@
             "priority": 2,
             "service": SERVICE,
             "attempts": 2,
-        },
-        {
-            "name": "reserve",
-            "hostname": HOST,
-            "prefix": "/reserve/",
-            "repeat": "non_idempotent",
-            "timeout_ms": 1500,
-            "target_latency_ms": 800,
-            "priority": 1,
-            "service": SERVICE,
-            "attempts": 2,
-        },
-    ],
-    "services": [
-        {"name": SERVICE, "healthPath": "/health", "maxConnections": 120, "protocol": "h1", "tls": False},
-        {"name": "expedicao", "healthPath": "/health", "maxConnections": 120, "protocol": "h1", "tls": False},
+        }
     ],
+    "services": [{"name": SERVICE, "healthPath": "/health", "maxConnections": 120, "protocol": "h1", "tls": False}],
     "limits": {"head_bytes": 16384, "body_bytes": 67108864, "head_timeout_ms": 3000, "idle_timeout_ms": 15000},
 }
 
 
-async def call(record, machine, attempt, is_read):
-    body = b"" if is_read else b"x" * 1000
-    method, path = ("GET", "/stock/tray") if is_read else ("POST", "/reserve/batch")
-    head = request_head(method, path, HOST, attempt, DEADLINE_MS, len(body))
+async def call(record, machine, attempt):
+    head = request_head("GET", "/stock/tray", HOST, attempt, DEADLINE_MS, 0)
     record.write("sent", attempt=attempt, machine=machine.name)
-    status, _, _ = await http11.exchange(machine.ip, machine.outbound_port, head + body, timeout_s=4.0)
+    status, _, _ = await http11.exchange(machine.ip, machine.outbound_port, head, timeout_s=4.0)
     record.write("answered", attempt=attempt, status=status)
 
 
@@ -81,8 +65,7 @@
     calls = set()
     try:
         for number in itertools.count():
-            attempt = f"{machine.name}.{number}"
-            running = asyncio.ensure_future(call(record, machine, attempt, number % 3 != 0))
+            running = asyncio.ensure_future(call(record, machine, f"{machine.name}.{number}"))
             calls.add(running)
             running.add_done_callback(calls.discard)
             await asyncio.sleep(REQUEST_INTERVAL_S)
@@ -91,99 +74,66 @@
             running.cancel()
 
 
-async def wait_for_top(deployment):
-    """Waits until a controller has written to the store that the share is at its top; returns its daemon's name."""
-    key = f"own/service/{SERVICE}"
-    while True:
-        record = deployment.store.value(key) or {}
-        clearance = (record.get("latest") or {}).get("clearance") or {}
-        if clearance.get("share", 0.0) >= TOP_SHARE:
-            return clearance["holder"].split("@")[0]
-        await asyncio.sleep(0.01)
-
-
-async def freeze(deployment, record, name):
-    """Stops the daemon that last wrote to the store under a condition. Nobody reaches the endpoint beside it meanwhile."""
-    machine = next(machine for machine in deployment.machines if machine.name == name)
-    machine.process.send_signal(signal.SIGSTOP)
-    record.write("frozen", machine=name)
-    await asyncio.sleep(FREEZE_S)
-    machine.process.send_signal(signal.SIGCONT)
-    record.write("thawed", machine=name)
-
-
-async def wait_for_state(deployment, states, timeout_s):
-    until = time.monotonic() + timeout_s
-    while time.monotonic() < until:
-        status = deployment.store.value(f"status/rollout/{SERVICE}")
-        if status and status["state"] in states:
-            return status["state"]
-        await asyncio.sleep(0.02)
-    return None
-
-
-def judge(record, began_at, deadline):
-    """Returns what of EXPOSURE is broken. What a machine sends from its freeze until `contact` after it is not counted against
-    it."""
-    sent = {entry["attempt"]: entry for entry in record.of("sent")}
-    frozen = {entry["machine"]: entry["at"] for entry in record.of("frozen")}
-
-    def is_in_touch(request):
-        since = frozen.get(request["machine"])
-        return since is None or not since <= request["at"] <= since + FREEZE_S + CONTACT_S
-
-    arrivals = [entry for entry in record.of("arrived") if began_at <= entry["at"] <= deadline]
-    new = [entry for entry in arrivals if entry["version"] == "v2" and is_in_touch(sent[entry["attempt"]])]
-    allowed = EXPOSURE_SHARE * len(arrivals) + EXPOSURE_SLACK
-    record.write("counted", new=len(new), all=len(arrivals), allowed=round(allowed))
-    if len(new) > allowed:
-        return f"v2 got {len(new)} of {len(arrivals)} requests between the order and its deadline, allowed {allowed:.0f}"
-    return None
-
-
 async def case():
     record = Record(FOLDER / "record.txt")
     async with Deployment(record, BOUNDS, LIMITS) as deployment:
         store = deployment.store
         store.put("op/config", CONFIG)
         zones = ["garanhuns-a", "garanhuns-b", "caruaru"]
-        old_machines = [deployment.start_machine(f"counter-{zone}", zone, SERVICE) for zone in zones]
-        deployment.start_machine("dispatch-1", "arcoverde", "expedicao")
+        machines = [deployment.start_machine(f"counter-{zone}", zone, SERVICE) for zone in zones]
         await deployment.wait_until_ready()
-        old = [Endpoint(machine, f"i-{machine.name}", "v1", record) for machine in old_machines]
-        for endpoint in old:
+        endpoints = [Endpoint(machine, f"i-{machine.name}", "v1", record) for machine in machines]
+        for endpoint in endpoints:
             await endpoint.start()
-        clients = [asyncio.ensure_future(send_requests(record, machine)) for machine in deployment.machines]
-        await asyncio.sleep(6.0)
-        if not any(entry["status"] == 200 for entry in record.of("answered")):
-            raise CaseUnusable("no request is served before the case")
+        clients = [asyncio.ensure_future(send_requests(record, machine)) for machine in machines]
+        await asyncio.sleep(8.0)
+        leaving = endpoints[0]
+        if not any(entry["endpoint"] == leaving.id for entry in record.of("arrived")):
+            raise CaseUnusable("the endpoint gets no request before it leaves")
 
-        new_machine = deployment.start_machine("counter-new", "arcoverde", SERVICE)
-        await deployment.wait_until_ready()
-        new = Endpoint(new_machine, "i-new", "v2", record)
-        new.failing_share, new.fails_above_per_s = FAILING_SHARE, FAILS_ABOVE_PER_S
-        await new.start()
-        clients.append(asyncio.ensure_future(send_requests(record, new_machine)))
-        await asyncio.sleep(4.0)
-        began_at = time.monotonic()
-        order = {"service": SERVICE, "target_version": "v2", "duration_s": DURATION_S}
-        record.write("ordered", at=began_at, revision=store.put(f"op/rollout/{SERVICE}", order))
-        name = await asyncio.wait_for(wait_for_top(deployment), DURATION_S)
-        record.write("at-top", controller=name)
         if HAS_TROUBLE:
-            await freeze(deployment, record, name)
-        state = await wait_for_state(deployment, ("completed", "reverted"), DURATION_S + 3.0)
-        record.write("state", state=state)
-        if state == "completed":
-            for endpoint in old:
-                await endpoint.stop()
-        await asyncio.sleep(max(0.0, began_at + DURATION_S + 0.5 - time.monotonic()))
+            store.go_away()
+            record.write("store-down")
+            await asyncio.sleep(0.3)
+        late_beat = leaving.hold_beat()
+        acknowledged_at = await leaving.deregister()
+        record.write("acknowledged", at=acknowledged_at, endpoint=leaving.id)
+
+        async def at(after_s):
+            await asyncio.sleep(max(0.0, acknowledged_at + after_s - time.monotonic()))
+
+        in_touch_from = acknowledged_at
+        if HAS_TROUBLE:
+            await at(KILL_AFTER_S)
+            for machine in machines:
+                machine.process.kill()
+                machine.process.wait()
+            record.write("killed")
+            await at(KILL_AFTER_S + DOWN_S)
+            for machine in machines:
+                deployment.start_daemon(machine)
+            record.write("started")
+            await at(STORE_BACK_AFTER_S)
+            store.is_away = False
+            record.write("store-up")
+            in_touch_from = time.monotonic() + CONTACT_S
+        await at(LATE_BEAT_AFTER_S)
+        record.write("late-beat", acknowledged=await leaving.send_held(late_beat))
+        await at(SERVES_S)
+        for endpoint in endpoints:
+            await endpoint.stop()
         for client in clients:
             client.cancel()
-        for endpoint in [new, *old]:
-            await endpoint.stop()
-        fault = judge(record, began_at, began_at + DURATION_S)
-        return f"EXPOSURE (state {state}): {fault}" if fault else None
+        sent = {entry["attempt"]: entry["at"] for entry in record.of("sent")}
+        limit = max(acknowledged_at + DRAIN_S, in_touch_from)
+        late = [
+            f"{entry['at'] - acknowledged_at:.2f} s"
+            for entry in record.of("arrived")
+            if entry["endpoint"] == leaving.id and entry["at"] > limit and sent[entry["attempt"]] > limit
+        ]
+        if not late:
+            return None
+        return f"DRAIN: {len(late)} requests reached {leaving.id} after its acknowledgement: {late[0]} to {late[-1]}"
 
 
 sys.exit(run_case(case))
