--- a/review/11/case.py
+++ b/review/11/case.py
@@ -134,7 +134,7 @@
 
 
 async def case():
-    record = Record(FOLDER / "record.txt")
+    record = Record(sys.argv[1])
     async with Deployment(record, BOUNDS, LIMITS) as deployment:
         store = deployment.store
         store.put("op/config", CONFIG)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -75,7 +75,7 @@
 
 
 async def case():
-    record = Record(FOLDER / "record.txt")
+    record = Record(sys.argv[1])
     async with Deployment(record, BOUNDS, LIMITS) as deployment:
         store = deployment.store
         store.put("op/config", CONFIG)
--- a/review/standin-3/deployment.py
+++ b/review/standin-3/deployment.py
@@ -201,7 +201,7 @@
     """Runs a case, which returns the text of a broken rule or None, and returns the exit code of its script."""
     try:
         fault = asyncio.run(asyncio.wait_for(case(), 110))
-    except (CaseUnusable, asyncio.TimeoutError) as error:
+    except Exception as error:  # Whatever fails here says nothing about the rule.
         print(f"could not run: {error!r}")
         return 2
     if fault:
