Keep the ports of review cases apart that run beside each other

Cause: with eight scripts at once, two ended with 2, as daemons of two of them had chosen the same port; the reason was not in record.txt. Change: each script takes its ports from a block of its own, and records why it could not run.

--- a/review/standin-3/deployment.py
+++ b/review/standin-3/deployment.py
@@ -4,10 +4,10 @@
 import contextlib
 import json
 import os
-import random
 import re
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -43,19 +43,16 @@
         return [entry for entry in self.events if entry["event"] == event]
 
 
-_taken_ports = set()
+# Ports below those that connections take by themselves, in blocks, so that cases beside each other seldom meet.
+_PORTS = iter(range(20_000 + os.getpid() % 50 * 200, 32_000))
 
 
 def _free_port(ip):
-    """Returns a free port below those that connections take by themselves."""
-    while True:
-        port = random.randrange(20_000, 30_000)
-        if port in _taken_ports:
-            continue
-        _taken_ports.add(port)
+    for port in _PORTS:
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind((ip, port))
             return port
+    raise CaseUnusable("no port is free")
 
 
 class Machine:
@@ -202,7 +199,10 @@
     try:
         fault = asyncio.run(asyncio.wait_for(case(), 110))
     except Exception as error:  # Whatever fails here says nothing about the rule.
-        print(f"could not run: {error!r}")
+        text = f"could not run: {error!r}"
+        with open(sys.argv[1], "a", encoding="utf-8") as record:
+            record.write(text + "\n")
+        print(text)
         return 2
     if fault:
         print(f"broken: {fault}")
